Thin whole path: daemon, CLI, stand-ins, settings, logs

Ruled out: sanic's worker manager (it starts processes); running stand-ins inside the daemon (the issue asks for separate processes).

--- /dev/null
+++ b/pearrun/clock.py
@@ -0,0 +1,47 @@
+"""Milliseconds: the one clock type pearrun uses."""
+
+import dataclasses
+import time
+from typing import NewType
+
+Millis = NewType('Millis', int)
+
+
+@dataclasses.dataclass(frozen=True)
+class Clock:
+    """Reads time in whole milliseconds.
+
+    Monotonic time is for timeouts and latencies; wall time is only for
+    records that leave the process.
+    """
+
+    def now(self) -> Millis:
+        """Return monotonic time.
+
+        :returns: milliseconds since an arbitrary start.
+        """
+        return Millis(time.monotonic_ns() // 1_000_000)
+
+    def wall(self) -> Millis:
+        """Return wall-clock time.
+
+        :returns: milliseconds since the Unix epoch.
+        """
+        return Millis(time.time_ns() // 1_000_000)
+
+    def since(self, start: Millis) -> Millis:
+        """Return the milliseconds elapsed since ``start``.
+
+        :param start: an earlier result of :meth:`now`.
+        :returns: elapsed milliseconds, never negative.
+        """
+        return Millis(max(0, self.now() - start))
+
+
+def to_seconds(value: Millis) -> float:
+    """Convert milliseconds to seconds for library calls.
+
+    :param value: a duration in milliseconds.
+    :returns: the same duration in seconds.
+    """
+    return value / 1000.0
--- /dev/null
+++ b/pearrun/exceptions.py
@@ -0,0 +1,185 @@
+"""All errors pearrun raises, each with a numbered code.
+
+The table of codes is in ``docs/errors.md``; keep both in step.
+"""
+
+
+class PearrunError(Exception):
+    """Base of every pearrun error.
+
+    :param message: what went wrong, for people.
+    :param retry_after_s: seconds after which the caller may try again,
+        or ``None`` when trying again will not help.
+    """
+
+    code = 1000
+    http_status = 500
+
+    def __init__(self, message, retry_after_s=None):
+        super().__init__(message)
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+    def to_body(self):
+        """Return the error as a JSON-ready body.
+
+        :returns: ``{"error": {"code": int, "type": str, "message": str}}``
+        """
+        return {
+            'error': {
+                'code': self.code,
+                'type': type(self).__name__,
+                'message': self.message,
+            }
+        }
+
+
+class SettingsError(PearrunError):
+    """A settings file is unreadable or breaks a rule."""
+
+    code = 1100
+    http_status = 400
+
+
+class SettingsSyntaxError(SettingsError):
+    """A settings file is not valid YAML."""
+
+    code = 1101
+
+
+class SettingsValueError(SettingsError):
+    """A settings key is missing, unknown or has a bad value."""
+
+    code = 1102
+
+
+class BadRequestError(PearrunError):
+    """A caller's request body or headers are wrong."""
+
+    code = 1200
+    http_status = 400
+
+
+class UnknownServiceError(BadRequestError):
+    """The request names a service (``model``) that is not configured."""
+
+    code = 1201
+    http_status = 404
+
+
+class UnknownCustomerError(BadRequestError):
+    """The request names a customer that is not configured."""
+
+    code = 1202
+    http_status = 403
+
+
+class UnknownRequestError(PearrunError):
+    """No request with this id is known here."""
+
+    code = 1300
+    http_status = 404
+
+
+class CapacityError(PearrunError):
+    """The system gave up on the request; come back after Retry-After."""
+
+    code = 1400
+    http_status = 503
+
+
+class NoEndpointError(CapacityError):
+    """No live endpoint can serve the request's service."""
+
+    code = 1401
+
+
+class JournalUnavailableError(CapacityError):
+    """The platform log service could not record the acceptance."""
+
+    code = 1402
+
+
+class RateLimitedError(CapacityError):
+    """The platform log service refused the append for its rate limit."""
+
+    code = 1403
+    http_status = 429
+
+
+class AmbiguousAppendError(JournalUnavailableError):
+    """An append may or may not have happened: its answer was lost."""
+
+    code = 1404
+
+
+class ExpiredOffsetError(PearrunError):
+    """An offset fell out of the log service's retention window."""
+
+    code = 1405
+    http_status = 410
+
+
+class IdempotencyKeyRequiredError(BadRequestError):
+    """A non-idempotent service was called without Idempotency-Key."""
+
+    code = 1203
+
+
+class BackendError(PearrunError):
+    """An endpoint failed while serving an accepted request."""
+
+    code = 1500
+    http_status = 502
+
+
+class CancelledError(PearrunError):
+    """The request was cancelled before it finished."""
+
+    code = 1501
+    http_status = 409
+
+
+class ConfigConflictError(PearrunError):
+    """Another operator published a configuration first."""
+
+    code = 1600
+    http_status = 409
+
+
+class StaleOrderError(PearrunError):
+    """An order carries an older fencing number than one already seen."""
+
+    code = 1601
+    http_status = 409
+
+
+class NotFoundError(PearrunError):
+    """An administrative target (endpoint, stream) does not exist."""
+
+    code = 1700
+    http_status = 404
+
+
+ALL_ERRORS = (
+    PearrunError,
+    SettingsError,
+    SettingsSyntaxError,
+    SettingsValueError,
+    BadRequestError,
+    UnknownServiceError,
+    UnknownCustomerError,
+    UnknownRequestError,
+    CapacityError,
+    NoEndpointError,
+    JournalUnavailableError,
+    RateLimitedError,
+    AmbiguousAppendError,
+    ExpiredOffsetError,
+    IdempotencyKeyRequiredError,
+    BackendError,
+    CancelledError,
+    ConfigConflictError,
+    StaleOrderError,
+    NotFoundError,
+)
--- /dev/null
+++ b/pearrun/ids.py
@@ -0,0 +1,12 @@
+"""Typed identifiers used across pearrun."""
+
+from typing import NewType
+
+RequestId = NewType('RequestId', str)
+EndpointId = NewType('EndpointId', str)
+ZoneName = NewType('ZoneName', str)
+CustomerId = NewType('CustomerId', str)
+ServiceName = NewType('ServiceName', str)
+IdempotencyKey = NewType('IdempotencyKey', str)
+DaemonName = NewType('DaemonName', str)
+Offset = NewType('Offset', int)
--- /dev/null
+++ b/pearrun/logservice.py
@@ -0,0 +1,122 @@
+"""Client of the platform's append-only log service."""
+
+import dataclasses
+
+import aiohttp
+
+from pearrun import exceptions
+from pearrun.ids import Offset
+
+RETRY_AFTER_S = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One record read back from a stream."""
+
+    offset: Offset
+    at_ms: int
+    value: object
+
+
+class LogClient:
+    """Appends to and reads from log streams over HTTP.
+
+    :param session: an :class:`aiohttp.ClientSession`.
+    :param settings: :class:`PlatformSettings`.
+    """
+
+    def __init__(self, session, settings):
+        self.session = session
+        self.base = settings.log_url.rstrip('/')
+        self.timeout = aiohttp.ClientTimeout(total=settings.timeout_ms / 1e3)
+
+    def _url(self, stream):
+        return f'{self.base}/v1/streams/{stream}/records'
+
+    async def append(self, stream, value, expected_offset=None):
+        """Append one record.
+
+        :param stream: the stream name.
+        :param value: a JSON-ready value.
+        :param expected_offset: when given, append only if this is the
+            stream's next offset (compare-and-append).
+        :returns: the record's :class:`Offset`.
+        :raises ConfigConflictError: ``expected_offset`` was stale.
+        :raises RateLimitedError: the service is over its append rate.
+        :raises AmbiguousAppendError: the outcome is unknown.
+        :raises JournalUnavailableError: the service refused or is down.
+        """
+        body = {'value': value, 'expected_offset': expected_offset}
+        try:
+            async with self.session.post(
+                self._url(stream), json=body, timeout=self.timeout
+            ) as reply:
+                data = await reply.json(content_type=None)
+                status = reply.status
+                retry = reply.headers.get('Retry-After', RETRY_AFTER_S)
+        except (aiohttp.ServerDisconnectedError, TimeoutError) as exc:
+            raise exceptions.AmbiguousAppendError(
+                f'append to {stream} lost its answer: {exc!r}',
+                retry_after_s=RETRY_AFTER_S,
+            ) from exc
+        except (aiohttp.ClientError, ValueError) as exc:
+            raise exceptions.JournalUnavailableError(
+                f'log service unreachable: {exc!r}',
+                retry_after_s=RETRY_AFTER_S,
+            ) from exc
+        match status:
+            case 201:
+                return Offset(int(data['offset']))
+            case 409:
+                raise exceptions.ConfigConflictError(
+                    f'{stream} moved on to offset {data["next_offset"]}'
+                )
+            case 429:
+                raise exceptions.RateLimitedError(
+                    'log service over its append rate',
+                    retry_after_s=int(retry),
+                )
+            case 504:
+                raise exceptions.AmbiguousAppendError(
+                    f'append to {stream} lost its answer',
+                    retry_after_s=RETRY_AFTER_S,
+                )
+        raise exceptions.JournalUnavailableError(
+            f'log service answered {status}', retry_after_s=RETRY_AFTER_S
+        )
+
+    async def read(self, stream, start, limit=100):
+        """Read records from ``start`` on.
+
+        :returns: ``(records, next_offset)``; ``records`` is a list of
+            :class:`Record`.
+        :raises ExpiredOffsetError: ``start`` is out of retention.
+        :raises JournalUnavailableError: the service is down.
+        """
+        params = {'from': str(start), 'limit': str(limit)}
+        try:
+            async with self.session.get(
+                self._url(stream), params=params, timeout=self.timeout
+            ) as reply:
+                data = await reply.json(content_type=None)
+                status = reply.status
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            raise exceptions.JournalUnavailableError(
+                f'log service unreachable: {exc!r}',
+                retry_after_s=RETRY_AFTER_S,
+            ) from exc
+        if status == 410:
+            raise exceptions.ExpiredOffsetError(
+                f'{stream}: offset {start} expired; first is '
+                f'{data.get("first_offset")}'
+            )
+        if status != 200:
+            raise exceptions.JournalUnavailableError(
+                f'log service answered {status}', retry_after_s=RETRY_AFTER_S
+            )
+        records = [
+            Record(Offset(r['offset']), r['at_ms'], r['value'])
+            for r in data['records']
+        ]
+        return records, Offset(int(data['next_offset']))
--- /dev/null
+++ b/pearrun/metrics.py
@@ -0,0 +1,79 @@
+"""Latency metrics per service, kept in HDR histograms."""
+
+import dataclasses
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MS = 1
+HIGHEST_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 95.0, 99.0)
+
+
+@dataclasses.dataclass
+class ServiceMetrics:
+    """Histograms and counters for one service on one daemon."""
+
+    ttft: HdrHistogram = dataclasses.field(default_factory=lambda: _new())
+    itl: HdrHistogram = dataclasses.field(default_factory=lambda: _new())
+    total: HdrHistogram = dataclasses.field(default_factory=lambda: _new())
+    accepted: int = 0
+    done: int = 0
+    failed: int = 0
+    rejected: int = 0
+    tokens: int = 0
+
+    def to_body(self):
+        """Return counters and encoded histograms, JSON-ready.
+
+        Histograms are HdrHistogram's own compressed encoding, so a
+        reader can add histograms from many daemons without loss.
+        """
+        return {
+            'accepted': self.accepted,
+            'done': self.done,
+            'failed': self.failed,
+            'rejected': self.rejected,
+            'tokens': self.tokens,
+            'ttft': self.ttft.encode().decode('ascii'),
+            'itl': self.itl.encode().decode('ascii'),
+            'total': self.total.encode().decode('ascii'),
+        }
+
+
+def _new():
+    return HdrHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS)
+
+
+def record(histogram, value_ms):
+    """Record a latency, clamped into the histogram's range.
+
+    :param histogram: an :class:`HdrHistogram`.
+    :param value_ms: the latency in milliseconds.
+    """
+    histogram.record_value(min(max(int(value_ms), LOWEST_MS), HIGHEST_MS))
+
+
+def decode(encoded):
+    """Turn an encoded histogram back into an :class:`HdrHistogram`."""
+    return HdrHistogram.decode(encoded.encode('ascii'))
+
+
+def merge(encoded_list):
+    """Add several encoded histograms into one.
+
+    :param encoded_list: strings from :meth:`ServiceMetrics.to_body`.
+    :returns: one :class:`HdrHistogram`.
+    """
+    total = _new()
+    for encoded in encoded_list:
+        total.add(decode(encoded))
+    return total
+
+
+def summarize(histogram):
+    """Return count and percentiles of a histogram in milliseconds."""
+    body = {'count': histogram.get_total_count()}
+    for pct in PERCENTILES:
+        body[f'p{pct:g}'] = histogram.get_value_at_percentile(pct)
+    return body
--- /dev/null
+++ b/pearrun/peers.py
@@ -0,0 +1,114 @@
+"""Peers: daemons of one failure domain, over websockets with CBOR.
+
+Each daemon keeps one task per peer address.  The task connects, sends
+a heartbeat every ``heartbeat_ms`` and reads messages; a connection
+that has been silent for ``peer_timeout_ms`` is dropped and dialled
+again, since a silent connection may never come back while a new one
+works.  Messages are CBOR maps with a ``type`` key:
+
+- ``{"type": "heartbeat", "from": name}``
+- ``{"type": "leaving", "from": name, "endpoint": id}``
+"""
+
+import asyncio
+import dataclasses
+
+import cbor2
+from loguru import logger
+import websockets
+
+from pearrun.clock import Clock
+from pearrun.clock import to_seconds
+from pearrun.states import EndpointState
+
+HEARTBEAT = 'heartbeat'
+LEAVING = 'leaving'
+
+
+@dataclasses.dataclass
+class PeerLink:
+    """What this daemon knows of one peer."""
+
+    url: str
+    connected: bool = False
+    last_seen_ms: int = 0
+    reconnects: int = 0
+
+
+class Peers:
+    """The set of peer links of one daemon.
+
+    :param settings: the daemon's whole :class:`Settings`.
+    :param router: the daemon's :class:`Router`, told of leaving
+        endpoints that peers report.
+    """
+
+    def __init__(self, settings, router):
+        self.settings = settings
+        self.router = router
+        self.clock = Clock()
+        self.links = {url: PeerLink(url) for url in settings.host.peers}
+        self.outbox = {url: asyncio.Queue() for url in settings.host.peers}
+
+    def encode(self, message):
+        """Encode a message as CBOR, stamped with this daemon's name."""
+        return cbor2.dumps(dict(message, **{'from': self.settings.host.name}))
+
+    def broadcast(self, message):
+        """Queue a message for every peer."""
+        for queue in self.outbox.values():
+            queue.put_nowait(message)
+
+    def receive(self, data):
+        """Act on one message from a peer."""
+        message = cbor2.loads(data)
+        if message.get('type') == LEAVING:
+            endpoint = message.get('endpoint')
+            if self.router.mark(endpoint, EndpointState.LEAVING):
+                logger.info('peer reports endpoint leaving', endpoint=endpoint)
+
+    async def serve(self, websocket):
+        """Handle one incoming peer connection until it closes."""
+        async for data in websocket:
+            self.receive(data)
+
+    async def keep_link(self, url):
+        """Keep one outgoing link up for the daemon's whole life."""
+        link = self.links[url]
+        host = self.settings.host
+        while True:
+            try:
+                async with websockets.connect(
+                    url, open_timeout=to_seconds(host.peer_timeout_ms)
+                ) as websocket:
+                    link.connected = True
+                    link.last_seen_ms = self.clock.now()
+                    await self.talk(websocket, link)
+            except (OSError, websockets.WebSocketException, TimeoutError):
+                pass
+            link.connected = False
+            link.reconnects += 1
+            await asyncio.sleep(to_seconds(host.heartbeat_ms))
+
+    async def talk(self, websocket, link):
+        """Send heartbeats and queued messages; give up when silent."""
+        host = self.settings.host
+        queue = self.outbox[link.url]
+        while True:
+            try:
+                message = await asyncio.wait_for(
+                    queue.get(), to_seconds(host.heartbeat_ms)
+                )
+            except TimeoutError:
+                message = {'type': HEARTBEAT}
+            await asyncio.wait_for(
+                websocket.send(self.encode(message)),
+                to_seconds(host.peer_timeout_ms),
+            )
+            pong = await websocket.ping()
+            await asyncio.wait_for(pong, to_seconds(host.peer_timeout_ms))
+            link.last_seen_ms = self.clock.now()
+
+    def to_body(self):
+        """Return the links' state, JSON-ready."""
+        return [dataclasses.asdict(link) for link in self.links.values()]
--- /dev/null
+++ b/pearrun/router.py
@@ -0,0 +1,134 @@
+"""Routing: which endpoint serves a request.
+
+Three policies, chosen by data class and dispatched with ``match``:
+
+- :class:`AffinityPolicy` (the default): rendezvous hashing of the
+  prompt's first block, so requests that share a prefix land where
+  that prefix is cached; it gives way to the least loaded endpoint
+  when the favourite is ``slack`` requests busier.
+- :class:`LeastLoadedPolicy` and :class:`RoundRobinPolicy`: baselines.
+"""
+
+import dataclasses
+import hashlib
+import itertools
+
+from pearrun import exceptions
+from pearrun.states import EndpointState
+from pearrun.structures import Endpoint
+
+PREFIX_CHARS = 256
+STATE_ORDER = {
+    EndpointState.LIVE: 0,
+    EndpointState.LEAVING: 1,
+    EndpointState.GONE: 2,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class AffinityPolicy:
+    """Prefix-cache affinity, bounded by load."""
+
+    slack: int = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class LeastLoadedPolicy:
+    """Fewest requests in flight."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RoundRobinPolicy:
+    """Each endpoint in turn."""
+
+
+def rendezvous_score(endpoint_id, key):
+    """Return the rendezvous-hash weight of an endpoint for a key."""
+    digest = hashlib.blake2b(
+        f'{endpoint_id}|{key}'.encode(), digest_size=8
+    ).digest()
+    return int.from_bytes(digest, 'big')
+
+
+class Router:
+    """Keeps the endpoints and picks one per request.
+
+    :param endpoints: :class:`Endpoint` objects, all zones.
+    :param zone: this daemon's failure domain; its endpoints go first.
+    :param policy: one of the policy data classes.
+    """
+
+    def __init__(self, endpoints, zone, policy=None):
+        self.endpoints = {e.id: e for e in endpoints}
+        self.zone = zone
+        self.policy = policy or AffinityPolicy()
+        self.turn = itertools.count()
+
+    @classmethod
+    def from_settings(cls, settings, policy=None):
+        """Build a router from a daemon's whole :class:`Settings`."""
+        endpoints = [
+            Endpoint(
+                id=e.id,
+                zone=e.zone,
+                url=e.url,
+                kind=e.kind,
+                services=frozenset(e.services),
+            )
+            for e in settings.endpoints
+        ]
+        return cls(endpoints, settings.host.zone, policy)
+
+    def candidates(self, service):
+        """Return live endpoints for a service, own zone first."""
+        live = [
+            e
+            for e in self.endpoints.values()
+            if service in e.services and e.state == EndpointState.LIVE
+        ]
+        local = [e for e in live if e.zone == self.zone]
+        return sorted(local or live, key=lambda e: e.id)
+
+    def choose(self, service, prompt, exclude=()):
+        """Pick an endpoint for a request.
+
+        :param service: the service name.
+        :param prompt: the prompt text (its start is the affinity key).
+        :param exclude: endpoint ids to leave out (already failed).
+        :returns: an :class:`Endpoint`.
+        :raises NoEndpointError: no live endpoint serves the service.
+        """
+        pool = [e for e in self.candidates(service) if e.id not in exclude]
+        if not pool:
+            raise exceptions.NoEndpointError(
+                f'no live endpoint serves {service!r}', retry_after_s=1
+            )
+        match self.policy:
+            case AffinityPolicy(slack=slack):
+                key = prompt[:PREFIX_CHARS]
+                best = max(pool, key=lambda e: rendezvous_score(e.id, key))
+                lightest = min(pool, key=lambda e: e.load)
+                if best.load - lightest.load > slack:
+                    return lightest
+                return best
+            case LeastLoadedPolicy():
+                return min(pool, key=lambda e: e.load)
+            case RoundRobinPolicy():
+                return pool[next(self.turn) % len(pool)]
+        raise TypeError(f'unknown policy {self.policy!r}')
+
+    def mark(self, endpoint_id, state):
+        """Move an endpoint forward: live, then leaving, then gone.
+
+        A lagging host list must not bring a leaving endpoint back, so
+        a state never moves backwards; unknown ids are ignored.
+
+        :returns: ``True`` when the state changed.
+        """
+        endpoint = self.endpoints.get(endpoint_id)
+        if endpoint is None:
+            return False
+        if STATE_ORDER[state] <= STATE_ORDER[endpoint.state]:
+            return False
+        endpoint.state = state
+        return True
--- /dev/null
+++ b/pearrun/settings.py
@@ -0,0 +1,221 @@
+"""Settings: the YAML tree, checked at load.
+
+A settings file has four branches::
+
+    host:      this daemon's name, failure domain and addresses
+    platform:  where the platform's log service and cloud API are
+    endpoints: the engines and plain services this daemon may route to
+    teams:     one branch per team: its customers and services
+
+Only ``teams`` is shared; operators publish it on the log service with
+``pearrun config apply`` and every daemon follows it by offset.
+"""
+
+from typing import Any
+
+import pydantic
+import yaml
+
+from pearrun import exceptions
+from pearrun.states import BackendKind
+from pearrun.states import Priority
+
+DEFAULT_TTFT_MS = 460
+DEFAULT_ITL_MS = 77
+DEFAULT_TOTAL_MS = 30_000
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Listen(_Strict):
+    """An address to listen on."""
+
+    host: str = '127.0.0.1'
+    port: int = pydantic.Field(ge=1, le=65535)
+
+
+class HostSettings(_Strict):
+    """This daemon's identity and addresses."""
+
+    name: str = pydantic.Field(min_length=1)
+    zone: str = pydantic.Field(min_length=1)
+    listen: Listen
+    peers: list[str] = []
+    heartbeat_ms: int = pydantic.Field(default=500, ge=50)
+    peer_timeout_ms: int = pydantic.Field(default=2000, ge=100)
+    config_poll_ms: int = pydantic.Field(default=250, ge=20)
+    hosts_poll_ms: int = pydantic.Field(default=250, ge=20)
+    retry_after_s: int = pydantic.Field(default=1, ge=1)
+
+
+class PlatformSettings(_Strict):
+    """Where the platform's services answer."""
+
+    log_url: str
+    cloud_url: str | None = None
+    config_stream: str = 'config'
+    timeout_ms: int = pydantic.Field(default=2000, ge=10)
+
+
+class EndpointSettings(_Strict):
+    """One back end this daemon may route to."""
+
+    id: str = pydantic.Field(min_length=1)
+    zone: str = pydantic.Field(min_length=1)
+    url: str
+    kind: BackendKind = BackendKind.ENGINE
+    services: list[str]
+
+
+class Targets(_Strict):
+    """Latency targets for a service, met by 95 in 100 requests."""
+
+    ttft_ms: int = pydantic.Field(default=DEFAULT_TTFT_MS, ge=1)
+    itl_ms: int = pydantic.Field(default=DEFAULT_ITL_MS, ge=1)
+    total_ms: int = pydantic.Field(default=DEFAULT_TOTAL_MS, ge=1)
+    objective: float = pydantic.Field(default=0.95, gt=0, lt=1)
+
+
+class ServiceSettings(_Strict):
+    """A model deployment or plain service that callers name."""
+
+    kind: BackendKind = BackendKind.ENGINE
+    idempotent: bool = True
+    priority: Priority = Priority.NORMAL
+    max_tokens: int = pydantic.Field(default=256, ge=1)
+    targets: Targets = Targets()
+
+    @pydantic.field_validator('priority', mode='before')
+    @classmethod
+    def parse_priority(cls, value):
+        """Accept priorities by name (``interactive``) as well as value."""
+        if isinstance(value, str):
+            return Priority[value.upper()]
+        return value
+
+
+class TeamSettings(_Strict):
+    """One team's branch: its customers and its services."""
+
+    customers: list[str] = []
+    services: dict[str, ServiceSettings] = {}
+
+
+class TeamTree(_Strict):
+    """The shared branch of the settings, one sub-branch per team."""
+
+    version: int = pydantic.Field(default=0, ge=0)
+    teams: dict[str, TeamSettings]
+
+    @pydantic.model_validator(mode='after')
+    def check_unique_names(self):
+        """Refuse a service or customer claimed by two teams."""
+        seen = {}
+        for team, branch in self.teams.items():
+            for name in list(branch.services) + list(branch.customers):
+                if name in seen and seen[name] != team:
+                    raise ValueError(
+                        f'{name!r} belongs to both {seen[name]!r} and {team!r}'
+                    )
+                seen[name] = team
+        return self
+
+    def find_service(self, name):
+        """Return the settings of a service, or ``None``.
+
+        :param name: the service name (the ``model`` field of a request).
+        :returns: :class:`ServiceSettings` or ``None``.
+        """
+        for branch in self.teams.values():
+            if name in branch.services:
+                return branch.services[name]
+        return None
+
+    def has_customer(self, name):
+        """Say whether any team lists this customer."""
+        return any(name in b.customers for b in self.teams.values())
+
+
+class Settings(_Strict):
+    """A whole settings file for one daemon."""
+
+    host: HostSettings
+    platform: PlatformSettings
+    endpoints: list[EndpointSettings] = []
+    teams: dict[str, TeamSettings] = {}
+    version: int = pydantic.Field(default=0, ge=0)
+
+    def team_tree(self):
+        """Return the shared branch as a :class:`TeamTree`."""
+        return TeamTree(version=self.version, teams=self.teams)
+
+
+def _line_of(node, path):
+    """Return the 1-based line of ``path`` inside a composed YAML node."""
+    line = node.start_mark.line + 1 if node is not None else 0
+    for part in path:
+        if isinstance(node, yaml.MappingNode):
+            match = [v for k, v in node.value if k.value == str(part)]
+            if not match:
+                keys = [k for k, _ in node.value if k.value == str(part)]
+                return keys[0].start_mark.line + 1 if keys else line
+            node = match[0]
+        elif isinstance(node, yaml.SequenceNode) and isinstance(part, int):
+            if part >= len(node.value):
+                return line
+            node = node.value[part]
+        else:
+            return line
+        line = node.start_mark.line + 1
+    return line
+
+
+def parse_yaml(text, model, source='<settings>'):
+    """Parse YAML text and check it against a settings model.
+
+    :param text: the YAML document.
+    :param model: a pydantic model class such as :class:`Settings`.
+    :param source: a name for the text, used in error messages.
+    :returns: an instance of ``model``.
+    :raises SettingsSyntaxError: the text is not YAML (code 1101).
+    :raises SettingsValueError: a key is missing or wrong (code 1102);
+        the message names the key and its line.
+    """
+    try:
+        node = yaml.compose(text)
+        data: Any = yaml.safe_load(text)
+    except yaml.YAMLError as exc:
+        raise exceptions.SettingsSyntaxError(
+            f'{source}: not valid YAML: {exc}'
+        ) from exc
+    if not isinstance(data, dict):
+        raise exceptions.SettingsValueError(
+            f'{source}: line 1: the document must be a mapping'
+        )
+    try:
+        return model.model_validate(data)
+    except pydantic.ValidationError as exc:
+        first = exc.errors()[0]
+        path = first['loc']
+        key = '.'.join(str(p) for p in path) or '<root>'
+        line = _line_of(node, path)
+        raise exceptions.SettingsValueError(
+            f'{source}: line {line}: {key}: {first["msg"]}'
+        ) from exc
+
+
+def load(path):
+    """Read and check a daemon's settings file.
+
+    :param path: path of the YAML file.
+    :returns: :class:`Settings`.
+    :raises SettingsError: the file cannot be read or is wrong.
+    """
+    try:
+        with open(path, encoding='utf-8') as handle:
+            text = handle.read()
+    except OSError as exc:
+        raise exceptions.SettingsError(f'{path}: {exc.strerror}') from exc
+    return parse_yaml(text, Settings, source=str(path))
--- /dev/null
+++ b/pearrun/standins/engine.py
@@ -0,0 +1,258 @@
+"""Model engine stand-in: batching, prefix cache, streams, orders.
+
+Protocol (JSON over HTTP):
+
+- ``POST /v1/generate`` ``{request_id, prompt, max_tokens, seed,
+  priority, resume_from}`` streams NDJSON lines ``{"index", "token"}``
+  then ``{"done": true, "finish_reason"}``.
+- ``POST /v1/cancel`` ``{request_id}``.
+- ``GET /v1/load``: a load report refreshed only every ``load_lag_ms``.
+- ``GET /v1/cache/events?since=N``: cache events, late and with gaps.
+- ``POST /v1/kv/export`` ``{prompt}`` and ``POST /v1/kv/import``
+  ``{blocks}``: move prefix-cache blocks between engines.
+- ``POST /v1/orders`` ``{kind, value, fencing}``: load a model or
+  adapter, or change role; refused when ``fencing`` is older than one
+  already seen, if this engine enforces fencing.
+- ``GET /v1/stats``: counters for tests.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import heapq
+import itertools
+import json
+
+from sanic import response
+from sanic import Sanic
+
+from pearrun.clock import Clock
+from pearrun.standins import text
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineConfig:
+    """How an engine stand-in behaves."""
+
+    endpoint_id: str
+    slots: int = 8
+    prefill_ms_per_token: float = 0.2
+    decode_ms_per_token: float = 8.0
+    batch_slowdown: float = 0.02
+    cache_blocks: int = 512
+    load_lag_ms: int = 500
+    event_lag_ms: int = 300
+    event_gap_every: int = 7
+    enforce_fencing: bool = True
+
+
+@dataclasses.dataclass
+class EngineStats:
+    """Counters a test can read."""
+
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
+    decoded_tokens: int = 0
+    streams_started: int = 0
+    streams_cancelled: int = 0
+
+
+class Engine:
+    """State of one engine stand-in."""
+
+    def __init__(self, config):
+        self.config = config
+        self.clock = Clock()
+        self.stats = EngineStats()
+        self.cache = collections.OrderedDict()
+        self.events = []
+        self.event_seq = itertools.count(1)
+        self.cancelled = set()
+        self.active = 0
+        self.waiting = []
+        self.waiting_seq = itertools.count()
+        self.load_report = None
+        self.orders = []
+        self.fencing = -1
+
+    async def admit(self, priority):
+        """Wait for a batch slot, lower priority values first."""
+        if self.active < self.config.slots and not self.waiting:
+            self.active += 1
+            return
+        waiter = asyncio.get_running_loop().create_future()
+        heapq.heappush(
+            self.waiting, (priority, next(self.waiting_seq), waiter)
+        )
+        await waiter
+
+    def release(self):
+        """Free a slot, handing it to the most urgent waiter."""
+        while self.waiting:
+            _, _, waiter = heapq.heappop(self.waiting)
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+        self.active -= 1
+
+    def cached_prefix_blocks(self, hashes):
+        """Count leading blocks already in the cache, touching them."""
+        count = 0
+        for block in hashes:
+            if block not in self.cache:
+                break
+            self.cache.move_to_end(block)
+            count += 1
+        return count
+
+    def store_blocks(self, hashes):
+        """Put blocks in the cache, evicting the least recently used."""
+        for block in hashes:
+            if block in self.cache:
+                self.cache.move_to_end(block)
+                continue
+            self.cache[block] = True
+            self.add_event('stored', block)
+            while len(self.cache) > self.config.cache_blocks:
+                old, _ = self.cache.popitem(last=False)
+                self.add_event('evicted', old)
+
+    def add_event(self, kind, block):
+        """Record a cache event for ``/v1/cache/events``."""
+        seq = next(self.event_seq)
+        self.events.append((seq, self.clock.now(), kind, block))
+        if len(self.events) > 10_000:
+            del self.events[:5_000]
+
+    def visible_events(self, since):
+        """Return events old enough to publish, with some left out."""
+        cutoff = self.clock.now() - self.config.event_lag_ms
+        gap = self.config.event_gap_every
+        return [
+            {'seq': seq, 'kind': kind, 'block': block}
+            for seq, at, kind, block in self.events
+            if seq > since and at <= cutoff and (gap <= 0 or seq % gap)
+        ]
+
+    def current_load(self):
+        """Return the load report, refreshed only after the lag."""
+        now = self.clock.now()
+        report = self.load_report
+        if report is None or now - report['at_ms'] >= self.config.load_lag_ms:
+            report = {
+                'at_ms': now,
+                'active': self.active,
+                'waiting': len(self.waiting),
+                'slots': self.config.slots,
+                'cache_blocks': len(self.cache),
+            }
+            self.load_report = report
+        return report
+
+    def step_seconds(self):
+        """Return one decode step's length for the current batch."""
+        slow = 1.0 + self.config.batch_slowdown * self.active
+        return self.config.decode_ms_per_token * slow / 1000.0
+
+
+def build_app(config):
+    """Build the engine stand-in's sanic app.
+
+    :param config: an :class:`EngineConfig`.
+    :returns: a :class:`sanic.Sanic` app.
+    """
+    app = Sanic('pearrun-engine')
+    engine = Engine(config)
+    app.ctx.engine = engine
+
+    @app.post('/v1/generate')
+    async def generate(request):
+        body = request.json or {}
+        request_id = str(body.get('request_id', ''))
+        prompt = str(body.get('prompt', ''))
+        max_tokens = int(body.get('max_tokens', 16))
+        seed = int(body.get('seed', 0))
+        start = int(body.get('resume_from', 0))
+        priority = int(body.get('priority', 1))
+        await engine.admit(priority)
+        try:
+            engine.stats.streams_started += 1
+            tokens = text.split_tokens(prompt)
+            hashes = text.block_hashes(tokens)
+            cached = engine.cached_prefix_blocks(hashes) * text.BLOCK_TOKENS
+            uncached = len(tokens) - cached + start
+            engine.stats.prefill_tokens += uncached
+            engine.stats.cached_tokens += cached
+            await asyncio.sleep(uncached * config.prefill_ms_per_token / 1e3)
+            engine.store_blocks(hashes)
+            stream = await request.respond(content_type='application/x-ndjson')
+            reason = 'length'
+            for index in range(start, max_tokens):
+                if request_id in engine.cancelled:
+                    engine.stats.streams_cancelled += 1
+                    reason = 'cancelled'
+                    break
+                await asyncio.sleep(engine.step_seconds())
+                token = text.answer_token(prompt, seed, index)
+                engine.stats.decoded_tokens += 1
+                line = {'index': index, 'token': token}
+                await stream.send(json.dumps(line) + '\n')
+            done = {'done': True, 'finish_reason': reason}
+            await stream.send(json.dumps(done) + '\n')
+            await stream.eof()
+        finally:
+            engine.release()
+
+    @app.post('/v1/cancel')
+    async def cancel(request):
+        engine.cancelled.add(str((request.json or {}).get('request_id')))
+        return response.json({'cancelled': True})
+
+    @app.get('/v1/load')
+    async def load(request):
+        return response.json(engine.current_load())
+
+    @app.get('/v1/cache/events')
+    async def cache_events(request):
+        since = int(request.args.get('since', 0))
+        return response.json({'events': engine.visible_events(since)})
+
+    @app.post('/v1/kv/export')
+    async def kv_export(request):
+        prompt = str((request.json or {}).get('prompt', ''))
+        hashes = text.block_hashes(text.split_tokens(prompt))
+        held = [h for h in hashes if h in engine.cache]
+        return response.json({'blocks': held})
+
+    @app.post('/v1/kv/import')
+    async def kv_import(request):
+        blocks = [str(b) for b in (request.json or {}).get('blocks', [])]
+        engine.store_blocks(blocks)
+        return response.json({'imported': len(blocks)})
+
+    @app.post('/v1/orders')
+    async def orders(request):
+        body = request.json or {}
+        fencing = int(body.get('fencing', 0))
+        if config.enforce_fencing and fencing < engine.fencing:
+            return response.json(
+                {'error': 'stale fencing number', 'fencing': engine.fencing},
+                status=409,
+            )
+        engine.fencing = max(engine.fencing, fencing)
+        engine.orders.append(body)
+        return response.json({'applied': True, 'fencing': engine.fencing})
+
+    @app.get('/v1/orders')
+    async def list_orders(request):
+        return response.json({'orders': engine.orders})
+
+    @app.get('/v1/stats')
+    async def stats(request):
+        return response.json(dataclasses.asdict(engine.stats))
+
+    @app.get('/healthz')
+    async def health(request):
+        return response.json({'ok': True, 'id': config.endpoint_id})
+
+    return app
--- /dev/null
+++ b/pearrun/standins/service.py
@@ -0,0 +1,52 @@
+"""Plain service stand-in: a call that must not be repeated.
+
+Protocol: ``POST /v1/call`` ``{key, payload}`` runs the call once more
+and answers ``{result, executions}``; ``GET /v1/executions`` tells how
+many times each key ran, so a test can prove at-most-once.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+from sanic import response
+from sanic import Sanic
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceConfig:
+    """How the plain service stand-in behaves."""
+
+    endpoint_id: str
+    delay_ms: int = 20
+
+
+def build_app(config):
+    """Build the plain service stand-in's sanic app."""
+    app = Sanic('pearrun-service')
+    executions = collections.Counter()
+    app.ctx.executions = executions
+
+    @app.post('/v1/call')
+    async def call(request):
+        body = request.json or {}
+        key = str(body.get('key', ''))
+        payload = str(body.get('payload', ''))
+        await asyncio.sleep(config.delay_ms / 1000.0)
+        executions[key] += 1
+        return response.json(
+            {
+                'result': f'acknowledged {payload}',
+                'executions': executions[key],
+            }
+        )
+
+    @app.get('/v1/executions')
+    async def list_executions(request):
+        return response.json({'executions': dict(executions)})
+
+    @app.get('/healthz')
+    async def health(request):
+        return response.json({'ok': True, 'id': config.endpoint_id})
+
+    return app
