--- a/pearrun/config.py
+++ b/pearrun/config.py
@@ -21,27 +21,34 @@
 
 def tree_to_yaml(tree):
     """Dump a :class:`TeamTree` as YAML text."""
-    return yaml.safe_dump(tree.model_dump(mode='json'), sort_keys=True)
+    dumper = getattr(yaml, 'CSafeDumper', yaml.SafeDumper)
+    return yaml.dump(
+        tree.model_dump(mode='json'), Dumper=dumper, sort_keys=True
+    )
 
 
 async def read_latest(log, stream):
     """Read a config stream to its end.
 
-    :returns: ``(tree, next_offset)``; ``tree`` is the highest-version
-        valid :class:`TeamTree`, or ``None`` if there is none.
+    Publishers append at the head with the next version, so the newest
+    valid record is the highest version; records are parsed from the
+    end until one is valid.
+
+    :returns: ``(tree, next_offset)``; ``tree`` is the newest valid
+        :class:`TeamTree`, or ``None`` if there is none.
     """
     start = 0
-    best = None
+    values = []
     while True:
         records, start = await log.read(stream, start, READ_BATCH)
-        for record in records:
-            tree = parse_record(record.value)
-            if tree is not None and (
-                best is None or tree.version > best.version
-            ):
-                best = tree
+        values.extend(record.value for record in records)
         if len(records) < READ_BATCH:
-            return best, start
+            break
+    for value in reversed(values):
+        tree = parse_record(value)
+        if tree is not None:
+            return tree, start
+    return None, start
 
 
 def parse_record(value):
--- a/pearrun/settings.py
+++ b/pearrun/settings.py
@@ -23,6 +23,7 @@
 DEFAULT_TTFT_MS = 460
 DEFAULT_ITL_MS = 77
 DEFAULT_TOTAL_MS = 30_000
+LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
 class _Strict(pydantic.BaseModel):
@@ -184,8 +185,8 @@
         the message names the key and its line.
     """
     try:
-        node = yaml.compose(text)
-        data: Any = yaml.safe_load(text)
+        node = yaml.compose(text, Loader=LOADER)
+        data: Any = yaml.load(text, Loader=LOADER)
     except yaml.YAMLError as exc:
         raise exceptions.SettingsSyntaxError(
             f'{source}: not valid YAML: {exc}'
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,101 @@
+"""Routing properties, checked with hypothesis."""
+
+from hypothesis import given
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from pearrun import exceptions
+from pearrun import router as router_module
+from pearrun.states import EndpointState
+from tests import builders
+
+POLICIES = [
+    router_module.AffinityPolicy(),
+    router_module.LeastLoadedPolicy(),
+    router_module.RoundRobinPolicy(),
+]
+
+
+def make_router(policy, local=3, remote=2):
+    endpoints = [builders.endpoint(i) for i in range(local)]
+    endpoints += [
+        builders.endpoint(10 + i, zone='santo-amaro') for i in range(remote)
+    ]
+    return router_module.Router(endpoints, 'boa-viagem', policy)
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+@given(prompt=st.text(max_size=400), loads=st.lists(st.integers(0, 20)))
+def test_choice_is_live_local_and_serves(policy, prompt, loads):
+    router = make_router(policy)
+    for endpoint, load in zip(router.endpoints.values(), loads, strict=False):
+        endpoint.in_flight = load
+    chosen = router.choose('pearrun-oficina', prompt)
+    assert chosen.zone == 'boa-viagem'
+    assert chosen.state == EndpointState.LIVE
+    assert 'pearrun-oficina' in chosen.services
+
+
+@given(
+    prefix=st.text(
+        min_size=router_module.PREFIX_CHARS,
+        max_size=router_module.PREFIX_CHARS,
+    ),
+    tail=st.text(max_size=50),
+)
+def test_affinity_is_stable_for_a_prefix(prefix, tail):
+    router = make_router(router_module.AffinityPolicy())
+    first = router.choose('pearrun-oficina', prefix)
+    assert router.choose('pearrun-oficina', prefix + tail) is first
+
+
+def test_affinity_yields_to_load():
+    router = make_router(router_module.AffinityPolicy(slack=2))
+    favourite = router.choose('pearrun-oficina', 'same prefix')
+    favourite.in_flight = 10
+    assert router.choose('pearrun-oficina', 'same prefix') is not favourite
+
+
+def test_no_live_endpoint_gives_code_1401_with_retry_after():
+    router = make_router(router_module.AffinityPolicy(), local=1, remote=0)
+    for endpoint_id in list(router.endpoints):
+        router.mark(endpoint_id, EndpointState.LEAVING)
+    with pytest.raises(exceptions.NoEndpointError) as caught:
+        router.choose('pearrun-oficina', 'x')
+    assert caught.value.code == 1401
+    assert caught.value.retry_after_s >= 1
+
+
+class LeavingNeverReturns(stateful.RuleBasedStateMachine):
+    """A leaving endpoint never gets new work again.
+
+    However the marks arrive (host list lag, notices, drain).
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.router = make_router(router_module.AffinityPolicy())
+        self.left = set()
+
+    @stateful.rule(
+        number=st.sampled_from([0, 1, 2, 10, 11]),
+        state=st.sampled_from(list(EndpointState)),
+    )
+    def mark(self, number, state):
+        ids = sorted(self.router.endpoints)
+        endpoint_id = ids[number % len(ids)]
+        self.router.mark(endpoint_id, state)
+        if state != EndpointState.LIVE:
+            self.left.add(endpoint_id)
+
+    @stateful.rule(prompt=st.text(max_size=50))
+    def route(self, prompt):
+        try:
+            chosen = self.router.choose('pearrun-oficina', prompt)
+        except exceptions.NoEndpointError:
+            return
+        assert chosen.id not in self.left
+
+
+TestLeavingNeverReturns = LeavingNeverReturns.TestCase
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,56 @@
+"""Settings are checked at load, with the key and line in the error."""
+
+import pytest
+
+from pearrun import exceptions
+from pearrun import settings
+from tests import builders
+
+
+def test_good_daemon_settings_load():
+    text = builders.daemon_settings_yaml(
+        'bv-1', 'boa-viagem', 8101, 'http://127.0.0.1:1', []
+    )
+    loaded = settings.parse_yaml(text, settings.Settings)
+    assert loaded.host.zone == 'boa-viagem'
+
+
+def test_bad_yaml_gets_code_1101():
+    with pytest.raises(exceptions.SettingsSyntaxError) as caught:
+        settings.parse_yaml('host: [unclosed', settings.Settings)
+    assert caught.value.code == 1101
+
+
+def test_bad_value_names_key_and_line():
+    text = builders.daemon_settings_yaml(
+        'bv-1', 'boa-viagem', 8101, 'http://127.0.0.1:1', []
+    ).replace('port: 8101', 'port: 99999')
+    with pytest.raises(exceptions.SettingsValueError) as caught:
+        settings.parse_yaml(text, settings.Settings, source='bv.yaml')
+    assert caught.value.code == 1102
+    assert 'host.listen.port' in caught.value.message
+    assert 'line 4' in caught.value.message
+
+
+def test_unknown_key_is_refused():
+    text = builders.TEAM_TREE_YAML.replace('max_tokens: 24', 'max_tokns: 24')
+    with pytest.raises(exceptions.SettingsValueError) as caught:
+        settings.parse_yaml(text, settings.TeamTree)
+    assert 'max_tokns' in caught.value.message
+
+
+def test_service_in_two_teams_is_refused():
+    text = builders.TEAM_TREE_YAML.replace(
+        'permit-assistant:', 'pearrun-oficina:'
+    )
+    with pytest.raises(exceptions.SettingsValueError):
+        settings.parse_yaml(text, settings.TeamTree)
+
+
+def test_error_codes_are_unique_and_in_the_table():
+    codes = [error.code for error in exceptions.ALL_ERRORS]
+    assert len(codes) == len(set(codes))
+    with open('docs/errors.md', encoding='utf-8') as handle:
+        table = handle.read()
+    for error in exceptions.ALL_ERRORS:
+        assert f'| {error.code} | {error.__name__} |' in table
