Claim idempotency keys on the log service: at most once across daemons

Each scoped key has its own stream; the claim is a compare-and-append at offset 0, the answer goes at offset 1. A daemon that loses the claim reads the answer instead of calling the service; a lost append answer is settled by reading offset 0 back. With the log unreachable, a non-idempotent call is refused with Retry-After rather than risked.

--- a/pearrun/daemon.py
+++ b/pearrun/daemon.py
@@ -18,6 +18,7 @@
 from pearrun import logs
 from pearrun import settings as settings_module
 from pearrun import web
+from pearrun.claims import KeyClaims
 from pearrun.clock import to_seconds
 from pearrun.config import ConfigFollower
 from pearrun.dispatcher import Dispatcher
@@ -58,8 +59,14 @@
         log = LogClient(self.session, self.settings.platform)
         self.config = ConfigFollower(log, self.settings)
         journal = Journal(log, self.settings)
+        claims = KeyClaims(log, self.settings)
         self.dispatcher = Dispatcher(
-            self.settings, self.session, self.router, journal, self.config
+            self.settings,
+            self.session,
+            self.router,
+            journal,
+            self.config,
+            claims,
         )
         self.hosts = HostWatcher(
             self.session, self.settings, self.router, self.peers
--- a/pearrun/dispatcher.py
+++ b/pearrun/dispatcher.py
@@ -32,14 +32,16 @@
     :param router: a :class:`Router`.
     :param journal: a :class:`Journal`.
     :param config: a :class:`ConfigFollower` holding the tree in force.
+    :param claims: :class:`KeyClaims` for non-idempotent calls.
     """
 
-    def __init__(self, settings, session, router, journal, config):
+    def __init__(self, settings, session, router, journal, config, claims):
         self.settings = settings
         self.session = session
         self.router = router
         self.journal = journal
         self.config = config
+        self.claims = claims
         self.clock = Clock()
         self.jobs = {}
         self.by_key = {}
@@ -118,6 +120,7 @@
             self.by_key[scoped] = job.id
         counters = self.service_metrics(job.service)
         try:
+            claim = await self.claim_key(job, service)
             await self.journal.accept(job)
         except exceptions.PearrunError:
             self.by_key.pop(scoped, None)
@@ -125,11 +128,41 @@
             raise
         counters.accepted += 1
         self.jobs[job.id] = job
-        task = asyncio.create_task(self.run(job, service), name=job.id)
+        if claim is not None and not claim.won:
+            work = self.follow_claim(job, service, claim)
+        else:
+            work = self.run(job, service)
+        task = asyncio.create_task(work, name=job.id)
         self.running[job.id] = task
         task.add_done_callback(lambda _: self.running.pop(job.id, None))
         return job
 
+    async def claim_key(self, job, service):
+        """Claim a non-idempotent job's key on the log service.
+
+        :returns: a :class:`Claim`, or ``None`` when no claim is needed.
+        """
+        if service.idempotent or job.idempotency_key is None:
+            return None
+        return await self.claims.claim(job.idempotency_key, job.id)
+
+    async def follow_claim(self, job, service, claim):
+        """Answer a job whose key another request holds, never running it."""
+        try:
+            text = claim.answer
+            if text is None:
+                text = await self.claims.wait_answer(
+                    job.idempotency_key,
+                    claim.request_id,
+                    service.targets.total_ms,
+                )
+        except exceptions.PearrunError as exc:
+            await job.publish(state=RequestState.FAILED, failure=exc)
+            return
+        await job.add_token(text)
+        await job.publish(state=RequestState.DONE, finish_reason='stop')
+        self.record_done(job)
+
     async def run(self, job, service):
         """Run a job to its end, moving it when an endpoint fails."""
         log = logger.bind(
@@ -163,6 +196,14 @@
             log.info('request done', tokens=len(job.tokens))
         finally:
             await self.journal.finish(job)
+            await self.publish_answer(job, service)
+
+    async def publish_answer(self, job, service):
+        """Put a claimed key's answer on the log for other daemons."""
+        if service.idempotent or job.idempotency_key is None:
+            return
+        if job.state == RequestState.DONE:
+            await self.claims.answer(job.idempotency_key, job.text())
 
     async def run_on(self, job, service, endpoint):
         """Serve a job on one endpoint, continuing where it stopped."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -83,12 +83,15 @@
 class FakeLog:
     """An in-memory log service with the :class:`LogClient` interface.
 
-    ``down`` makes every call fail as an outage would.
+    ``down`` makes every call fail as an outage would;
+    ``lose_answers`` applies that many appends but answers as if the
+    answer were lost.
     """
 
     def __init__(self):
         self.streams = {}
         self.down = False
+        self.lose_answers = 0
 
     async def append(self, stream, value, expected_offset=None):
         """Append, comparing the offset when one is expected."""
@@ -98,6 +101,9 @@
         if expected_offset is not None and expected_offset != len(records):
             raise exceptions.ConfigConflictError('offset moved')
         records.append(value)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise exceptions.AmbiguousAppendError('lost', retry_after_s=1)
         return Offset(len(records) - 1)
 
     async def read(self, stream, start, limit=100):
