--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,21 @@
+"""CPU time and memory of processes, from ``/proc``."""
+
+import os
+
+TICKS = os.sysconf('SC_CLK_TCK')
+
+
+def read_cpu_ms(pid):
+    """Return the user and system CPU milliseconds of a process."""
+    with open(f'/proc/{pid}/stat', encoding='ascii') as handle:
+        fields = handle.read().rsplit(')', 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) * 1000 / TICKS
+
+
+def read_rss_kb(pid):
+    """Return the resident memory of a process in KiB."""
+    with open(f'/proc/{pid}/status', encoding='ascii') as handle:
+        for line in handle:
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1])
+    return 0
--- /dev/null
+++ b/benchmarks/reclaim.py
@@ -0,0 +1,275 @@
+"""Measure a burst with a whole zone reclaimed in the middle of it.
+
+Starts stand-ins and daemons in three failure domains, sends nearly
+all requests within the first seconds (drafts with long prompts that
+share a prefix, and renewal charges), announces the reclaim of one
+zone and kills every process there partway through the notice.  Played
+four times in one run: with the KV cache of running streams moved off
+the zone or not, and with their tokens saved in the journal or not.
+Prints JSON: requests accepted, answered whole, lost and doubled, and
+recomputed tokens as a share of those served.
+
+    python -m benchmarks.reclaim --drafts=120 --renewals=40
+"""
+
+import asyncio
+import collections
+import json
+import random
+import tempfile
+
+from absl import app as absl_app
+from absl import flags
+import aiohttp
+
+from pearrun.standins import text
+from tests.cluster import Cluster
+from tests.cluster import Zone
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer('drafts', 120, 'Drafts to send.')
+flags.DEFINE_integer('renewals', 40, 'Non-idempotent calls to send.')
+flags.DEFINE_integer('burst_ms', 2000, 'The burst is sent within this.')
+flags.DEFINE_integer('prompt_words', 800, 'Words of a draft prompt.')
+flags.DEFINE_integer('shared_words', 300, 'Words all prompts share.')
+flags.DEFINE_integer('tokens', 150, 'Tokens of a draft.')
+flags.DEFINE_integer('reclaim_at_ms', 2000, 'When the zone is reclaimed.')
+flags.DEFINE_integer('notice_ms', 4000, 'Notice given.')
+flags.DEFINE_integer('kill_after_ms', 3000, 'Killed after the notice.')
+flags.DEFINE_integer('seed', 1, 'Seed of the arrivals.')
+
+ZONES = ('khomas-a', 'khomas-b', 'khomas-c')
+LOST_ZONE = ZONES[0]
+ANSWER_S = 60
+
+
+def build_requests():
+    """Return the burst's request bodies, each with its arrival in s."""
+    rng = random.Random(FLAGS.seed)
+    shared = ' '.join(f'rule{i}' for i in range(FLAGS.shared_words))
+    requests = []
+    for n in range(FLAGS.drafts):
+        rest = FLAGS.prompt_words - FLAGS.shared_words
+        own = ' '.join(f'd{n}f{i}' for i in range(rest))
+        requests.append(
+            {
+                'model': 'permit-assistant',
+                'prompt': f'{shared} {own}',
+                'max_tokens': FLAGS.tokens,
+            }
+        )
+    for n in range(FLAGS.renewals):
+        requests.append({'model': 'licence-records', 'prompt': f'renewal {n}'})
+    rng.shuffle(requests)
+    arrivals = sorted(
+        rng.betavariate(1, 3) * FLAGS.burst_ms / 1000 for _ in requests
+    )
+    return list(zip(arrivals, requests, strict=True))
+
+
+def expected(body):
+    """Return the whole answer a request must get."""
+    if body['model'] == 'licence-records':
+        return f'acknowledged {body["prompt"]}'
+    return text.answer_text(body['prompt'], 0, body['max_tokens'])
+
+
+class Caller:
+    """Sends one request, comes back when told to, fetches the answer."""
+
+    def __init__(self, session, cluster, number, body):
+        self.session = session
+        self.cluster = cluster
+        self.number = number
+        self.body = body
+        self.refusals = 0
+        self.outcome = 'lost'
+
+    def any_daemon(self):
+        """Return a daemon the balancer would still send callers to."""
+        names = [
+            n
+            for n in self.cluster.names('daemon')
+            if self.cluster.procs[n].poll() is None
+        ]
+        return self.cluster.url(random.choice(names))
+
+    async def accept(self):
+        """Send until accepted; return the request id."""
+        headers = {
+            'Prefer': 'respond-async',
+            'Idempotency-Key': f'key-{self.number}',
+        }
+        while True:
+            try:
+                async with self.session.post(
+                    f'{self.any_daemon()}/v1/completions',
+                    json=self.body,
+                    headers=headers,
+                ) as reply:
+                    if reply.status == 202:
+                        return (await reply.json())['id']
+                    self.refusals += 1
+                    pause = float(reply.headers.get('Retry-After', 1))
+            except (aiohttp.ClientError, OSError):
+                pause = 0.2
+            await asyncio.sleep(pause)
+
+    async def fetch(self, request_id):
+        """Poll for the final state at any daemon."""
+        while True:
+            try:
+                async with self.session.get(
+                    f'{self.any_daemon()}/v1/requests/{request_id}',
+                    timeout=aiohttp.ClientTimeout(total=5),
+                ) as reply:
+                    body = await reply.json()
+                    if reply.status == 200 and body['state'] not in (
+                        'accepted',
+                        'running',
+                    ):
+                        return body
+            except (aiohttp.ClientError, OSError, ValueError):
+                pass
+            await asyncio.sleep(0.3)
+
+    async def run(self, arrival_s):
+        await asyncio.sleep(arrival_s)
+        request_id = await self.accept()
+        self.outcome = 'accepted'
+        answer = await self.fetch(request_id)
+        if answer['state'] == 'done':
+            whole = answer['text'] == expected(self.body)
+            self.outcome = 'whole' if whole else 'wrong'
+        else:
+            self.outcome = f'told {answer["error"]["error"]["code"]}'
+
+
+async def read_stats(session, cluster, totals):
+    """Keep the newest counters of every process that answers."""
+    paths = {'engine': '/v1/stats', 'daemon': '/v1/metrics'}
+    for kind, path in paths.items():
+        for name in cluster.names(kind):
+            try:
+                async with session.get(cluster.url(name) + path) as reply:
+                    totals[name] = await reply.json()
+            except (aiohttp.ClientError, OSError):
+                continue
+
+
+async def reclaim(session, cluster):
+    """Announce the zone's reclaim, then kill everything in it."""
+    await asyncio.sleep(FLAGS.reclaim_at_ms / 1000)
+    body = {'zone': LOST_ZONE, 'notice_ms': FLAGS.notice_ms}
+    async with session.post(
+        f'{cluster.url("cloud")}/admin/reclaim', json=body
+    ):
+        pass
+    await asyncio.sleep(FLAGS.kill_after_ms / 1000)
+    for name, zone in cluster.zone_of.items():
+        if zone == LOST_ZONE:
+            cluster.signal(name, 'KILL')
+
+
+async def drive(cluster):
+    """Play the burst; return the figures."""
+    totals = {}
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        callers = [
+            (arrival, Caller(session, cluster, n, body))
+            for n, (arrival, body) in enumerate(build_requests())
+        ]
+
+        async def watch():
+            while True:
+                await read_stats(session, cluster, totals)
+                await asyncio.sleep(0.2)
+
+        watcher = asyncio.create_task(watch())
+        wave = asyncio.create_task(reclaim(session, cluster))
+        runs = [asyncio.create_task(c.run(a)) for a, c in callers]
+        await asyncio.wait(runs, timeout=ANSWER_S)
+        for run in runs:
+            run.cancel()
+        await wave
+        watcher.cancel()
+        await read_stats(session, cluster, totals)
+        executions = collections.Counter()
+        for name in cluster.names('service'):
+            if cluster.procs[name].poll() is None:
+                async with session.get(
+                    f'{cluster.url(name)}/v1/executions'
+                ) as reply:
+                    executions.update((await reply.json())['executions'])
+    outcomes = collections.Counter(c.outcome for _, c in callers)
+    engines = [totals[n] for n in cluster.names('engine') if n in totals]
+    daemons = [totals[n] for n in cluster.names('daemon') if n in totals]
+
+    def count(name):
+        return sum(m[name] for d in daemons for m in d['services'].values())
+
+    answered = sum(
+        c.body.get('max_tokens', 0) for _, c in callers if c.outcome == 'whole'
+    )
+    decoded = sum(e['decoded_tokens'] for e in engines)
+    reread = sum(e['recomputed_tokens'] for e in engines)
+    recomputed = reread + max(0, decoded - answered)
+    served = sum(
+        e['decoded_tokens'] + e['prefill_tokens'] + e['cached_tokens']
+        for e in engines
+    )
+    return {
+        'requests': len(callers),
+        'accepted': sum(
+            n for outcome, n in outcomes.items() if outcome != 'lost'
+        ),
+        'whole': outcomes['whole'],
+        'lost': outcomes['lost'] + outcomes['accepted'],
+        'wrong': outcomes['wrong'],
+        'told_unknown': outcomes['told 1502'],
+        'outcomes': dict(outcomes),
+        'refusals_before_acceptance': sum(c.refusals for _, c in callers),
+        'keys_run_more_than_once': sum(n > 1 for n in executions.values()),
+        'moves': count('moves'),
+        'retries': count('retries'),
+        'adopted': count('adopted'),
+        'prompt_tokens_reread': reread,
+        'tokens_decoded_again': max(0, decoded - answered),
+        'tokens_recomputed': recomputed,
+        'recomputed_share': round(recomputed / max(1, served), 5),
+    }
+
+
+def play(**host):
+    """Start a cluster with these settings, play the burst, stop it."""
+    cluster = Cluster(
+        tempfile.mkdtemp(prefix='pearrun-reclaim-'),
+        {zone: Zone(daemons=2, engines=2, services=1) for zone in ZONES},
+        ['--decode_ms=8', '--slots=32', '--cache_blocks=8192'],
+        host={'config_poll_ms': 250, **host},
+    )
+    try:
+        return asyncio.run(drive(cluster.begin()))
+    finally:
+        cluster.stop()
+
+
+def main(argv):
+    del argv
+    ways = {
+        'neither': play(move_cache=False, save_progress=False),
+        'cache moved': play(move_cache=True, save_progress=False),
+        'progress saved': play(move_cache=False, save_progress=True),
+        'both': play(move_cache=True, save_progress=True),
+    }
+    base = max(1, ways['neither']['tokens_recomputed'])
+    for figures in ways.values():
+        ratio = figures['tokens_recomputed'] / base
+        figures['ratio_to_neither'] = round(ratio, 4)
+    print(json.dumps(ways, indent=2))
+
+
+if __name__ == '__main__':
+    absl_app.run(main)
--- a/pearrun/backends.py
+++ b/pearrun/backends.py
@@ -1,22 +1,78 @@
 """Clients of the back ends: model engines and plain services."""
 
+import asyncio
 import json
 
 import aiohttp
 
 from pearrun import exceptions
+from pearrun.clock import to_seconds
 
+CONNECT_S = 2
+STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
+LOAD_TIMEOUT = aiohttp.ClientTimeout(total=CONNECT_S)
 
-async def stream_tokens(session, endpoint, job, priority, resume_from=0):
-    """Stream a job's tokens from an engine.
+
+async def wait_for_reply(session, endpoint, call, host):
+    """Wait until an engine begins to answer, however long its queue.
+
+    Silence may mean a queue or a connection that is lost for good, so
+    after each ``stall_ms`` of it the engine is asked for its load on
+    another connection; an engine that does not answer is given up.
+
+    :param call: the awaitable request.
+    :param host: the daemon's :class:`HostSettings`.
+    :returns: the :class:`aiohttp.ClientResponse`.
+    :raises BackendError: the engine is gone, or took longer than
+        ``first_token_ms``.
+    """
+    task = asyncio.ensure_future(call)
+    stall_s = to_seconds(host.stall_ms)
+    waited_s = 0.0
+    try:
+        while True:
+            done, _ = await asyncio.wait({task}, timeout=stall_s)
+            if done:
+                return task.result()
+            waited_s += stall_s
+            if waited_s >= to_seconds(host.first_token_ms):
+                raise exceptions.BackendError(
+                    f'{endpoint.id} did not begin in {waited_s:g} s'
+                )
+            if await read_load(session, endpoint) is None:
+                raise exceptions.BackendError(f'{endpoint.id} is silent')
+    finally:
+        if not task.done():
+            task.cancel()
+
+
+async def read_lines(reply, stall_ms):
+    """Iterate over an answer's lines; silence ends it.
+
+    :raises TimeoutError: no line came for ``stall_ms``.
+    """
+    while True:
+        async with asyncio.timeout(to_seconds(stall_ms)):
+            raw = await reply.content.readline()
+        if not raw:
+            return
+        yield json.loads(raw)
+
+
+async def stream_tokens(session, endpoint, job, priority, host):
+    """Stream a job's tokens from an engine, behind those it has.
 
     :param session: an :class:`aiohttp.ClientSession`.
     :param endpoint: the :class:`Endpoint` chosen by the router.
     :param job: the :class:`Job` to run.
     :param priority: the service's :class:`Priority`.
-    :param resume_from: index of the first token wanted.
+    :param host: the daemon's :class:`HostSettings`; after ``stall_ms``
+        of silence the connection is given up, for it may never come
+        back while a new one works.
     :returns: an async iterator of ``(index, token)``; the last item is
         ``(None, finish_reason)``.
+    :raises EndpointRefusedError: the engine refuses the request (4xx).
+    :raises EndpointUnreachableError: no connection stood.
     :raises BackendError: the engine failed or the stream broke.
     """
     body = {
@@ -25,22 +81,33 @@
         'max_tokens': job.max_tokens,
         'seed': job.seed,
         'priority': priority.value,
-        'resume_from': resume_from,
+        'resume_from': len(job.tokens),
+        'tokens': list(job.tokens),
+        'again': job.attempts > 0,
     }
+    call = session.post(
+        f'{endpoint.url}/v1/generate', json=body, timeout=STREAM_TIMEOUT
+    )
     try:
-        async with session.post(
-            f'{endpoint.url}/v1/generate', json=body
-        ) as reply:
+        reply = await wait_for_reply(session, endpoint, call, host)
+        async with reply:
+            if 400 <= reply.status < 500:
+                raise exceptions.EndpointRefusedError(
+                    f'{endpoint.id} refused the request: {reply.status}'
+                )
             if reply.status != 200:
                 raise exceptions.BackendError(
                     f'{endpoint.id} answered {reply.status}'
                 )
-            async for raw in reply.content:
-                line = json.loads(raw)
+            async for line in read_lines(reply, host.stall_ms):
                 if line.get('done'):
                     yield None, line.get('finish_reason', 'length')
                     return
                 yield int(line['index']), str(line['token'])
+    except aiohttp.ClientConnectorError as exc:
+        raise exceptions.EndpointUnreachableError(
+            f'{endpoint.id} took no connection: {exc!r}'
+        ) from exc
     except (aiohttp.ClientError, ValueError, TimeoutError) as exc:
         raise exceptions.BackendError(
             f'{endpoint.id} stream broke: {exc!r}'
@@ -52,29 +119,42 @@
     """Ask an engine to stop a job's stream; errors are ignored."""
     try:
         async with session.post(
-            f'{endpoint.url}/v1/cancel', json={'request_id': job.id}
+            f'{endpoint.url}/v1/cancel',
+            json={'request_id': job.id},
+            timeout=LOAD_TIMEOUT,
         ):
             return True
-    except aiohttp.ClientError:
+    except (aiohttp.ClientError, OSError):
         return False
 
 
-async def call_service(session, endpoint, job):
+async def call_service(session, endpoint, job, host):
     """Make one call to a plain service.
 
     :returns: the service's result text.
-    :raises BackendError: the call failed; for a non-idempotent service
-        it may still have run, so it is never repeated.
+    :raises EndpointUnreachableError: no connection stood: it has not run.
+    :raises BackendError: the call failed and may have run; a
+        non-idempotent call is not repeated.
     """
     body = {'key': job.idempotency_key or job.id, 'payload': job.prompt}
     try:
-        async with session.post(f'{endpoint.url}/v1/call', json=body) as r:
+        async with session.post(
+            f'{endpoint.url}/v1/call',
+            json=body,
+            timeout=aiohttp.ClientTimeout(
+                total=to_seconds(host.stall_ms), sock_connect=CONNECT_S
+            ),
+        ) as r:
             data = await r.json(content_type=None)
             if r.status != 200:
                 raise exceptions.BackendError(
                     f'{endpoint.id} answered {r.status}'
                 )
             return str(data['result'])
+    except aiohttp.ClientConnectorError as exc:
+        raise exceptions.EndpointUnreachableError(
+            f'{endpoint.id} took no connection: {exc!r}'
+        ) from exc
     except (aiohttp.ClientError, ValueError, TimeoutError) as exc:
         raise exceptions.BackendError(
             f'{endpoint.id} call failed: {exc!r}'
@@ -84,8 +164,10 @@
 async def read_load(session, endpoint):
     """Read an engine's (lagging) load report; ``None`` on failure."""
     try:
-        async with session.get(f'{endpoint.url}/v1/load') as reply:
+        async with session.get(
+            f'{endpoint.url}/v1/load', timeout=LOAD_TIMEOUT
+        ) as reply:
             data = await reply.json(content_type=None)
             return int(data['active']) + int(data['waiting'])
-    except (aiohttp.ClientError, ValueError, KeyError, TimeoutError):
+    except (aiohttp.ClientError, OSError, ValueError, KeyError):
         return None
--- a/pearrun/claims.py
+++ b/pearrun/claims.py
@@ -1,110 +1,171 @@
 """Claims on idempotency keys, agreed through the platform log.
 
 A non-idempotent call (a renewal charge, an alarm acknowledgement)
-must run at most once, whichever entry host a retry reaches.  Each key
-has its own stream, ``key.<service>.<digest>``.  A daemon claims the
-key by appending at offset 0 with compare-and-append; only one append
-can land there.  The winner writes the answer at offset 1 when the
-call is done; any other daemon reads it from there and never runs the
-call itself.  When the answer to the claim is lost, the daemon reads
-offset 0 back to learn whether the claim is its own.
+must run at most once, whichever entry hosts it reaches and whoever
+takes over whose requests.  Each key has its own stream,
+``key.<digest>``.  Offset 0 is the right to make the call: a daemon
+appends there, with compare-and-append, right before calling the
+service, and only one append can land.  Offset 1 is the outcome: the
+answer, or ``unknown`` when the daemon that won is gone and may have
+made the call.  Nobody ever calls on an ``unknown`` key again.
+
+A claim names the attempt that wrote it, not the request: the same
+request taken over by another host is another attempt and must not
+take the first one's claim for its own.
 """
 
 import asyncio
 import dataclasses
 import hashlib
+import uuid
 
 from pearrun import exceptions
+from pearrun.backoff import Backoff
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 
 CLAIMED = 'claimed'
 ANSWERED = 'answered'
+UNKNOWN = 'unknown'
 POLL_MS = 50
+MAX_TRIES = 5
 
 
 @dataclasses.dataclass(frozen=True)
 class Claim:
-    """Who holds a key, and its answer once known."""
+    """Who may make a key's call, and the outcome once known.
 
-    request_id: str
+    ``holder`` is the journal stream of the daemon that won, and
+    ``digest`` the request body's hash as that daemon saw it.
+    """
+
+    holder: str
     won: bool
+    digest: str = ''
     answer: str | None = None
+    unknown: bool = False
 
 
 def stream_of(key):
     """Return the stream name that holds a scoped key's claim."""
-    digest = hashlib.blake2b(key.encode('utf-8'), digest_size=12)
-    return f'key.{digest.hexdigest()}'
+    return f'key.{digest_of(key)}'
+
+
+def digest_of(text):
+    """Return a short hash of a text."""
+    return hashlib.blake2b(text.encode('utf-8'), digest_size=12).hexdigest()
 
 
 class KeyClaims:
-    """Claims keys and publishes answers on the log service.
+    """Claims keys and publishes outcomes on the log service.
 
     :param log: a :class:`LogClient`.
-    :param settings: the daemon's whole :class:`Settings`.
     """
 
-    def __init__(self, log, settings):
+    def __init__(self, log):
         self.log = log
-        self.settings = settings
         self.clock = Clock()
 
-    async def claim(self, key, request_id):
-        """Claim a key for a request.
+    async def claim(self, key, holder, digest=''):
+        """Claim a key, to make its call right afterwards.
+
+        A lost answer is settled by claiming again: the second append
+        conflicts, and offset 0 says whose attempt stands there.
 
-        :returns: a :class:`Claim`; ``won`` is true when this request
-            may run the call.
+        :param key: the scoped idempotency key.
+        :param holder: this daemon's journal stream.
+        :param digest: hash of the request, to catch a reused key.
+        :returns: a :class:`Claim`; ``won`` is true when the caller may
+            make the call.
         :raises JournalUnavailableError: the log cannot say; the call
-            must not run (the caller gets Retry-After).
+            must not be made by this attempt.
+        """
+        attempt = uuid.uuid4().hex
+        value = {
+            'kind': CLAIMED,
+            'attempt': attempt,
+            'holder': holder,
+            'digest': digest,
+        }
+        for _ in range(MAX_TRIES):
+            try:
+                await self.log.append(stream_of(key), value, expected_offset=0)
+                return Claim(holder, won=True, digest=digest)
+            except exceptions.ConfigConflictError:
+                return await self.read(key, attempt)
+            except exceptions.AmbiguousAppendError:
+                continue
+        raise exceptions.JournalUnavailableError(
+            'claim not settled', retry_after_s=1
+        )
+
+    async def read(self, key, attempt=None):
+        """Read a key's stream.
+
+        :returns: a :class:`Claim`, or ``None`` when nobody claimed it.
+        :raises OutcomeUnknownError: the claim is older than the log's
+            retention.
         """
-        value = {'kind': CLAIMED, 'id': request_id}
-        stream = stream_of(key)
         try:
-            await self.log.append(stream, value, expected_offset=0)
-            return Claim(request_id, won=True)
-        except exceptions.ConfigConflictError:
-            pass
-        except exceptions.AmbiguousAppendError:
-            pass
-        return await self.read(stream, request_id)
-
-    async def read(self, stream, request_id):
-        """Read a key's stream: who claimed it, and any answer."""
-        records, _ = await self.log.read(stream, 0, 2)
+            records, _ = await self.log.read(stream_of(key), 0, 2)
+        except exceptions.ExpiredOffsetError as exc:
+            raise exceptions.OutcomeUnknownError(
+                'key was used longer ago than the log keeps records'
+            ) from exc
         if not records:
-            raise exceptions.JournalUnavailableError(
-                'claim outcome unknown', retry_after_s=1
-            )
-        owner = records[0].value.get('id')
-        answer = None
-        if len(records) > 1:
-            answer = records[1].value.get('text')
-        return Claim(owner, won=owner == request_id, answer=answer)
-
-    async def answer(self, key, text):
-        """Publish the answer of a claimed key, best effort."""
-        value = {'kind': ANSWERED, 'text': text}
-        try:
-            await self.log.append(stream_of(key), value, expected_offset=1)
-        except exceptions.PearrunError:
-            return False
-        return True
+            return None
+        value = records[0].value
+        outcome = records[1].value if len(records) > 1 else {}
+        return Claim(
+            holder=value['holder'],
+            won=attempt is not None and value['attempt'] == attempt,
+            digest=value['digest'],
+            answer=outcome.get('text'),
+            unknown=outcome.get('kind') == UNKNOWN,
+        )
 
-    async def wait_answer(self, key, owner, timeout_ms):
-        """Wait for another daemon's answer to a key.
+    async def publish(self, key, kind, text=None):
+        """Publish a claimed key's outcome, however long the log is down.
 
+        The first outcome on the log stands; later ones are dropped.
+        """
+        value = {'kind': kind, 'text': text}
+        backoff = Backoff()
+        while True:
+            try:
+                await self.log.append(stream_of(key), value, expected_offset=1)
+                return
+            except exceptions.ConfigConflictError:
+                return
+            except exceptions.PearrunError:
+                await backoff.pause()
+
+    async def wait_outcome(self, key, timeout_ms, is_dead):
+        """Wait for the outcome of a call that another daemon makes.
+
+        :param timeout_ms: how long to wait for a live holder.
+        :param is_dead: tells whether a holder is dead; when it is, the
+            call may or may not have run, and ``unknown`` is published.
         :returns: the answer text.
-        :raises CapacityError: none came within ``timeout_ms``; the
-            call is still the owner's, so the caller comes back later.
+        :raises OutcomeUnknownError: the call may have run.
+        :raises CapacityError: no outcome within ``timeout_ms``; come
+            back later.
         """
         started = self.clock.now()
-        stream = stream_of(key)
         while self.clock.since(started) < timeout_ms:
-            claim = await self.read(stream, owner)
+            claim = await self.read(key)
             if claim.answer is not None:
                 return claim.answer
+            if claim.unknown:
+                raise exceptions.OutcomeUnknownError(
+                    'the call may have run; it is not repeated'
+                )
+            if is_dead(claim.holder):
+                await self.publish(key, UNKNOWN)
+                continue
             await asyncio.sleep(to_seconds(POLL_MS))
-        raise exceptions.CapacityError(
-            f'key is being served by request {owner}', retry_after_s=1
+        failure = exceptions.CapacityError(
+            'another host is making this call', retry_after_s=1
         )
+        failure.not_run = False
+        raise failure
--- a/pearrun/daemon.py
+++ b/pearrun/daemon.py
@@ -19,21 +19,32 @@
 from pearrun import settings as settings_module
 from pearrun import web
 from pearrun.claims import KeyClaims
+from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.config import ConfigFollower
 from pearrun.dispatcher import Dispatcher
 from pearrun.hosts import HostWatcher
 from pearrun.journal import Journal
 from pearrun.logservice import LogClient
+from pearrun.lookup import Lookup
+from pearrun.members import Member
+from pearrun.members import Membership
+from pearrun.metrics import MetricsTable
 from pearrun.peers import Peers
+from pearrun.recovery import Recovery
 from pearrun.router import Router
+from pearrun.runner import Runner
+from pearrun.states import EndpointState
+from pearrun.states import MemberState
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string('settings', None, 'Path of the YAML settings file.')
 flags.DEFINE_enum('log_format', 'text', ['text', 'json'], 'Log format.')
 flags.DEFINE_string('log_level', 'INFO', 'Lowest log level written.')
 
-DRAIN_TIMEOUT_MS = 20_000
+BACKGROUND_GRACE_S = 2
+HANDOVER_MS = 3000
+READERS_POLL_MS = 50
 
 
 class Daemon:
@@ -46,54 +57,184 @@
         self.settings = settings
         self.router = Router.from_settings(settings)
         self.peers = Peers(settings, self.router)
+        self.metrics = MetricsTable()
+        self.state = MemberState.LIVE
         self.session = None
+        self.journal = None
+        self.config = None
+        self.membership = None
         self.dispatcher = None
+        self.lookup = None
         self.hosts = None
-        self.config = None
+        self.recovery = None
         self.tasks = []
 
-    async def start(self):
-        """Open connections and start the background tasks."""
+    def build(self):
+        """Build the parts that need a running event loop."""
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=2)
-        self.session = aiohttp.ClientSession(timeout=timeout)
-        log = LogClient(self.session, self.settings.platform)
-        self.config = ConfigFollower(log, self.settings)
-        journal = Journal(log, self.settings)
-        claims = KeyClaims(log, self.settings)
-        self.dispatcher = Dispatcher(
-            self.settings,
+        self.session = aiohttp.ClientSession(
+            timeout=timeout, connector=aiohttp.TCPConnector(limit=0)
+        )
+        settings = self.settings
+        log = LogClient(self.session, settings.platform)
+        self.config = ConfigFollower(log, settings)
+        self.journal = Journal(log, settings, self.on_sealed)
+        self.membership = Membership(
+            log, settings, self.describe, self.hear_leaving
+        )
+        runner = Runner(
+            settings,
             self.session,
             self.router,
-            journal,
+            KeyClaims(log),
+            self.journal,
+            self.membership,
+            self.metrics,
+        )
+        self.dispatcher = Dispatcher(
+            settings,
+            self.router,
+            self.journal,
             self.config,
-            claims,
+            runner,
+            self.metrics,
+        )
+        self.lookup = Lookup(
+            log, self.session, self.dispatcher, self.membership, self.journal
         )
         self.hosts = HostWatcher(
-            self.session, self.settings, self.router, self.peers
+            self.session,
+            settings,
+            self.router,
+            self.announce_leaving,
+            self.on_reclaim,
         )
+        self.recovery = Recovery(
+            log,
+            settings,
+            self.membership,
+            self.journal,
+            self.dispatcher.adopt,
+        )
+
+    async def start(self):
+        """Open connections and start the background tasks."""
+        self.build()
+        work = {
+            'journal': self.journal.run(),
+            'progress': self.dispatcher.keep_saving(),
+            'config': self.config.follow(),
+            'beats': self.membership.keep_beating(),
+            'recovery': self.watch_members(),
+            'cloud': self.hosts.watch_cloud(),
+            'loads': self.hosts.watch_loads(),
+        }
+        for url in self.settings.host.peers:
+            work[url] = self.peers.keep_link(url)
         self.tasks = [
-            asyncio.create_task(self.config.follow(), name='config'),
-            asyncio.create_task(self.hosts.watch(), name='hosts'),
+            asyncio.create_task(coroutine, name=name)
+            for name, coroutine in work.items()
         ]
-        for url in self.settings.host.peers:
-            self.tasks.append(
-                asyncio.create_task(self.peers.keep_link(url), name=url)
-            )
         logger.info('daemon started', name=self.settings.host.name)
 
+    async def watch_members(self):
+        """Recover dead hosts' requests once a configuration is known."""
+        while self.config.tree.version == 0:
+            await asyncio.sleep(to_seconds(self.settings.host.members_poll_ms))
+        await self.recovery.watch()
+
     async def stop(self):
-        """Finish in-flight work, then close everything."""
+        """Finish in-flight work, tell the others, close everything.
+
+        What does not end within ``drain_timeout_ms`` is handed over:
+        another host goes on with it, and callers here are answered
+        from there.
+        """
         logger.info('daemon stopping; finishing in-flight requests')
+        self.dispatcher.accepting = False
+        self.state = MemberState.STOPPING
+        self.membership.beat_now.set()
+        host = self.settings.host
+        try:
+            async with asyncio.timeout(to_seconds(host.drain_timeout_ms)):
+                await self.dispatcher.drain()
+        except TimeoutError:
+            logger.warning('drain timed out; handing requests over')
+            await self.dispatcher.hand_over()
         try:
-            await asyncio.wait_for(
-                self.dispatcher.drain(), to_seconds(DRAIN_TIMEOUT_MS)
-            )
+            async with asyncio.timeout(BACKGROUND_GRACE_S):
+                await self.journal.flush()
         except TimeoutError:
-            logger.warning('drain timed out')
+            logger.warning('journal not written to its end')
+        self.state = MemberState.LEFT
+        await self.membership.beat()
+        await self.wait_for_readers()
         for task in self.tasks:
             task.cancel()
         await self.session.close()
 
+    async def wait_for_readers(self):
+        """Let callers whose requests were handed over get their answers."""
+        deadline = Clock().now() + self.settings.host.drain_timeout_ms
+        while self.lookup.followers and Clock().now() < deadline:
+            await asyncio.sleep(to_seconds(READERS_POLL_MS))
+
+    def describe(self):
+        """Return this daemon as a :class:`Member`, for its beats."""
+        listen = self.settings.host.listen
+        return Member(
+            name=self.settings.host.name,
+            stream=self.journal.stream,
+            zone=self.settings.host.zone,
+            url=f'http://{listen.host}:{listen.port}',
+            state=self.state,
+            config_version=self.config.tree.version,
+            leaving=tuple(self.router.leaving()),
+        )
+
+    def announce_leaving(self, endpoint_id):
+        """Tell every daemon that an endpoint takes no new work.
+
+        Peers of the zone hear it over their links, the other zones
+        through the next beat, which is sent at once.
+        """
+        self.peers.broadcast({'type': 'leaving', 'endpoint': endpoint_id})
+        self.membership.beat_now.set()
+
+    def hear_leaving(self, endpoint_id):
+        """Note an endpoint that another daemon reports as leaving."""
+        self.router.mark(endpoint_id, EndpointState.LEAVING)
+
+    def on_reclaim(self, at_ms):
+        """Act on the announced reclaim of this daemon's own host."""
+        if self.state == MemberState.LIVE:
+            logger.warning('this host is being reclaimed')
+            self.dispatcher.accepting = False
+            self.state = MemberState.STOPPING
+            self.membership.beat_now.set()
+            self.tasks.append(asyncio.create_task(self.leave_by(at_ms)))
+
+    async def leave_by(self, at_ms):
+        """Hand unfinished requests over before this host goes away."""
+        left_ms = at_ms - Clock().now()
+        patience_ms = max(left_ms // 2, left_ms - HANDOVER_MS)
+        try:
+            async with asyncio.timeout(to_seconds(max(0, patience_ms))):
+                await self.dispatcher.drain()
+        except TimeoutError:
+            logger.warning('handing unfinished requests over')
+            await self.dispatcher.hand_over()
+        self.state = MemberState.LEFT
+        self.membership.beat_now.set()
+
+    def on_sealed(self):
+        """Act on another host having taken over this host's journal.
+
+        A host that is leaving has asked for it.
+        """
+        self.dispatcher.on_sealed()
+        self.membership.beat_now.set()
+
     def status(self):
         """Return what an operator sees, JSON-ready."""
         return {
@@ -113,6 +254,16 @@
                 for e in self.router.endpoints.values()
             ],
             'peers': self.peers.to_body(),
+            'journal': {
+                'stream': self.journal.stream,
+                'open': len(self.journal.open),
+                'appends': self.journal.appends,
+                'adopted': self.recovery.adopted,
+            },
+            'members': [
+                dict(m.to_beat(), missed=m.missed)
+                for m in self.membership.members.values()
+            ],
         }
 
 
@@ -151,7 +302,9 @@
         'pearrund', settings.host.zone, FLAGS.log_format, FLAGS.log_level
     )
     app = build_app(settings)
-    web.serve(app, settings.host.listen.host, settings.host.listen.port)
+    listen = settings.host.listen
+    grace_s = to_seconds(settings.host.drain_timeout_ms)
+    web.serve(app, listen.host, listen.port, grace_s)
 
 
 def run():
--- a/pearrun/dispatcher.py
+++ b/pearrun/dispatcher.py
@@ -1,69 +1,53 @@
-"""The dispatcher: accepts jobs, runs them, keeps their answers."""
+"""The dispatcher: accepts requests, starts their jobs, keeps answers."""
 
 import asyncio
-import uuid
 
 from loguru import logger
 
-from pearrun import backends
+from pearrun import entries
 from pearrun import exceptions
-from pearrun import metrics
+from pearrun import journal as journal_module
 from pearrun.clock import Clock
+from pearrun.clock import to_seconds
 from pearrun.ids import CustomerId
 from pearrun.ids import IdempotencyKey
-from pearrun.ids import RequestId
 from pearrun.ids import ServiceName
-from pearrun.states import BackendKind
 from pearrun.states import RequestState
 from pearrun.structures import Job
 
 DEFAULT_CUSTOMER = 'default'
-MAX_ATTEMPTS = 3
 
 
 class Dispatcher:
-    """Accepts requests durably and runs each to its end.
+    """Accepts requests durably and runs each in a task of its own.
 
-    A job runs in a task of its own, apart from the caller's
-    connection, so a caller that drops can resume its stream by id.
+    A job runs apart from its caller's connection, so a caller that
+    drops can come back for the answer by id.
 
     :param settings: the daemon's whole :class:`Settings`.
-    :param session: an :class:`aiohttp.ClientSession` for back ends.
     :param router: a :class:`Router`.
     :param journal: a :class:`Journal`.
     :param config: a :class:`ConfigFollower` holding the tree in force.
-    :param claims: :class:`KeyClaims` for non-idempotent calls.
+    :param runner: a :class:`Runner`.
+    :param metrics: a :class:`MetricsTable`.
     """
 
-    def __init__(self, settings, session, router, journal, config, claims):
+    def __init__(self, settings, router, journal, config, runner, metrics):
         self.settings = settings
-        self.session = session
         self.router = router
         self.journal = journal
         self.config = config
-        self.claims = claims
+        self.runner = runner
+        self.metrics = metrics
         self.clock = Clock()
         self.jobs = {}
         self.by_key = {}
         self.running = {}
-        self.metrics = {}
         self.accepting = True
 
-    def service_metrics(self, service):
-        """Return the metrics of a service, creating them."""
-        return self.metrics.setdefault(service, metrics.ServiceMetrics())
-
     def find(self, request_id):
-        """Return a job by id.
-
-        :raises UnknownRequestError: no such job here (code 1300).
-        """
-        job = self.jobs.get(request_id)
-        if job is None:
-            raise exceptions.UnknownRequestError(
-                f'no request {request_id!r} on this host'
-            )
-        return job
+        """Return a job held by this daemon, or ``None``."""
+        return self.jobs.get(request_id)
 
     def check(self, body, key):
         """Check a request against the tree in force.
@@ -93,6 +77,9 @@
     async def submit(self, body, key=None):
         """Accept a request: check it, journal it, start it.
 
+        The acceptance goes on when the caller's connection drops in
+        the middle of it, so that no journaled request is left unrun.
+
         :param body: a :class:`CompletionBody`.
         :param key: the caller's ``Idempotency-Key`` header, if any.
         :returns: the :class:`Job`; an earlier one for a repeated key.
@@ -101,13 +88,19 @@
         service = self.check(body, key)
         scoped = IdempotencyKey(f'{body.model}/{key}') if key else None
         if scoped in self.by_key:
-            return self.jobs[self.by_key[scoped]]
+            job = await asyncio.shield(self.by_key[scoped])
+            if job.prompt != body.prompt:
+                raise exceptions.IdempotencyMismatchError(
+                    'this Idempotency-Key was used for another request'
+                )
+            return job
         if not self.accepting:
             raise exceptions.CapacityError(
                 'this host is stopping', retry_after_s=1
             )
+        self.router.admit(body.model)
         job = Job(
-            id=RequestId(uuid.uuid4().hex),
+            id=journal_module.new_request_id(self.journal.stream),
             customer=CustomerId(body.user or DEFAULT_CUSTOMER),
             service=ServiceName(body.model),
             prompt=body.prompt,
@@ -116,166 +109,226 @@
             accepted_ms=self.clock.now(),
             idempotency_key=scoped,
         )
+        acceptance = asyncio.create_task(self.accept(job, service))
         if scoped is not None:
-            self.by_key[scoped] = job.id
-        counters = self.service_metrics(job.service)
+            self.by_key[scoped] = acceptance
+        return await asyncio.shield(acceptance)
+
+    async def accept(self, job, service):
+        """Journal a job and start it.
+
+        :returns: the :class:`Job`.
+        :raises CapacityError: it could not be journaled.
+        """
+        counters = self.metrics.of(job.service)
         try:
-            claim = await self.claim_key(job, service)
-            await self.journal.accept(job)
+            await self.journal.accept(describe_acceptance(job))
         except exceptions.PearrunError:
-            self.by_key.pop(scoped, None)
+            self.by_key.pop(job.idempotency_key, None)
             counters.rejected += 1
             raise
         counters.accepted += 1
-        self.jobs[job.id] = job
-        if claim is not None and not claim.won:
-            work = self.follow_claim(job, service, claim)
-        else:
-            work = self.run(job, service)
-        task = asyncio.create_task(work, name=job.id)
-        self.running[job.id] = task
-        task.add_done_callback(lambda _: self.running.pop(job.id, None))
+        self.start(job, service)
         return job
 
-    async def claim_key(self, job, service):
-        """Claim a non-idempotent job's key on the log service.
+    def adopt(self, entry, progress=None):
+        """Start a request taken over from a dead host's journal.
 
-        :returns: a :class:`Claim`, or ``None`` when no claim is needed.
+        :param entry: its :class:`entries.Accepted`.
+        :param progress: its :class:`entries.Progress`, if any.
         """
-        if service.idempotent or job.idempotency_key is None:
-            return None
-        return await self.claims.claim(job.idempotency_key, job.id)
-
-    async def follow_claim(self, job, service, claim):
-        """Answer a job whose key another request holds, never running it."""
-        try:
-            text = claim.answer
-            if text is None:
-                text = await self.claims.wait_answer(
-                    job.idempotency_key,
-                    claim.request_id,
-                    service.targets.total_ms,
-                )
-        except exceptions.PearrunError as exc:
-            await job.publish(state=RequestState.FAILED, failure=exc)
+        if entry.id in self.jobs:
             return
-        await job.add_token(text)
-        await job.publish(state=RequestState.DONE, finish_reason='stop')
-        self.record_done(job)
-
-    async def run(self, job, service):
-        """Run a job to its end, moving it when an endpoint fails."""
-        log = logger.bind(
-            request_id=job.id, customer=job.customer, service=job.service
+        job = Job(
+            id=entry.id,
+            customer=entry.customer,
+            service=entry.service,
+            prompt=entry.prompt,
+            max_tokens=entry.max_tokens,
+            seed=entry.seed,
+            accepted_ms=self.clock.now(),
+            idempotency_key=entry.idempotency_key,
+            attempts=1,
         )
-        await job.publish(state=RequestState.RUNNING)
-        tried = []
-        try:
-            while True:
-                endpoint = self.router.choose(
-                    job.service, job.prompt, exclude=tried
-                )
-                try:
-                    await self.run_on(job, service, endpoint)
-                    break
-                except exceptions.BackendError as exc:
-                    log.warning('endpoint failed', error=exc.message)
-                    tried.append(endpoint.id)
-                    if not service.idempotent or len(tried) >= MAX_ATTEMPTS:
-                        raise
-        except exceptions.PearrunError as exc:
-            self.service_metrics(job.service).failed += 1
-            await job.publish(state=RequestState.FAILED, failure=exc)
-            log.warning('request failed', code=exc.code)
-        except asyncio.CancelledError:
-            failure = exceptions.CancelledError('cancelled by the caller')
-            await job.publish(state=RequestState.CANCELLED, failure=failure)
-            raise
-        else:
-            self.record_done(job)
-            log.info('request done', tokens=len(job.tokens))
-        finally:
-            await self.journal.finish(job)
-            await self.publish_answer(job, service)
-
-    async def publish_answer(self, job, service):
-        """Put a claimed key's answer on the log for other daemons."""
-        if service.idempotent or job.idempotency_key is None:
+        if progress is not None:
+            job.tokens = list(progress.tokens)
+            job.endpoint = progress.endpoint
+            job.saved = len(job.tokens)
+        self.metrics.of(job.service).adopted += 1
+        service = self.config.tree.find_service(job.service)
+        if service is None:
+            self.jobs[job.id] = job
+            job.state = RequestState.FAILED
+            job.failure = exceptions.UnknownServiceError(
+                f'service {job.service!r} was removed'
+            )
+            self.record_end(job)
             return
-        if job.state == RequestState.DONE:
-            await self.claims.answer(job.idempotency_key, job.text())
+        self.start(job, service)
 
-    async def run_on(self, job, service, endpoint):
-        """Serve a job on one endpoint, continuing where it stopped."""
-        job.endpoint = endpoint.id
-        endpoint.in_flight += 1
-        try:
-            match endpoint.kind:
-                case BackendKind.SERVICE:
-                    result = await backends.call_service(
-                        self.session, endpoint, job
-                    )
-                    await job.add_token(result)
-                    await job.publish(
-                        state=RequestState.DONE, finish_reason='stop'
-                    )
-                case BackendKind.ENGINE:
-                    await self.stream_from(job, service, endpoint)
-        finally:
-            endpoint.in_flight -= 1
-
-    async def stream_from(self, job, service, endpoint):
-        """Copy an engine's tokens into the job, resuming after a move."""
-        counters = self.service_metrics(job.service)
-        last_ms = None
-        stream = backends.stream_tokens(
-            self.session,
-            endpoint,
-            job,
-            service.priority,
-            resume_from=len(job.tokens),
+    def start(self, job, service):
+        """Run a journaled job in a task of its own."""
+        self.jobs[job.id] = job
+        job.saved_ms = self.clock.now()
+        task = asyncio.create_task(self.runner.run(job, service), name=job.id)
+        self.running[job.id] = task
+        task.add_done_callback(lambda done: self.end(job, done))
+
+    def end(self, job, task):
+        """Note that a job's task has ended."""
+        self.running.pop(job.id, None)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error(
+                'job task failed', request_id=job.id
+            )
+        if job.finished and job.state != RequestState.CANCELLED:
+            self.record_end(job)
+
+    def record_end(self, job):
+        """Journal a job's final state and keep its answer a while.
+
+        :returns: the future of the journal entry's landing.
+        """
+        asyncio.get_running_loop().call_later(
+            to_seconds(self.settings.host.answer_keep_ms), self.forget, job
         )
-        async for index, token in stream:
-            if index is None:
-                await job.publish(state=RequestState.DONE, finish_reason=token)
-                return
-            if index != len(job.tokens):
+        return self.journal.enqueue(
+            entries.Finished(
+                id=job.id,
+                state=job.state.value,
+                tokens=tuple(job.tokens),
+                finish_reason=job.finish_reason,
+                error=job.failure.to_body() if job.failure else None,
+            )
+        )
+
+    def forget(self, job):
+        """Drop a finished job; its answer is on the log from here on."""
+        if job.readers:
+            asyncio.get_running_loop().call_later(
+                to_seconds(self.settings.host.answer_keep_ms),
+                self.forget,
+                job,
+            )
+            return
+        self.jobs.pop(job.id, None)
+        self.by_key.pop(job.idempotency_key, None)
+
+    def on_sealed(self):
+        """Drop jobs that another host took over and nobody reads here.
+
+        A job with a reader goes on: its caller gets the whole answer
+        on the connection it has.
+        """
+        for job in list(self.jobs.values()):
+            if job.finished or job.readers:
                 continue
-            now = self.clock.now()
-            if last_ms is None and not job.tokens:
-                metrics.record(counters.ttft, now - job.accepted_ms)
-            elif last_ms is not None:
-                metrics.record(counters.itl, now - last_ms)
-            last_ms = now
-            await job.add_token(token)
-
-    def record_done(self, job):
-        """Count a finished job in its service's metrics."""
-        counters = self.service_metrics(job.service)
-        counters.done += 1
-        counters.tokens += len(job.tokens)
-        metrics.record(counters.total, self.clock.since(job.accepted_ms))
-
-    async def cancel(self, request_id):
-        """Cancel a job that has not finished.
+            task = self.running.get(job.id)
+            if task is not None:
+                task.cancel()
+            job.handed_over = True
+            self.jobs.pop(job.id, None)
+            self.by_key.pop(job.idempotency_key, None)
 
-        :returns: the :class:`Job`.
-        :raises UnknownRequestError: no such job here.
+    def save(self, job):
+        """Bring the journal up to date about a running job.
+
+        Its acceptance is written again before the log's retention
+        drops it, and the tokens it got since the last time are added.
+        """
+        if job.saving is not None and not job.saving.done():
+            return
+        now = self.clock.now()
+        keep_ms = self.settings.platform.retention_ms // 2
+        if now - job.saved_ms >= keep_ms:
+            job.saving = self.journal.enqueue(describe_acceptance(job))
+            job.saved_ms = now
+            job.saved = 0
+        if self.settings.host.save_progress and len(job.tokens) > job.saved:
+            job.saving = self.journal.enqueue(
+                entries.Progress(
+                    id=job.id,
+                    start=job.saved,
+                    tokens=tuple(job.tokens[job.saved :]),
+                    endpoint=job.endpoint,
+                )
+            )
+            job.saved = len(job.tokens)
+
+    async def keep_saving(self):
+        """Save the running jobs' progress for the daemon's whole life."""
+        retention_ms = self.settings.platform.retention_ms
+        pause_ms = min(self.settings.host.progress_ms, retention_ms // 8)
+        while True:
+            await asyncio.sleep(to_seconds(pause_ms))
+            for request_id in list(self.running):
+                job = self.jobs.get(request_id)
+                if job is not None:
+                    self.save(job)
+
+    async def hand_over(self):
+        """Stop the running jobs so that another host goes on with them.
+
+        Callers being answered here are from now on answered through
+        this host by the one that took over.
+        """
+        for request_id, task in list(self.running.items()):
+            job = self.jobs.pop(request_id)
+            task.cancel()
+            job.saving = None
+            self.save(job)
+            await job.publish(handed_over=True)
+        await self.journal.flush()
+
+    async def cancel(self, job):
+        """Cancel a job; it is final once the journal says so.
+
+        :param job: a :class:`Job` of this daemon.
+        :returns: the job; one that had already ended, or whose
+            non-idempotent call is under way, is left as it is.
+        :raises JournalUnavailableError: stopped here, but the journal
+            does not say so yet: should this host die now, another may
+            run it again.
         """
-        job = self.find(request_id)
-        if job.finished:
+        service = self.config.tree.find_service(job.service)
+        calling = job.started and service and not service.idempotent
+        if job.finished or calling:
             return job
         task = self.running.get(job.id)
         if task is not None:
             task.cancel()
-        endpoint = self.router.endpoints.get(job.endpoint)
-        if endpoint is not None and endpoint.kind == BackendKind.ENGINE:
-            await backends.cancel_stream(self.session, endpoint, job)
+        failure = exceptions.CancelledError('cancelled by the caller')
+        failure.not_run = not job.started
+        await job.publish(state=RequestState.CANCELLED, failure=failure)
+        landed = self.record_end(job)
+        timeout = to_seconds(self.settings.platform.timeout_ms)
+        try:
+            await asyncio.wait_for(asyncio.shield(landed), timeout)
+        except (TimeoutError, exceptions.StreamSealedError) as exc:
+            unrecorded = exceptions.JournalUnavailableError(
+                'cancelled here, but not recorded yet; ask again',
+                retry_after_s=1,
+            )
+            unrecorded.not_run = False
+            raise unrecorded from exc
         return job
 
     async def drain(self):
         """Stop accepting and wait for every running job to end."""
         self.accepting = False
-        tasks = list(self.running.values())
-        if tasks:
-            await asyncio.gather(*tasks, return_exceptions=True)
+        while self.running:
+            await asyncio.wait(list(self.running.values()))
+            await asyncio.sleep(0)
+
+
+def describe_acceptance(job):
+    """Return a job's acceptance as a journal entry."""
+    return entries.Accepted(
+        id=job.id,
+        customer=job.customer,
+        service=job.service,
+        prompt=job.prompt,
+        max_tokens=job.max_tokens,
+        seed=job.seed,
+        idempotency_key=job.idempotency_key,
+    )
--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -10,10 +10,14 @@
     :param message: what went wrong, for people.
     :param retry_after_s: seconds after which the caller may try again,
         or ``None`` when trying again will not help.
+
+    ``not_run`` is true only where the request has not run and never
+    will; where that cannot be known it stays false.
     """
 
     code = 1000
     http_status = 500
+    not_run = False
 
     def __init__(self, message, retry_after_s=None):
         super().__init__(message)
@@ -23,13 +27,16 @@
     def to_body(self):
         """Return the error as a JSON-ready body.
 
-        :returns: ``{"error": {"code": int, "type": str, "message": str}}``
+        :returns: ``{"error": {"code": int, "type": str, "message": str,
+            "not_run": bool, "retry_after_s": int or None}}``
         """
         return {
             'error': {
                 'code': self.code,
                 'type': type(self).__name__,
                 'message': self.message,
+                'not_run': self.not_run,
+                'retry_after_s': self.retry_after_s,
             }
         }
 
@@ -58,6 +65,7 @@
 
     code = 1200
     http_status = 400
+    not_run = True
 
 
 class UnknownServiceError(BadRequestError):
@@ -86,6 +94,7 @@
 
     code = 1400
     http_status = 503
+    not_run = True
 
 
 class NoEndpointError(CapacityError):
@@ -111,14 +120,49 @@
     """An append may or may not have happened: its answer was lost."""
 
     code = 1404
+    not_run = False
 
 
 class ExpiredOffsetError(PearrunError):
-    """An offset fell out of the log service's retention window."""
+    """An offset fell out of the log service's retention window.
+
+    :param first_offset: the oldest offset the service still holds.
+    """
 
     code = 1405
     http_status = 410
 
+    def __init__(self, message, retry_after_s=None, first_offset=0):
+        super().__init__(message, retry_after_s)
+        self.first_offset = first_offset
+
+
+class StreamSealedError(CapacityError):
+    """Another host sealed this host's journal and took its requests."""
+
+    code = 1406
+
+
+class OverloadedError(CapacityError):
+    """Every endpoint of the service is at its admission limit."""
+
+    code = 1407
+    http_status = 429
+
+
+class RequestMovingError(PearrunError):
+    """The request is being taken over by another host; ask again."""
+
+    code = 1301
+    http_status = 503
+
+
+class IdempotencyMismatchError(BadRequestError):
+    """An Idempotency-Key was used again with a different request."""
+
+    code = 1204
+    http_status = 422
+
 
 class IdempotencyKeyRequiredError(BadRequestError):
     """A non-idempotent service was called without Idempotency-Key."""
@@ -140,6 +184,25 @@
     http_status = 409
 
 
+class OutcomeUnknownError(PearrunError):
+    """A non-idempotent call may have run; it is not repeated."""
+
+    code = 1502
+    http_status = 502
+
+
+class EndpointRefusedError(BackendError):
+    """An engine refuses the request itself (HTTP 4xx)."""
+
+    code = 1503
+
+
+class EndpointUnreachableError(BackendError):
+    """No connection to the endpoint stood, so nothing ran there."""
+
+    code = 1504
+
+
 class ConfigConflictError(PearrunError):
     """Another operator published a configuration first."""
 
@@ -176,10 +239,32 @@
     RateLimitedError,
     AmbiguousAppendError,
     ExpiredOffsetError,
+    StreamSealedError,
+    OverloadedError,
+    RequestMovingError,
+    IdempotencyMismatchError,
     IdempotencyKeyRequiredError,
     BackendError,
     CancelledError,
+    OutcomeUnknownError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
     ConfigConflictError,
     StaleOrderError,
     NotFoundError,
 )
+
+BY_CODE = {error.code: error for error in ALL_ERRORS}
+
+
+def from_body(body):
+    """Rebuild an error from its JSON body, read from a host or the log.
+
+    :param body: a map as :meth:`PearrunError.to_body` returns it.
+    :returns: a :class:`PearrunError` of the class with that code.
+    """
+    fields = body['error']
+    kind = BY_CODE.get(fields['code'], PearrunError)
+    error = kind(fields['message'], retry_after_s=fields['retry_after_s'])
+    error.not_run = fields['not_run']
+    return error
--- a/pearrun/hosts.py
+++ b/pearrun/hosts.py
@@ -6,10 +6,13 @@
 from loguru import logger
 
 from pearrun import backends
+from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.states import BackendKind
 from pearrun.states import EndpointState
 
+CLOUD_TIMEOUT = aiohttp.ClientTimeout(total=2)
+
 
 class HostWatcher:
     """Marks endpoints leaving from the cloud's notices and host list.
@@ -17,58 +20,95 @@
     :param session: an :class:`aiohttp.ClientSession`.
     :param settings: the daemon's whole :class:`Settings`.
     :param router: the daemon's :class:`Router`.
-    :param peers: the daemon's :class:`Peers`, told of each change.
+    :param announce: called with an endpoint id when this daemon is
+        the one that learned of its leaving.
+    :param on_reclaim: called with the time at which this daemon's own
+        entry host goes away, once that is announced.
     """
 
-    def __init__(self, session, settings, router, peers):
+    def __init__(self, session, settings, router, announce, on_reclaim):
         self.session = session
         self.settings = settings
         self.router = router
-        self.peers = peers
+        self.announce = announce
+        self.on_reclaim = on_reclaim
+        self.clock = Clock()
         self.notice_seq = 0
 
-    def mark_leaving(self, endpoint_id, source):
-        """Stop routing to an endpoint and tell the peers."""
+    def mark_leaving(self, endpoint_id, source, reclaim_at_ms=None):
+        """Stop routing to an endpoint and tell the other daemons.
+
+        :param source: where the news came from, for the log.
+        :param reclaim_at_ms: when its host goes away, if known; its
+            running streams move before that.
+        """
+        endpoint = self.router.endpoints.get(endpoint_id)
+        if endpoint is None:
+            return
+        if reclaim_at_ms is not None:
+            endpoint.reclaim_at_ms = reclaim_at_ms
         if self.router.mark(endpoint_id, EndpointState.LEAVING):
             logger.info(
                 'endpoint leaving', endpoint=endpoint_id, source=source
             )
-            self.peers.broadcast({'type': 'leaving', 'endpoint': endpoint_id})
+            self.announce(endpoint_id)
 
     async def read_cloud(self):
         """Read new reclaim notices and the host list once."""
         base = self.settings.platform.cloud_url.rstrip('/')
         params = {'since': str(self.notice_seq)}
         async with self.session.get(
-            f'{base}/v1/notices', params=params
+            f'{base}/v1/notices', params=params, timeout=CLOUD_TIMEOUT
         ) as reply:
             notices = (await reply.json())['notices']
         for notice in notices:
             self.notice_seq = max(self.notice_seq, int(notice['seq']))
-            self.mark_leaving(notice['id'], 'notice')
-        async with self.session.get(f'{base}/v1/hosts') as reply:
+            at_ms = self.clock.now() + int(notice['notice_ms'])
+            if notice['id'] == self.settings.host.name:
+                self.on_reclaim(at_ms)
+            self.mark_leaving(notice['id'], 'notice', at_ms)
+        async with self.session.get(
+            f'{base}/v1/hosts', timeout=CLOUD_TIMEOUT
+        ) as reply:
             hosts = (await reply.json())['hosts']
         for host in hosts:
             if host['state'] != EndpointState.LIVE.value:
                 self.mark_leaving(host['id'], 'host list')
 
-    async def read_loads(self):
-        """Refresh each engine's reported load."""
-        for endpoint in list(self.router.endpoints.values()):
-            if endpoint.kind != BackendKind.ENGINE:
-                continue
-            load = await backends.read_load(self.session, endpoint)
-            if load is not None:
-                endpoint.reported_load = load
+    async def watch_cloud(self):
+        """Poll the cloud for the daemon's whole life."""
+        if not self.settings.platform.cloud_url:
+            return
+        while True:
+            try:
+                await self.read_cloud()
+            except (aiohttp.ClientError, OSError, ValueError, KeyError) as exc:
+                logger.debug('cloud API not read', error=repr(exc))
+            await asyncio.sleep(to_seconds(self.settings.host.hosts_poll_ms))
+
+    async def read_load(self, endpoint):
+        """Refresh one engine's reported load."""
+        load = await backends.read_load(self.session, endpoint)
+        if load is not None:
+            endpoint.reported_load = max(0, load - endpoint.in_flight)
+
+    async def watch_loads(self):
+        """Poll the engines' loads at a bounded rate.
 
-    async def watch(self):
-        """Poll the cloud and the engines for the daemon's whole life."""
-        pause = to_seconds(self.settings.host.hosts_poll_ms)
+        At most ``load_polls_per_s`` engines are asked a second, those
+        of the daemon's own zone only, so that the cost does not grow
+        with the fleet.
+        """
+        gap_s = 1.0 / self.settings.host.load_polls_per_s
+        zone = self.settings.host.zone
         while True:
-            if self.settings.platform.cloud_url:
-                try:
-                    await self.read_cloud()
-                except (aiohttp.ClientError, ValueError, TimeoutError):
-                    pass
-            await self.read_loads()
-            await asyncio.sleep(pause)
+            started = self.clock.now()
+            for endpoint in list(self.router.endpoints.values()):
+                if endpoint.kind == BackendKind.ENGINE and (
+                    endpoint.zone == zone
+                ):
+                    await self.read_load(endpoint)
+                    await asyncio.sleep(gap_s)
+            rest_ms = self.settings.host.hosts_poll_ms
+            rest_ms -= self.clock.since(started)
+            await asyncio.sleep(to_seconds(max(rest_ms, 10)))
--- a/pearrun/intake.py
+++ b/pearrun/intake.py
@@ -7,24 +7,29 @@
   ``Idempotency-Key`` makes a retry return the first answer.
   ``Prefer: respond-async`` answers ``202`` once the request is
   journaled; fetch the answer later by id.
-- ``GET /v1/requests/{id}``: status and answer so far;
-  ``?stream=true&from=N`` resumes the stream after token ``N``.
+- ``GET /v1/requests/{id}``: status and answer so far, on any entry
+  host; ``?stream=true&from=N`` resumes the stream at token ``N``, and
+  ``?wait=true`` answers when the request has ended.
 - ``POST /v1/requests/{id}/cancel``.
 
+Every answer carries the request's id in ``X-Request-Id``.
+
 Operators: ``GET /healthz``, ``GET /v1/status``, ``GET /v1/metrics``,
 ``POST /admin/drain`` ``{endpoint}``; peers: websocket ``/peer``.
 """
 
+import contextlib
 import json
 
 import pydantic
 from sanic import response
 
 from pearrun import exceptions
+from pearrun import lookup
 from pearrun import models
 from pearrun import web
 
-SSE_HEADERS = {'Cache-Control': 'no-cache'}
+REQUEST_ID = 'X-Request-Id'
 
 
 def parse_body(request, model):
@@ -46,74 +51,154 @@
         ) from exc
 
 
-def completion_body(job, chat):
-    """Return a job's whole answer in the OpenAI shape."""
-    choice = {'index': 0, 'finish_reason': job.finish_reason}
+def completion_body(job, tokens, finish_reason, chat):
+    """Return a whole answer in the OpenAI shape."""
+    text = ' '.join(tokens)
+    choice = {'index': 0, 'finish_reason': finish_reason}
     if chat:
-        choice['message'] = {'role': 'assistant', 'content': job.text()}
+        choice['message'] = {'role': 'assistant', 'content': text}
     else:
-        choice['text'] = job.text()
+        choice['text'] = text
     return {
         'id': job.id,
         'object': 'chat.completion' if chat else 'text_completion',
         'model': job.service,
         'choices': [choice],
-        'usage': {'completion_tokens': len(job.tokens)},
+        'usage': {'completion_tokens': len(tokens)},
     }
 
 
-def chunk_body(job, index, chat):
+def chunk_body(job_id, service, index, token, chat):
     """Return one streamed token in the OpenAI chunk shape."""
-    token = job.tokens[index]
     piece = token if index == 0 else ' ' + token
     if chat:
         choice = {'index': 0, 'delta': {'content': piece}}
     else:
         choice = {'index': 0, 'text': piece}
     return {
-        'id': job.id,
+        'id': job_id,
         'object': 'chat.completion.chunk' if chat else 'text_completion',
-        'model': job.service,
+        'model': service,
         'choices': [choice],
         'index': index,
+        'token': token,
     }
 
 
-async def send_events(request, job, start, chat):
-    """Stream a job's tokens from ``start`` as server-sent events."""
+async def send_events(request, job_id, service, tokens, chat=False):
+    """Stream tokens to a caller as server-sent events.
+
+    :param tokens: an async iterator of ``(index, token)``, then
+        ``(None, final)``.
+    """
     stream = await request.respond(
-        content_type='text/event-stream', headers=SSE_HEADERS
+        content_type='text/event-stream',
+        headers={'Cache-Control': 'no-cache', REQUEST_ID: job_id},
     )
-    sent = start
-    while True:
-        await job.wait_beyond(sent)
-        while sent < len(job.tokens):
-            body = chunk_body(job, sent, chat)
+    async with contextlib.aclosing(tokens):
+        async for index, token in tokens:
+            if index is None:
+                body = token
+            else:
+                body = chunk_body(job_id, service, index, token, chat)
             await stream.send(f'data: {json.dumps(body)}\n\n')
-            sent += 1
-        if job.finished and sent >= len(job.tokens):
-            break
-    final = {
-        'id': job.id,
-        'state': job.state.value,
-        'finish_reason': job.finish_reason,
-        'error': job.failure.to_body() if job.failure else None,
-    }
-    await stream.send(f'data: {json.dumps(final)}\n\n')
     await stream.send('data: [DONE]\n\n')
     await stream.eof()
 
 
-async def answer(request, job, stream, chat):
+async def answer(daemon, request, job, stream, chat):
     """Answer a caller: streamed, whole, or 202 for async."""
     if stream:
-        return await send_events(request, job, 0, chat)
+        tokens = daemon.lookup.follow(job.id)
+        return await send_events(request, job.id, job.service, tokens, chat)
+    headers = {REQUEST_ID: job.id}
     if 'respond-async' in request.headers.get('Prefer', ''):
-        return response.json(job.to_body(), status=202)
-    await job.wait_finished()
-    if job.failure is not None:
-        return web.error_response(job.failure)
-    return response.json(completion_body(job, chat))
+        return response.json(job.to_body(), status=202, headers=headers)
+    tokens = []
+    final = None
+    async for index, token in daemon.lookup.follow(job.id):
+        if index is None:
+            final = token
+        else:
+            tokens.append(token)
+    if final['error'] is not None:
+        failure = exceptions.from_body(final['error'])
+        return web.error_response(failure, headers)
+    body = completion_body(job, tokens, final['finish_reason'], chat)
+    return response.json(body, headers=headers)
+
+
+def parse_start(request):
+    """Return the ``from`` argument of a resumed stream.
+
+    :raises BadRequestError: it is not a whole number from 0 up.
+    """
+    raw = request.args.get('from', '0')
+    if not raw.isdecimal():
+        raise exceptions.BadRequestError(f'from: not a token index: {raw!r}')
+    return int(raw)
+
+
+def stored_body(finished):
+    """Return a stored answer in the shape of a job's status."""
+    return {
+        'id': finished.id,
+        'state': finished.state,
+        'tokens': len(finished.tokens),
+        'text': ' '.join(finished.tokens),
+        'finish_reason': finished.finish_reason,
+        'error': finished.error,
+    }
+
+
+async def request_status(daemon, request, request_id):
+    """Answer a caller about a request, wherever it is held."""
+    local = request.args.get('local') == 'true'
+    if local and daemon.dispatcher.find(request_id) is None:
+        raise exceptions.UnknownRequestError(f'{request_id!r} is not here')
+    skip = set()
+    if request.args.get('stream') == 'true':
+        start = parse_start(request)
+        await daemon.lookup.locate(request_id)
+        tokens = daemon.lookup.follow(request_id, start)
+        return await send_events(request, request_id, None, tokens)
+    if request.args.get('wait') == 'true':
+        await daemon.lookup.locate(request_id)
+        async for _ in daemon.lookup.follow(request_id):
+            pass
+    while True:
+        match await daemon.lookup.locate(request_id, skip):
+            case lookup.Local(job=job):
+                return response.json(job.to_body())
+            case lookup.Stored(finished=finished):
+                return response.json(stored_body(finished))
+            case lookup.Remote(member=member):
+                found = await daemon.lookup.fetch(member, request_id)
+                if found is not None and found[0] == 200:
+                    return response.json(found[1])
+                skip.add(member.stream)
+
+
+async def cancel_request(daemon, request, request_id):
+    """Cancel a request, wherever it is held."""
+    job = daemon.dispatcher.find(request_id)
+    if job is not None:
+        return response.json((await daemon.dispatcher.cancel(job)).to_body())
+    if request.args.get('local') == 'true':
+        raise exceptions.UnknownRequestError(f'{request_id!r} is not here')
+    match await daemon.lookup.locate(request_id):
+        case lookup.Stored(finished=finished):
+            return response.json(stored_body(finished))
+        case lookup.Remote(member=member):
+            found = await daemon.lookup.fetch(
+                member, request_id, 'POST', '/cancel'
+            )
+            if found is not None:
+                return response.json(found[1], status=found[0])
+    raise exceptions.RequestMovingError(
+        'the host of this request does not answer; ask again',
+        retry_after_s=1,
+    )
 
 
 def install_routes(app, daemon):
@@ -128,7 +213,7 @@
         body = parse_body(request, models.CompletionBody)
         key = request.headers.get('Idempotency-Key')
         job = await daemon.dispatcher.submit(body, key)
-        return await answer(request, job, body.stream, chat=False)
+        return await answer(daemon, request, job, body.stream, chat=False)
 
     @app.post('/v1/chat/completions')
     async def chat_completions(request):
@@ -136,25 +221,22 @@
         body = chat.to_completion()
         key = request.headers.get('Idempotency-Key')
         job = await daemon.dispatcher.submit(body, key)
-        return await answer(request, job, body.stream, chat=True)
+        return await answer(daemon, request, job, body.stream, chat=True)
 
     @app.get('/v1/requests/<request_id>')
-    async def request_status(request, request_id):
-        job = daemon.dispatcher.find(request_id)
-        if request.args.get('stream') == 'true':
-            start = int(request.args.get('from', 0))
-            return await send_events(request, job, start, chat=False)
-        return response.json(job.to_body())
+    async def status_of(request, request_id):
+        return await request_status(daemon, request, request_id)
 
     @app.post('/v1/requests/<request_id>/cancel')
     async def cancel(request, request_id):
-        job = await daemon.dispatcher.cancel(request_id)
-        return response.json(job.to_body())
+        return await cancel_request(daemon, request, request_id)
 
     @app.get('/healthz')
     async def health(request):
+        accepting = daemon.dispatcher.accepting
         return response.json(
-            {'ok': True, 'accepting': daemon.dispatcher.accepting}
+            {'ok': accepting, 'accepting': accepting},
+            status=200 if accepting else 503,
         )
 
     @app.get('/v1/status')
@@ -168,8 +250,7 @@
                 'daemon': daemon.settings.host.name,
                 'zone': daemon.settings.host.zone,
                 'services': {
-                    name: m.to_body()
-                    for name, m in daemon.dispatcher.metrics.items()
+                    name: m.to_body() for name, m in daemon.metrics.items()
                 },
             }
         )
--- a/pearrun/logservice.py
+++ b/pearrun/logservice.py
@@ -8,6 +8,7 @@
 from pearrun.ids import Offset
 
 RETRY_AFTER_S = 1
+READ_BATCH = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,16 +56,17 @@
                 data = await reply.json(content_type=None)
                 status = reply.status
                 retry = reply.headers.get('Retry-After', RETRY_AFTER_S)
-        except (aiohttp.ServerDisconnectedError, TimeoutError) as exc:
-            raise exceptions.AmbiguousAppendError(
-                f'append to {stream} lost its answer: {exc!r}',
-                retry_after_s=RETRY_AFTER_S,
-            ) from exc
-        except (aiohttp.ClientError, ValueError) as exc:
+        except aiohttp.ClientConnectorError as exc:
             raise exceptions.JournalUnavailableError(
                 f'log service unreachable: {exc!r}',
                 retry_after_s=RETRY_AFTER_S,
             ) from exc
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            # Anything after the connection stood may have been applied.
+            raise exceptions.AmbiguousAppendError(
+                f'append to {stream} lost its answer: {exc!r}',
+                retry_after_s=RETRY_AFTER_S,
+            ) from exc
         match status:
             case 201:
                 return Offset(int(data['offset']))
@@ -86,6 +88,47 @@
             f'log service answered {status}', retry_after_s=RETRY_AFTER_S
         )
 
+    async def _get(self, url, params=None):
+        try:
+            async with self.session.get(
+                url, params=params, timeout=self.timeout
+            ) as reply:
+                return reply.status, await reply.json(content_type=None)
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            raise exceptions.JournalUnavailableError(
+                f'log service unreachable: {exc!r}',
+                retry_after_s=RETRY_AFTER_S,
+            ) from exc
+
+    async def bounds(self, stream):
+        """Return a stream's ``(first_offset, next_offset)``.
+
+        :raises JournalUnavailableError: the service is down.
+        """
+        status, data = await self._get(f'{self.base}/v1/streams/{stream}')
+        if status != 200:
+            raise exceptions.JournalUnavailableError(
+                f'log service answered {status}', retry_after_s=RETRY_AFTER_S
+            )
+        return Offset(data['first_offset']), Offset(data['next_offset'])
+
+    async def read_all(self, stream, start=0):
+        """Read every record from ``start``, or from the oldest held.
+
+        :returns: ``(records, next_offset)``.
+        :raises JournalUnavailableError: the service is down.
+        """
+        found = []
+        while True:
+            try:
+                records, start = await self.read(stream, start, READ_BATCH)
+            except exceptions.ExpiredOffsetError as exc:
+                start = exc.first_offset
+                continue
+            found.extend(records)
+            if len(records) < READ_BATCH:
+                return found, start
+
     async def read(self, stream, start, limit=100):
         """Read records from ``start`` on.
 
@@ -95,21 +138,12 @@
         :raises JournalUnavailableError: the service is down.
         """
         params = {'from': str(start), 'limit': str(limit)}
-        try:
-            async with self.session.get(
-                self._url(stream), params=params, timeout=self.timeout
-            ) as reply:
-                data = await reply.json(content_type=None)
-                status = reply.status
-        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
-            raise exceptions.JournalUnavailableError(
-                f'log service unreachable: {exc!r}',
-                retry_after_s=RETRY_AFTER_S,
-            ) from exc
+        status, data = await self._get(self._url(stream), params)
         if status == 410:
+            first = int(data.get('first_offset', 0))
             raise exceptions.ExpiredOffsetError(
-                f'{stream}: offset {start} expired; first is '
-                f'{data.get("first_offset")}'
+                f'{stream}: offset {start} expired; first is {first}',
+                first_offset=first,
             )
         if status != 200:
             raise exceptions.JournalUnavailableError(
--- /dev/null
+++ b/pearrun/lookup.py
@@ -0,0 +1,261 @@
+"""Finding a request by id, whichever host holds it now.
+
+A request id names the journal that accepted it.  Its answer is, in
+this order: in this daemon's memory; with the daemon that writes the
+journal, if it is alive; or on the log, following the journals that
+took it over.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+
+import aiohttp
+
+from pearrun import exceptions
+from pearrun.backoff import Backoff
+from pearrun.entries import Finished
+from pearrun.journal import PREFIX
+from pearrun.journal import stream_of
+from pearrun.ledger import read_ledger
+from pearrun.members import Member
+from pearrun.structures import Job
+
+MAX_CHAIN = 16
+FOLLOW_TIMEOUT_S = 60
+REMOTE_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Local:
+    """The request is a job of this daemon."""
+
+    job: Job
+
+
+@dataclasses.dataclass(frozen=True)
+class Remote:
+    """The request is with another daemon, thought to be alive."""
+
+    member: Member
+
+
+@dataclasses.dataclass(frozen=True)
+class Stored:
+    """The request has ended and its answer is on the log."""
+
+    finished: Finished
+
+
+class Lookup:
+    """Finds requests and follows their answers.
+
+    :param log: a :class:`LogClient`.
+    :param session: an :class:`aiohttp.ClientSession` for peers.
+    :param dispatcher: this daemon's :class:`Dispatcher`.
+    :param membership: this daemon's :class:`Membership`.
+    :param journal: this daemon's :class:`Journal`.
+    """
+
+    def __init__(self, log, session, dispatcher, membership, journal):
+        self.log = log
+        self.session = session
+        self.dispatcher = dispatcher
+        self.membership = membership
+        self.journal = journal
+        self.followers = 0
+
+    async def locate(self, request_id, skip=()):
+        """Find where a request is.
+
+        :param request_id: the id from the acceptance.
+        :param skip: journal streams whose daemons did not answer.
+        :returns: :class:`Local`, :class:`Remote` or :class:`Stored`.
+        :raises UnknownRequestError: no such request (code 1300).
+        :raises RequestMovingError: its host died; not yet taken over.
+        :raises JournalUnavailableError: the log service is down.
+        """
+        job = self.dispatcher.find(request_id)
+        if job is not None:
+            return Local(job)
+        stream = stream_of(request_id)
+        if stream == PREFIX:
+            raise exceptions.UnknownRequestError(f'no request {request_id!r}')
+        for _ in range(MAX_CHAIN):
+            member = self.membership.find(stream)
+            alive = member is not None and not self.membership.is_dead(member)
+            if alive and stream != self.journal.stream and stream not in skip:
+                return Remote(member)
+            ledger = await read_ledger(self.log, stream)
+            if request_id in ledger.finished:
+                return Stored(ledger.finished[request_id])
+            if request_id not in ledger.unfinished:
+                break
+            if ledger.sealed_by is None or ledger.sealed_by == stream:
+                raise exceptions.RequestMovingError(
+                    'the request is being taken over; ask again',
+                    retry_after_s=1,
+                )
+            stream = ledger.sealed_by
+        raise exceptions.UnknownRequestError(f'no request {request_id!r}')
+
+    async def fetch(self, member, request_id, method='GET', action=''):
+        """Ask another daemon about a request it holds.
+
+        :returns: ``(status, body)``; ``None`` when it does not answer.
+        """
+        url = f'{member.url}/v1/requests/{request_id}{action}'
+        try:
+            async with self.session.request(
+                method,
+                url,
+                params={'local': 'true'},
+                timeout=aiohttp.ClientTimeout(total=5, sock_connect=1),
+            ) as reply:
+                return reply.status, await reply.json(content_type=None)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return None
+
+    async def follow(self, request_id, start=0):
+        """Follow a request's tokens to its end, wherever it goes.
+
+        When the host serving it dies in the middle, the answer is
+        picked up at the next one, from the token after the last.
+
+        :param start: index of the first token wanted.
+        :returns: an async iterator of ``(index, token)`` and, last,
+            ``(None, final)`` with the final state's JSON-ready map.
+        :raises PearrunError: it cannot be found within a minute.
+        """
+        self.followers += 1
+        try:
+            async with contextlib.aclosing(
+                self.follow_on(request_id, start)
+            ) as tokens:
+                async for index, token in tokens:
+                    yield index, token
+        finally:
+            self.followers -= 1
+
+    async def follow_on(self, request_id, start):
+        """Follow a request from host to host; see :meth:`follow`."""
+        backoff = Backoff(base_ms=100)
+        skip = set()
+        deadline = asyncio.get_running_loop().time() + FOLLOW_TIMEOUT_S
+        while True:
+            try:
+                found = await self.locate(request_id, skip)
+                async with contextlib.aclosing(
+                    self.read(found, request_id, start)
+                ) as tokens:
+                    async for index, token in tokens:
+                        yield index, token
+                        if index is None:
+                            return
+                        start = index + 1
+                if isinstance(found, Remote):
+                    skip.add(found.member.stream)
+            except (
+                exceptions.RequestMovingError,
+                exceptions.JournalUnavailableError,
+            ):
+                if asyncio.get_running_loop().time() > deadline:
+                    raise
+                skip.clear()
+            await backoff.pause()
+
+    def read(self, found, request_id, start):
+        """Return the token iterator of a located request."""
+        match found:
+            case Local(job=job):
+                return read_job(job, start)
+            case Stored(finished=finished):
+                return read_stored(finished, start)
+            case Remote(member=member):
+                return self.read_remote(member, request_id, start)
+
+    async def read_remote(self, member, request_id, start):
+        """Read a request's tokens from another daemon.
+
+        Ends without a final state when that daemon fails.
+        """
+        params = {'local': 'true', 'stream': 'true', 'from': str(start)}
+        try:
+            async with self.session.get(
+                f'{member.url}/v1/requests/{request_id}',
+                params=params,
+                timeout=REMOTE_TIMEOUT,
+            ) as reply:
+                if reply.status != 200:
+                    return
+                async for raw in reply.content:
+                    event = parse_event(raw)
+                    if event is None:
+                        continue
+                    if 'choices' in event:
+                        yield event['index'], event['token']
+                    else:
+                        yield None, event
+                        return
+        except (aiohttp.ClientError, OSError, ValueError):
+            return
+
+
+def parse_event(raw):
+    """Parse one line of a server-sent event stream; ``None`` if no data."""
+    line = raw.decode('utf-8').strip()
+    if not line.startswith('data: ') or line == 'data: [DONE]':
+        return None
+    return json.loads(line.removeprefix('data: '))
+
+
+def describe_final(request_id, state, finish_reason, error):
+    """Return the final event of a stream, JSON-ready."""
+    return {
+        'id': request_id,
+        'state': state,
+        'finish_reason': finish_reason,
+        'error': error,
+    }
+
+
+async def read_job(job, start):
+    """Iterate over a local job's tokens and final state.
+
+    Ends without a final state when another host goes on with it.
+    """
+    sent = start
+    job.readers += 1
+    try:
+        while True:
+            await job.wait_beyond(sent)
+            while sent < len(job.tokens):
+                yield sent, job.tokens[sent]
+                sent += 1
+            if job.settled and sent >= len(job.tokens):
+                break
+    finally:
+        job.readers -= 1
+    if not job.finished:
+        return
+    error = job.failure.to_body() if job.failure else None
+    yield (
+        None,
+        describe_final(job.id, job.state.value, job.finish_reason, error),
+    )
+
+
+async def read_stored(finished, start):
+    """Iterate over a stored answer's tokens and final state."""
+    for index in range(start, len(finished.tokens)):
+        yield index, finished.tokens[index]
+    yield (
+        None,
+        describe_final(
+            finished.id,
+            finished.state,
+            finished.finish_reason,
+            finished.error,
+        ),
+    )
--- /dev/null
+++ b/pearrun/members.py
@@ -0,0 +1,179 @@
+"""Membership: which daemons are alive, told through the platform log.
+
+Every daemon appends a beat to the ``members`` stream and reads the
+beats of all others, in every failure domain.  No clocks are compared
+and no coordination service is asked: a daemon counts how many of *its
+own* beats it has read back since it last read one from another
+daemon.  While the log is down nobody's beats land, so nobody is taken
+for dead; a daemon that was paused reads the beats it missed before it
+judges anyone.
+
+Being taken for dead is only ever a hint to seal a journal; whether a
+host may go on accepting is decided by the seal (see
+``docs/survival.md``).
+"""
+
+import asyncio
+import dataclasses
+
+from pearrun import exceptions
+from pearrun.clock import to_seconds
+from pearrun.states import MemberState
+
+STREAM = 'members'
+TAIL = 2000
+READ_BATCH = 500
+
+
+@dataclasses.dataclass
+class Member:
+    """One run of a daemon, as its last beat described it.
+
+    ``missed`` counts this daemon's own beats since then; ``replaced``
+    says that a later run of the same host has announced itself.
+    """
+
+    name: str
+    stream: str
+    zone: str
+    url: str
+    state: MemberState
+    config_version: int = 0
+    leaving: tuple = ()
+    missed: int = 0
+    replaced: bool = False
+
+    @classmethod
+    def from_beat(cls, beat):
+        """Build a member from a beat's map."""
+        return cls(
+            name=str(beat['name']),
+            stream=str(beat['stream']),
+            zone=str(beat['zone']),
+            url=str(beat['url']),
+            state=MemberState(beat['state']),
+            config_version=int(beat['config_version']),
+            leaving=tuple(beat['leaving']),
+        )
+
+    def to_beat(self):
+        """Return the member as a beat's JSON-ready map."""
+        return {
+            'name': self.name,
+            'stream': self.stream,
+            'zone': self.zone,
+            'url': self.url,
+            'state': self.state.value,
+            'config_version': self.config_version,
+            'leaving': list(self.leaving),
+        }
+
+
+class Membership:
+    """Beats and follows the ``members`` stream.
+
+    :param log: a :class:`LogClient`.
+    :param settings: the daemon's whole :class:`Settings`.
+    :param describe: returns this daemon's own :class:`Member`.
+    :param on_leaving: called with each endpoint id that another
+        daemon reports as leaving.
+    """
+
+    def __init__(self, log, settings, describe, on_leaving=None):
+        self.log = log
+        self.settings = settings
+        self.describe = describe
+        self.on_leaving = on_leaving
+        self.members = {}
+        self.next_offset = None
+        self.beat_now = asyncio.Event()
+        self.own_beats = 0
+        self.asked = {}
+
+    @property
+    def orphan_beats(self):
+        """Own beats without one from a member before it is dead."""
+        return self.settings.host.orphan_beats
+
+    def is_dead(self, member):
+        """Say whether a member's requests are to be taken over."""
+        return (
+            member.state == MemberState.LEFT
+            or member.replaced
+            or member.missed >= self.orphan_beats
+        )
+
+    def is_gone(self, stream):
+        """Say whether the writer of a journal stream is dead.
+
+        A writer never heard of is dead once ``orphan_beats`` of this
+        daemon's own beats have passed since it was first asked for.
+        """
+        if stream == self.describe().stream:
+            return False
+        member = self.members.get(stream)
+        if member is not None:
+            self.asked.pop(stream, None)
+            return self.is_dead(member)
+        since = self.asked.setdefault(stream, self.own_beats)
+        return self.own_beats - since >= self.orphan_beats
+
+    def live(self):
+        """Return the members that are not taken for dead."""
+        return [m for m in self.members.values() if not self.is_dead(m)]
+
+    def find(self, stream):
+        """Return the member writing a journal stream, or ``None``."""
+        return self.members.get(stream)
+
+    def forget(self, stream):
+        """Drop a member whose journal has been emptied."""
+        self.members.pop(stream, None)
+
+    def receive(self, beat):
+        """Take one beat, read from the log, into account."""
+        member = Member.from_beat(beat)
+        own = self.describe()
+        self.own_beats += member.stream == own.stream
+        for other in self.members.values():
+            if other.name == member.name and other.stream != member.stream:
+                other.replaced = True
+            if member.stream == own.stream and other.stream != own.stream:
+                other.missed += 1
+        self.members[member.stream] = member
+        if member.stream != own.stream and self.on_leaving is not None:
+            for endpoint in member.leaving:
+                self.on_leaving(endpoint)
+
+    async def beat(self):
+        """Append one beat; a beat that does not land is skipped."""
+        try:
+            await self.log.append(STREAM, self.describe().to_beat())
+        except exceptions.PearrunError:
+            return False
+        return True
+
+    async def keep_beating(self):
+        """Beat for the daemon's whole life."""
+        pause = to_seconds(self.settings.host.beat_ms)
+        while True:
+            await self.beat()
+            try:
+                await asyncio.wait_for(self.beat_now.wait(), pause)
+            except TimeoutError:
+                continue
+            self.beat_now.clear()
+
+    async def poll_once(self):
+        """Read the beats that are new on the log.
+
+        :raises JournalUnavailableError: the log service is down.
+        """
+        if self.next_offset is None:
+            first, head = await self.log.bounds(STREAM)
+            self.next_offset = max(first, head - TAIL)
+        records, self.next_offset = await self.log.read_all(
+            STREAM, self.next_offset
+        )
+        for record in records:
+            self.receive(record.value)
--- a/pearrun/metrics.py
+++ b/pearrun/metrics.py
@@ -22,6 +22,9 @@
     failed: int = 0
     rejected: int = 0
     tokens: int = 0
+    retries: int = 0
+    moves: int = 0
+    adopted: int = 0
 
     def to_body(self):
         """Return counters and encoded histograms, JSON-ready.
@@ -35,12 +38,25 @@
             'failed': self.failed,
             'rejected': self.rejected,
             'tokens': self.tokens,
+            'retries': self.retries,
+            'moves': self.moves,
+            'adopted': self.adopted,
             'ttft': self.ttft.encode().decode('ascii'),
             'itl': self.itl.encode().decode('ascii'),
             'total': self.total.encode().decode('ascii'),
         }
 
 
+class MetricsTable(dict):
+    """Metrics of every service of one daemon, by service name."""
+
+    def of(self, service):
+        """Return the :class:`ServiceMetrics` of a service."""
+        if service not in self:
+            self[service] = ServiceMetrics()
+        return self[service]
+
+
 def _new():
     return HdrHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS)
 
--- a/pearrun/router.py
+++ b/pearrun/router.py
@@ -56,11 +56,14 @@
     :param endpoints: :class:`Endpoint` objects, all zones.
     :param zone: this daemon's failure domain; its endpoints go first.
     :param policy: one of the policy data classes.
+    :param max_load: load of an endpoint from which on it takes no new
+        requests; ``None`` for no limit.
     """
 
-    def __init__(self, endpoints, zone, policy=None):
+    def __init__(self, endpoints, zone, policy=None, max_load=None):
         self.endpoints = {e.id: e for e in endpoints}
         self.zone = zone
+        self.max_load = max_load
         self.policy = policy or AffinityPolicy()
         self.turn = itertools.count()
 
@@ -77,7 +80,12 @@
             )
             for e in settings.endpoints
         ]
-        return cls(endpoints, settings.host.zone, policy)
+        return cls(
+            endpoints,
+            settings.host.zone,
+            policy,
+            settings.host.max_load_per_endpoint,
+        )
 
     def candidates(self, service):
         """Return live endpoints for a service, own zone first."""
@@ -89,6 +97,26 @@
         local = [e for e in live if e.zone == self.zone]
         return sorted(local or live, key=lambda e: e.id)
 
+    def admit(self, service):
+        """Check that a new request of a service can be taken on.
+
+        :param service: the service name.
+        :raises NoEndpointError: no live endpoint serves it.
+        :raises OverloadedError: all of them are at their limit.
+        """
+        pool = self.candidates(service)
+        if not pool:
+            raise exceptions.NoEndpointError(
+                f'no live endpoint serves {service!r}', retry_after_s=1
+            )
+        if self.max_load is None:
+            return
+        if min(e.load for e in pool) >= self.max_load:
+            raise exceptions.OverloadedError(
+                f'every endpoint of {service!r} is at its limit',
+                retry_after_s=1,
+            )
+
     def choose(self, service, prompt, exclude=()):
         """Pick an endpoint for a request.
 
@@ -117,6 +145,14 @@
                 return pool[next(self.turn) % len(pool)]
         raise TypeError(f'unknown policy {self.policy!r}')
 
+    def leaving(self):
+        """Return the ids of endpoints that take no new work."""
+        return [
+            e.id
+            for e in self.endpoints.values()
+            if e.state != EndpointState.LIVE
+        ]
+
     def mark(self, endpoint_id, state):
         """Move an endpoint forward: live, then leaving, then gone.
 
--- a/pearrun/settings.py
+++ b/pearrun/settings.py
@@ -49,6 +49,18 @@
     config_poll_ms: int = pydantic.Field(default=250, ge=20)
     hosts_poll_ms: int = pydantic.Field(default=250, ge=20)
     retry_after_s: int = pydantic.Field(default=1, ge=1)
+    beat_ms: int = pydantic.Field(default=1000, ge=20)
+    members_poll_ms: int = pydantic.Field(default=500, ge=20)
+    orphan_beats: int = pydantic.Field(default=4, ge=2)
+    stall_ms: int = pydantic.Field(default=5000, ge=100)
+    first_token_ms: int = pydantic.Field(default=60_000, ge=100)
+    progress_ms: int = pydantic.Field(default=1000, ge=20)
+    save_progress: bool = True
+    answer_keep_ms: int = pydantic.Field(default=60_000, ge=100)
+    drain_timeout_ms: int = pydantic.Field(default=60_000, ge=0)
+    load_polls_per_s: int = pydantic.Field(default=50, ge=1)
+    max_load_per_endpoint: int = pydantic.Field(default=512, ge=1)
+    move_cache: bool = True
 
 
 class PlatformSettings(_Strict):
@@ -58,6 +70,7 @@
     cloud_url: str | None = None
     config_stream: str = 'config'
     timeout_ms: int = pydantic.Field(default=2000, ge=10)
+    retention_ms: int = pydantic.Field(default=3_600_000, ge=1000)
 
 
 class EndpointSettings(_Strict):
--- a/pearrun/standins/engine.py
+++ b/pearrun/standins/engine.py
@@ -3,17 +3,20 @@
 Protocol (JSON over HTTP):
 
 - ``POST /v1/generate`` ``{request_id, prompt, max_tokens, seed,
-  priority, resume_from}`` streams NDJSON lines ``{"index", "token"}``
-  then ``{"done": true, "finish_reason"}``.
+  priority, resume_from, tokens, again}`` streams NDJSON lines
+  ``{"index", "token"}`` then ``{"done": true, "finish_reason"}``.
+  ``tokens`` are those already streamed when resuming, and ``again``
+  says that an engine has worked on this request before.
 - ``POST /v1/cancel`` ``{request_id}``.
 - ``GET /v1/load``: a load report refreshed only every ``load_lag_ms``.
 - ``GET /v1/cache/events?since=N``: cache events, late and with gaps.
-- ``POST /v1/kv/export`` ``{prompt}`` and ``POST /v1/kv/import``
+- ``POST /v1/kv/export`` ``{prompt, tokens}`` and ``POST /v1/kv/import``
   ``{blocks}``: move prefix-cache blocks between engines.
 - ``POST /v1/orders`` ``{kind, value, fencing}``: load a model or
   adapter, or change role; refused when ``fencing`` is older than one
   already seen, if this engine enforces fencing.
-- ``GET /v1/stats``: counters for tests.
+- ``GET /v1/stats`` and ``GET /v1/started``: counters for tests, and
+  how often each request was begun.
 """
 
 import asyncio
@@ -51,6 +54,7 @@
     """Counters a test can read."""
 
     prefill_tokens: int = 0
+    recomputed_tokens: int = 0
     cached_tokens: int = 0
     decoded_tokens: int = 0
     streams_started: int = 0
@@ -74,6 +78,7 @@
         self.load_report = None
         self.orders = []
         self.fencing = -1
+        self.started = collections.Counter()
 
     async def admit(self, priority):
         """Wait for a batch slot, lower priority values first."""
@@ -173,16 +178,21 @@
         max_tokens = int(body.get('max_tokens', 16))
         seed = int(body.get('seed', 0))
         start = int(body.get('resume_from', 0))
+        seen = [str(t) for t in body.get('tokens', [])]
         priority = int(body.get('priority', 1))
+        engine.cancelled.discard(request_id)
         await engine.admit(priority)
         try:
             engine.stats.streams_started += 1
-            tokens = text.split_tokens(prompt)
-            hashes = text.block_hashes(tokens)
+            engine.started[request_id] += 1
+            context = text.split_tokens(prompt) + seen
+            hashes = text.block_hashes(context)
             cached = engine.cached_prefix_blocks(hashes) * text.BLOCK_TOKENS
-            uncached = len(tokens) - cached + start
+            uncached = len(context) - cached
             engine.stats.prefill_tokens += uncached
             engine.stats.cached_tokens += cached
+            if body.get('again'):
+                engine.stats.recomputed_tokens += uncached
             await asyncio.sleep(uncached * config.prefill_ms_per_token / 1e3)
             engine.store_blocks(hashes)
             stream = await request.respond(content_type='application/x-ndjson')
@@ -195,6 +205,9 @@
                 await asyncio.sleep(engine.step_seconds())
                 token = text.answer_token(prompt, seed, index)
                 engine.stats.decoded_tokens += 1
+                context.append(token)
+                if len(context) % text.BLOCK_TOKENS == 0:
+                    engine.store_blocks(text.block_hashes(context))
                 line = {'index': index, 'token': token}
                 await stream.send(json.dumps(line) + '\n')
             done = {'done': True, 'finish_reason': reason}
@@ -219,8 +232,10 @@
 
     @app.post('/v1/kv/export')
     async def kv_export(request):
-        prompt = str((request.json or {}).get('prompt', ''))
-        hashes = text.block_hashes(text.split_tokens(prompt))
+        body = request.json or {}
+        context = text.split_tokens(str(body.get('prompt', '')))
+        context += [str(t) for t in body.get('tokens', [])]
+        hashes = text.block_hashes(context)
         held = [h for h in hashes if h in engine.cache]
         return response.json({'blocks': held})
 
@@ -251,6 +266,10 @@
     async def stats(request):
         return response.json(dataclasses.asdict(engine.stats))
 
+    @app.get('/v1/started')
+    async def started(request):
+        return response.json({'started': dict(engine.started)})
+
     @app.get('/healthz')
     async def health(request):
         return response.json({'ok': True, 'id': config.endpoint_id})
--- a/pearrun/standins/logstore.py
+++ b/pearrun/standins/logstore.py
@@ -9,6 +9,7 @@
   outage; ``504`` when the record was applied but the answer is lost.
 - ``GET /v1/streams/{name}/records?from=N&limit=M`` reads records in
   offset order.  ``410`` when ``from`` fell out of retention.
+- ``GET /v1/streams/{name}`` answers ``{first_offset, next_offset}``.
 - ``POST /admin/faults`` ``{outage_ms, lose_answers, slow_ms}`` injects
   faults for tests.
 """
@@ -156,6 +157,20 @@
             }
         )
 
+    @app.get('/v1/streams/<name>')
+    async def bounds(request, name):
+        refused = await check_faults()
+        if refused is not None:
+            return refused
+        stream = store.stream(name)
+        store.expire(stream)
+        return response.json(
+            {
+                'first_offset': stream.first_offset,
+                'next_offset': stream.next_offset,
+            }
+        )
+
     @app.post('/admin/faults')
     async def faults(request):
         body = request.json or {}
--- a/pearrun/standins/main.py
+++ b/pearrun/standins/main.py
@@ -65,7 +65,9 @@
     """Start one stand-in and serve until stopped."""
     del argv
     logs.configure(f'standin-{FLAGS.kind}', FLAGS.zone, FLAGS.log_format)
-    web.serve(build(FLAGS.kind), FLAGS.host, FLAGS.port)
+    app = build(FLAGS.kind)
+    web.count_traffic(app)
+    web.serve(app, FLAGS.host, FLAGS.port)
 
 
 def run():
--- a/pearrun/states.py
+++ b/pearrun/states.py
@@ -34,3 +34,11 @@
     INTERACTIVE = 0
     NORMAL = 1
     BATCH = 2
+
+
+class MemberState(enum.Enum):
+    """What a daemon says of itself in its beats."""
+
+    LIVE = 'live'
+    STOPPING = 'stopping'
+    LEFT = 'left'
--- a/pearrun/structures.py
+++ b/pearrun/structures.py
@@ -17,7 +17,10 @@
 
 @dataclasses.dataclass
 class Endpoint:
-    """A back end as this daemon sees it now."""
+    """A back end as this daemon sees it now.
+
+    ``reclaim_at_ms`` is set once its host has a reclaim notice.
+    """
 
     id: EndpointId
     zone: ZoneName
@@ -27,6 +30,7 @@
     state: EndpointState = EndpointState.LIVE
     in_flight: int = 0
     reported_load: int = 0
+    reclaim_at_ms: Millis | None = None
 
     @property
     def load(self):
@@ -36,7 +40,15 @@
 
 @dataclasses.dataclass
 class Job:
-    """One accepted request and what has been answered so far."""
+    """One accepted request and what has been answered so far.
+
+    ``started`` says that an endpoint may have begun to work on it,
+    ``attempts`` how many endpoints have, ``readers`` how many callers
+    are being answered now, and ``token_ms`` the time between tokens.
+    ``saved`` counts the tokens on the log, ``saved_ms`` says when the
+    acceptance was last written there, and ``handed_over`` that another
+    host goes on with the job.
+    """
 
     id: RequestId
     customer: CustomerId
@@ -51,6 +63,14 @@
     finish_reason: str | None = None
     failure: Exception | None = None
     endpoint: EndpointId | None = None
+    started: bool = False
+    attempts: int = 0
+    readers: int = 0
+    token_ms: float = 50.0
+    saved: int = 0
+    saved_ms: Millis = Millis(0)
+    saving: asyncio.Future | None = None
+    handed_over: bool = False
     changed: asyncio.Condition = dataclasses.field(
         default_factory=asyncio.Condition
     )
@@ -64,6 +84,11 @@
             RequestState.CANCELLED,
         )
 
+    @property
+    def settled(self):
+        """Whether nothing more will happen to the job on this host."""
+        return self.finished or self.handed_over
+
     def text(self):
         """Return the answer so far as text."""
         return ' '.join(self.tokens)
@@ -82,17 +107,12 @@
             self.changed.notify_all()
 
     async def wait_beyond(self, count):
-        """Wait until more than ``count`` tokens exist or the job ends."""
+        """Wait for more than ``count`` tokens or the job's end here."""
         async with self.changed:
             await self.changed.wait_for(
-                lambda: len(self.tokens) > count or self.finished
+                lambda: len(self.tokens) > count or self.settled
             )
 
-    async def wait_finished(self):
-        """Wait until the job reaches a final state."""
-        async with self.changed:
-            await self.changed.wait_for(lambda: self.finished)
-
     def to_body(self):
         """Return the job's status, JSON-ready."""
         return {
@@ -101,6 +121,7 @@
             'customer': self.customer,
             'service': self.service,
             'tokens': len(self.tokens),
+            'attempts': self.attempts,
             'text': self.text(),
             'finish_reason': self.finish_reason,
             'error': self.failure.to_body() if self.failure else None,
--- a/pearrun/web.py
+++ b/pearrun/web.py
@@ -4,8 +4,10 @@
 
 from pearrun import exceptions
 
+NEVER_S = 86_400
 
-def serve(app, host, port):
+
+def serve(app, host, port, grace_s=15.0):
     """Run a sanic app in this process only, until it is told to stop.
 
     pearrun processes start no other process, so sanic's worker
@@ -14,8 +16,10 @@
     :param app: a :class:`sanic.Sanic` application.
     :param host: IP address to listen on.
     :param port: TCP port to listen on.
+    :param grace_s: seconds that open connections get to finish.
     """
-    app.config.GRACEFUL_SHUTDOWN_TIMEOUT = 15.0
+    app.config.GRACEFUL_SHUTDOWN_TIMEOUT = grace_s
+    app.config.RESPONSE_TIMEOUT = NEVER_S
     app.config.KEEP_ALIVE_TIMEOUT = 30
     app.run(
         host=host,
@@ -26,13 +30,34 @@
     )
 
 
-def error_response(exc):
+def count_traffic(app):
+    """Count the requests and bytes an app serves, for measurements.
+
+    ``GET /admin/traffic`` answers ``{requests, bytes}``: heads and
+    bodies of requests, and bodies of responses that are not streamed.
+    """
+    counts = {'requests': 0, 'bytes': 0}
+
+    @app.on_response
+    async def count(request, reply):
+        counts['requests'] += 1
+        counts['bytes'] += len(request.head) + len(request.body or b'')
+        counts['bytes'] += len(getattr(reply, 'body', None) or b'')
+
+    @app.get('/admin/traffic')
+    async def traffic(request):
+        return response.json(counts)
+
+
+def error_response(exc, headers=None):
     """Turn a :class:`PearrunError` into a JSON response.
 
     The response carries a ``Retry-After`` header when the caller may
     come back later.
+
+    :param headers: further headers to send along.
     """
-    headers = {}
+    headers = dict(headers or {})
     if exc.retry_after_s is not None:
         headers['Retry-After'] = str(int(exc.retry_after_s))
     return response.json(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,10 +1,14 @@
 """Builders of test data, and small fakes at pearrun's interfaces."""
 
+import asyncio
+import dataclasses
 import socket
 
+from pearrun import entries
 from pearrun import exceptions
 from pearrun import settings as settings_module
 from pearrun.ids import Offset
+from pearrun.logservice import LogClient
 from pearrun.logservice import Record
 from pearrun.states import BackendKind
 from pearrun.structures import Endpoint
@@ -25,6 +29,7 @@
 
 ENGINE_SERVICES = ['pearrun-oficina', 'permit-assistant']
 PLAIN_SERVICES = ['alarme-svc', 'licence-records']
+SERVICES_OF = {'engine': ENGINE_SERVICES, 'service': PLAIN_SERVICES}
 
 
 def free_port():
@@ -80,40 +85,126 @@
     return '\n'.join(lines) + '\n'
 
 
+def settings(name='bv-1', zone='boa-viagem', **platform):
+    """Return a daemon's whole :class:`Settings` over no real platform."""
+    tree = {
+        'host': {'name': name, 'zone': zone, 'listen': {'port': 8101}},
+        'platform': {'log_url': 'http://127.0.0.1:1', **platform},
+    }
+    return settings_module.Settings.model_validate(tree)
+
+
+def accepted(request_id, service='pearrun-oficina', key=None):
+    """Return an acceptance entry."""
+    return entries.Accepted(
+        id=request_id,
+        customer='sinal-recife',
+        service=service,
+        prompt=f'prompt of {request_id}',
+        max_tokens=8,
+        idempotency_key=key,
+    )
+
+
+@dataclasses.dataclass
+class FakeStream:
+    """One stream of the fake log; ``first`` grows as records expire."""
+
+    first: int = 0
+    records: list = dataclasses.field(default_factory=list)
+
+    @property
+    def head(self):
+        return self.first + len(self.records)
+
+
 class FakeLog:
     """An in-memory log service with the :class:`LogClient` interface.
 
-    ``down`` makes every call fail as an outage would;
-    ``lose_answers`` applies that many appends but answers as if the
-    answer were lost.
+    ``down`` makes every call fail as an outage would; ``lose_answers``
+    applies that many appends and loses the answers, and then as many
+    appends again as ``lose_after`` says; ``lose_appends``
+    loses that many appends before they are applied; ``delay_appends``
+    keeps that many on the way, told as lost, until :meth:`deliver`.
     """
 
     def __init__(self):
         self.streams = {}
         self.down = False
         self.lose_answers = 0
-
-    async def append(self, stream, value, expected_offset=None):
-        """Append, comparing the offset when one is expected."""
+        self.lose_after = 0
+        self.lose_appends = 0
+        self.delay_appends = 0
+        self.under_way = []
+
+    def stream(self, name):
+        return self.streams.setdefault(name, FakeStream())
+
+    def values(self, name):
+        """Return the values a stream holds."""
+        return list(self.stream(name).records)
+
+    def expire(self, name, count):
+        """Drop a stream's oldest records, as retention does."""
+        stream = self.stream(name)
+        count = min(count, len(stream.records))
+        del stream.records[:count]
+        stream.first += count
+
+    def apply(self, name, value, expected_offset):
+        stream = self.stream(name)
+        if expected_offset is not None and expected_offset != stream.head:
+            raise exceptions.ConfigConflictError('offset moved')
+        stream.records.append(value)
+        return Offset(stream.head - 1)
+
+    def deliver(self):
+        """Let the appends that were under way arrive."""
+        arriving, self.under_way = self.under_way, []
+        for append in arriving:
+            try:
+                self.apply(*append)
+            except exceptions.ConfigConflictError:
+                continue
+
+    async def append(self, name, value, expected_offset=None):
+        await asyncio.sleep(0)
         if self.down:
             raise exceptions.JournalUnavailableError('down', retry_after_s=1)
-        records = self.streams.setdefault(stream, [])
-        if expected_offset is not None and expected_offset != len(records):
-            raise exceptions.ConfigConflictError('offset moved')
-        records.append(value)
+        if self.lose_appends > 0:
+            self.lose_appends -= 1
+            raise exceptions.AmbiguousAppendError('lost', retry_after_s=1)
+        if self.delay_appends > 0:
+            self.delay_appends -= 1
+            self.under_way.append((name, value, expected_offset))
+            raise exceptions.AmbiguousAppendError('late', retry_after_s=1)
+        offset = self.apply(name, value, expected_offset)
         if self.lose_answers > 0:
             self.lose_answers -= 1
+            self.lose_appends += self.lose_after
             raise exceptions.AmbiguousAppendError('lost', retry_after_s=1)
-        return Offset(len(records) - 1)
+        return offset
 
-    async def read(self, stream, start, limit=100):
-        """Read from an offset."""
+    async def bounds(self, name):
         if self.down:
             raise exceptions.JournalUnavailableError('down', retry_after_s=1)
-        records = self.streams.get(stream, [])
-        chosen = records[start : start + limit]
+        stream = self.stream(name)
+        return Offset(stream.first), Offset(stream.head)
+
+    async def read(self, name, start, limit=100):
+        await asyncio.sleep(0)
+        if self.down:
+            raise exceptions.JournalUnavailableError('down', retry_after_s=1)
+        stream = self.stream(name)
+        if start < stream.first:
+            raise exceptions.ExpiredOffsetError(
+                'expired', first_offset=stream.first
+            )
+        index = start - stream.first
         found = [
             Record(Offset(start + i), 0, value)
-            for i, value in enumerate(chosen)
+            for i, value in enumerate(stream.records[index : index + limit])
         ]
         return found, Offset(start + len(found))
+
+    read_all = LogClient.read_all
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,278 @@
+"""Real pearrun processes on 127.0.0.1: stand-ins and daemons, by name."""
+
+import dataclasses
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import yaml
+
+from tests import builders
+
+BIN = os.path.dirname(sys.executable)
+START_TIMEOUT_S = 30
+FAST_HOST = {
+    'config_poll_ms': 50,
+    'hosts_poll_ms': 100,
+    'members_poll_ms': 50,
+    'beat_ms': 200,
+    'heartbeat_ms': 100,
+    'peer_timeout_ms': 600,
+    'orphan_beats': 4,
+    'stall_ms': 1500,
+}
+
+
+def call(url, body=None, headers=None, method=None, timeout=60):
+    """Send a request; return ``(status, headers, raw body)``."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(
+        url, data=data, headers=headers or {}, method=method
+    )
+    if data is not None:
+        request.add_header('Content-Type', 'application/json')
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            return reply.status, reply.headers, reply.read()
+    except urllib.error.HTTPError as exc:
+        return exc.code, exc.headers, exc.read()
+
+
+def call_json(*args, **kwargs):
+    """Send a request; return ``(status, headers, parsed body)``."""
+    status, headers, raw = call(*args, **kwargs)
+    return status, headers, json.loads(raw)
+
+
+def wait_until(check, timeout_s=15, what='condition'):
+    """Poll ``check`` until it is true.
+
+    :raises AssertionError: it stayed false for ``timeout_s``.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        if check():
+            return
+        time.sleep(0.02)
+    raise AssertionError(f'{what} not reached in {timeout_s} s')
+
+
+@dataclasses.dataclass
+class Zone:
+    """How many processes of each kind one failure domain has."""
+
+    daemons: int = 1
+    engines: int = 1
+    services: int = 1
+
+
+class Cluster:
+    """Processes started for a test, each known by its name.
+
+    Daemons are ``<zone>-<n>``, engines ``engine-<zone>-<n>``, plain
+    services ``service-<zone>-<n>``; the platform's are ``log`` and
+    ``cloud``.
+
+    :param workdir: a directory for settings files and logs.
+    :param zones: a map of zone name to :class:`Zone`.
+    :param engine_flags: extra flags of the engine stand-ins.
+    :param host: ``host`` settings laid over :data:`FAST_HOST`.
+    :param log_flags: extra flags of the log service stand-in.
+    """
+
+    def __init__(
+        self, workdir, zones, engine_flags=(), host=None, log_flags=()
+    ):
+        self.workdir = str(workdir)
+        self.zones = zones
+        self.engine_flags = list(engine_flags)
+        self.host = {**FAST_HOST, **(host or {})}
+        self.log_flags = list(log_flags)
+        self.ports = {}
+        self.procs = {}
+        self.argv = {}
+        self.kinds = {}
+        self.zone_of = {}
+        self.tree = yaml.safe_load(builders.TEAM_TREE_YAML)
+
+    def url(self, name):
+        """Return the base URL of a process."""
+        return f'http://127.0.0.1:{self.ports[name]}'
+
+    def names(self, kind):
+        """Return the names of the processes of one kind."""
+        return [n for n, k in self.kinds.items() if k == kind]
+
+    def plan(self, name, kind, zone='-'):
+        """Reserve a name and a port."""
+        self.ports[name] = builders.free_port()
+        self.kinds[name] = kind
+        self.zone_of[name] = zone
+
+    def start(self, name, *argv):
+        """Start a process; its output goes to a file in the workdir."""
+        self.argv[name] = argv
+        out = open(os.path.join(self.workdir, f'{name}.log'), 'ab')
+        self.procs[name] = subprocess.Popen(
+            [os.path.join(BIN, argv[0]), *argv[1:]],
+            stdout=out,
+            stderr=subprocess.STDOUT,
+        )
+
+    def restart(self, name):
+        """Start a process that ended, as it was started before."""
+        self.procs[name].wait(timeout=30)
+        self.start(name, *self.argv[name])
+        self.wait_healthy(name)
+
+    def start_standin(self, name, *flags):
+        """Start a stand-in of the name's kind."""
+        self.start(
+            name,
+            'pearrun-standin',
+            f'--kind={self.kinds[name]}',
+            f'--port={self.ports[name]}',
+            f'--id={name}',
+            *flags,
+        )
+
+    def wait_healthy(self, name):
+        """Wait until a process answers on ``/healthz``."""
+
+        def healthy():
+            if self.procs[name].poll() is not None:
+                raise AssertionError(f'{name} ended while starting')
+            try:
+                return call(f'{self.url(name)}/healthz', timeout=1)[0] == 200
+            except OSError:
+                return False
+
+        wait_until(healthy, START_TIMEOUT_S, f'{name} healthy')
+
+    def begin(self):
+        """Start everything and publish the team tree."""
+        self.plan('log', 'log')
+        self.plan('cloud', 'cloud')
+        for zone, size in self.zones.items():
+            for n in range(1, size.engines + 1):
+                self.plan(f'engine-{zone}-{n}', 'engine', zone)
+            for n in range(1, size.services + 1):
+                self.plan(f'service-{zone}-{n}', 'service', zone)
+            for n in range(1, size.daemons + 1):
+                self.plan(f'{zone}-{n}', 'daemon', zone)
+        hosts = [f'{n}:{z}' for n, z in self.zone_of.items() if z != '-']
+        self.start_standin('log', *self.log_flags)
+        self.start_standin('cloud', f'--hosts={",".join(hosts)}')
+        for name in self.names('engine'):
+            self.start_standin(name, *self.engine_flags)
+        for name in self.names('service'):
+            self.start_standin(name)
+        for name, kind in self.kinds.items():
+            if kind != 'daemon':
+                self.wait_healthy(name)
+        self.apply_config()
+        for name in self.names('daemon'):
+            path = os.path.join(self.workdir, f'{name}.yaml')
+            with open(path, 'w', encoding='utf-8') as handle:
+                yaml.safe_dump(self.daemon_settings(name), handle)
+            self.start(name, 'pearrund', f'--settings={path}')
+        for name in self.names('daemon'):
+            self.wait_healthy(name)
+        self.wait_in_force(1)
+        return self
+
+    def daemon_settings(self, name):
+        """Return a daemon's settings as a plain map."""
+        zone = self.zone_of[name]
+        peers = [
+            f'ws://127.0.0.1:{self.ports[n]}/peer'
+            for n in self.names('daemon')
+            if self.zone_of[n] == zone and n != name
+        ]
+        endpoints = [
+            {
+                'id': n,
+                'zone': self.zone_of[n],
+                'url': self.url(n),
+                'kind': self.kinds[n],
+                'services': builders.SERVICES_OF[self.kinds[n]],
+            }
+            for n in [*self.names('engine'), *self.names('service')]
+        ]
+        return {
+            'host': {
+                'name': name,
+                'zone': zone,
+                'listen': {'port': self.ports[name]},
+                'peers': peers,
+                **self.host,
+            },
+            'platform': self.platform_settings(name),
+            'endpoints': endpoints,
+        }
+
+    def platform_settings(self, name):
+        """Return the ``platform`` branch of a daemon's settings."""
+        del name
+        return {
+            'log_url': self.url('log'),
+            'cloud_url': self.url('cloud'),
+            'timeout_ms': 1000,
+        }
+
+    def run_cli(self, *args):
+        """Run the ``pearrun`` tool against this cluster."""
+        daemons = ','.join(self.url(n) for n in self.names('daemon'))
+        return subprocess.run(
+            [
+                os.path.join(BIN, 'pearrun'),
+                f'--log_url={self.url("log")}',
+                f'--daemons={daemons}',
+                *args,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def apply_config(self):
+        """Publish the cluster's team tree."""
+        path = os.path.join(self.workdir, 'teams.yaml')
+        with open(path, 'w', encoding='utf-8') as handle:
+            yaml.safe_dump(self.tree, handle)
+        done = self.run_cli('config', 'apply', path)
+        assert done.returncode == 0, done.stderr
+
+    def status(self, name):
+        """Return a daemon's ``/v1/status``."""
+        return call_json(f'{self.url(name)}/v1/status')[2]
+
+    def wait_in_force(self, version):
+        """Wait until every daemon has a configuration version."""
+        for name in self.names('daemon'):
+            wait_until(
+                lambda n=name: self.status(n)['config_version'] >= version,
+                what=f'version {version} on {name}',
+            )
+
+    def signal(self, name, signal_name):
+        """Send a signal, such as ``KILL`` or ``STOP``, to a process."""
+        proc = self.procs[name]
+        if proc.poll() is None:
+            proc.send_signal(getattr(signal, f'SIG{signal_name}'))
+
+    def stop(self):
+        """Stop every process."""
+        for name in self.procs:
+            self.signal(name, 'CONT')
+            self.signal(name, 'TERM')
+        for proc in self.procs.values():
+            try:
+                proc.wait(timeout=10)
+            except subprocess.TimeoutExpired:
+                proc.kill()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from pearrun import claims as claims_module
 from pearrun import exceptions
@@ -20,23 +21,68 @@
 def test_one_winner_despite_lost_answers_and_outages(attempts):
     """Each attempt: (request number, answer lost, log down)."""
     log = builders.FakeLog()
-    key_claims = claims_module.KeyClaims(log, settings=None)
-    winners = set()
+    key_claims = claims_module.KeyClaims(log)
+    winners = []
 
     async def scenario():
         for number, lost, down in attempts:
             log.down = down
             log.lose_answers = 1 if lost else 0
             try:
-                claim = await key_claims.claim('alarme-svc/k', f'r{number}')
+                claim = await key_claims.claim('alarme-svc/k', f'd{number}')
             except exceptions.JournalUnavailableError:
                 continue
             if claim.won:
-                winners.add(claim.request_id)
+                winners.append(number)
         log.down = False
 
     asyncio.run(scenario())
     assert len(winners) <= 1
-    records = log.streams.get(claims_module.stream_of('alarme-svc/k'), [])
+    held = log.values(claims_module.stream_of('alarme-svc/k'))
     if winners:
-        assert records[0]['id'] in winners
+        assert held[0]['holder'] == f'd{winners[0]}'
+
+
+def test_same_request_claimed_again_by_an_adopter_does_not_win():
+    """A claim belongs to an attempt, not to a request id."""
+    log = builders.FakeLog()
+    key_claims = claims_module.KeyClaims(log)
+
+    async def scenario():
+        first = await key_claims.claim('alarme-svc/k', 'requests.a')
+        second = await key_claims.claim('alarme-svc/k', 'requests.b')
+        third = await key_claims.claim('alarme-svc/k', 'requests.a')
+        return first.won, second.won, third.won
+
+    assert asyncio.run(scenario()) == (True, False, False)
+
+
+def test_dead_holder_gives_unknown_and_the_late_answer_loses():
+    """A paused holder that wakes cannot turn ``unknown`` into done."""
+    log = builders.FakeLog()
+    key_claims = claims_module.KeyClaims(log)
+    key = 'licence-records/k'
+
+    async def scenario():
+        await key_claims.claim(key, 'requests.a')
+        with pytest.raises(exceptions.OutcomeUnknownError):
+            await key_claims.wait_outcome(key, 1000, lambda holder: True)
+        await key_claims.publish(key, claims_module.ANSWERED, 'late')
+        with pytest.raises(exceptions.OutcomeUnknownError):
+            await key_claims.wait_outcome(key, 1000, lambda holder: False)
+
+    asyncio.run(scenario())
+
+
+def test_key_older_than_retention_is_not_run_again():
+    log = builders.FakeLog()
+    key_claims = claims_module.KeyClaims(log)
+    key = 'licence-records/k'
+
+    async def scenario():
+        await key_claims.claim(key, 'requests.a')
+        log.expire(claims_module.stream_of(key), 1)
+        await key_claims.claim(key, 'requests.b')
+
+    with pytest.raises(exceptions.OutcomeUnknownError):
+        asyncio.run(scenario())
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -1,72 +1,42 @@
 """The whole path in real processes on 127.0.0.1."""
 
+import concurrent.futures
 import json
 import os
 import subprocess
 import time
-import urllib.error
-import urllib.request
 
 import pytest
 
 from pearrun.standins import text
-from tests import builders
-from tests import processes
+from tests.cluster import BIN
+from tests.cluster import call
+from tests.cluster import call_json
+from tests.cluster import Cluster
+from tests.cluster import Zone
 
-
-def call(url, body=None, headers=None, method=None):
-    """Send a request; return ``(status, headers, parsed body)``."""
-    data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(
-        url, data=data, headers=headers or {}, method=method
-    )
-    if data is not None:
-        request.add_header('Content-Type', 'application/json')
-    try:
-        with urllib.request.urlopen(request, timeout=30) as reply:
-            raw = reply.read()
-            return reply.status, reply.headers, raw
-    except urllib.error.HTTPError as exc:
-        return exc.code, exc.headers, exc.read()
-
-
-def call_json(*args, **kwargs):
-    status, headers, raw = call(*args, **kwargs)
-    return status, headers, json.loads(raw)
+LOG = 'log'
+SERVICE = 'service-boa-viagem-1'
 
 
 @pytest.fixture(scope='module')
 def cluster(tmp_path_factory):
-    workdir = str(tmp_path_factory.mktemp('cluster'))
-    started = processes.start_cluster(workdir)
-    tree = os.path.join(workdir, 'teams.yaml')
-    with open(tree, 'w', encoding='utf-8') as handle:
-        handle.write(builders.TEAM_TREE_YAML)
-    subprocess.run(
-        [
-            os.path.join(processes.BIN, 'pearrun'),
-            f'--log_url={started.log_url}',
-            'config',
-            'apply',
-            tree,
-        ],
-        check=True,
+    zones = {'boa-viagem': Zone(daemons=2, engines=2, services=1)}
+    started = Cluster(
+        tmp_path_factory.mktemp('cluster'), zones, ['--decode_ms=2']
     )
-    deadline = time.monotonic() + 10
-    for url in started.daemon_urls:
-        while time.monotonic() < deadline:
-            _, _, status = call_json(f'{url}/v1/status')
-            if status['config_version'] >= 1:
-                break
-            time.sleep(0.05)
-    yield started
+    yield started.begin()
     started.stop()
 
 
-def completion(cluster, prompt, daemon=0, **extra):
+def daemon_url(cluster, number=1):
+    return cluster.url(f'boa-viagem-{number}')
+
+
+def completion(cluster, prompt, daemon=1, **extra):
     body = {'model': 'pearrun-oficina', 'prompt': prompt, 'max_tokens': 12}
     body.update(extra)
-    return call_json(f'{cluster.daemon_urls[daemon]}/v1/completions', body)
+    return call_json(f'{daemon_url(cluster, daemon)}/v1/completions', body)
 
 
 def test_whole_answer(cluster):
@@ -84,7 +54,7 @@
         'max_tokens': 20,
         'stream': True,
     }
-    status, _, raw = call(f'{cluster.daemon_urls[1]}/v1/completions', body)
+    status, _, raw = call(f'{daemon_url(cluster, 2)}/v1/completions', body)
     assert status == 200
     events = [
         json.loads(line[6:])
@@ -99,7 +69,7 @@
 
 def test_bad_body_gets_code_1200(cluster):
     status, _, body = call_json(
-        f'{cluster.daemon_urls[0]}/v1/completions', {'prompt': 3}
+        f'{daemon_url(cluster)}/v1/completions', {'prompt': 3}
     )
     assert status == 400
     assert body['error']['code'] == 1200
@@ -107,43 +77,41 @@
 
 def test_unknown_service_gets_code_1201(cluster):
     status, _, body = call_json(
-        f'{cluster.daemon_urls[0]}/v1/completions',
+        f'{daemon_url(cluster)}/v1/completions',
         {'model': 'no-such', 'prompt': 'x'},
     )
     assert (status, body['error']['code']) == (404, 1201)
 
 
 def test_unknown_request_id_gets_code_1300(cluster):
-    status, _, body = call_json(f'{cluster.daemon_urls[0]}/v1/requests/nope')
+    status, _, body = call_json(f'{daemon_url(cluster)}/v1/requests/nope')
     assert (status, body['error']['code']) == (404, 1300)
 
 
 def test_status_by_id_has_the_whole_answer(cluster):
     _, _, body = completion(cluster, 'status check')
-    _, _, status = call_json(
-        f'{cluster.daemon_urls[0]}/v1/requests/{body["id"]}'
-    )
+    _, _, status = call_json(f'{daemon_url(cluster)}/v1/requests/{body["id"]}')
     assert status['state'] == 'done'
     assert status['text'] == text.answer_text('status check', 0, 12)
 
 
 def test_non_idempotent_without_key_gets_code_1203(cluster):
     status, _, body = call_json(
-        f'{cluster.daemon_urls[0]}/v1/completions',
+        f'{daemon_url(cluster)}/v1/completions',
         {'model': 'alarme-svc', 'prompt': 'alarm'},
     )
     assert (status, body['error']['code']) == (400, 1203)
 
 
 def executions(cluster, key):
-    _, _, body = call_json(f'{cluster.service_url}/v1/executions')
+    _, _, body = call_json(f'{cluster.url(SERVICE)}/v1/executions')
     return sum(n for k, n in body['executions'].items() if key in k)
 
 
 def test_repeated_key_on_one_daemon_runs_once(cluster):
     headers = {'Idempotency-Key': 'ack-same-daemon'}
     body = {'model': 'alarme-svc', 'prompt': 'alarm Gravata'}
-    url = f'{cluster.daemon_urls[0]}/v1/completions'
+    url = f'{daemon_url(cluster)}/v1/completions'
     first = call_json(url, body, headers)
     second = call_json(url, body, headers)
     assert first[2]['choices'] == second[2]['choices']
@@ -154,19 +122,20 @@
     """The balancer may send a retry to another entry host."""
     headers = {'Idempotency-Key': 'renewal-two-daemons'}
     body = {'model': 'licence-records', 'prompt': 'renewal WHK 1'}
-    for url in cluster.daemon_urls:
+    for number in (1, 2):
+        url = daemon_url(cluster, number)
         call_json(f'{url}/v1/completions', body, headers)
     assert executions(cluster, 'renewal-two-daemons') == 1
 
 
 def test_log_outage_refuses_at_once_with_retry_after(cluster):
-    call_json(f'{cluster.log_url}/admin/faults', {'outage_ms': 1500})
+    call_json(f'{cluster.url(LOG)}/admin/faults', {'outage_ms': 1500})
     try:
         started = time.monotonic()
         status, headers, body = completion(cluster, 'during outage')
         elapsed = time.monotonic() - started
     finally:
-        call_json(f'{cluster.log_url}/admin/faults', {'outage_ms': 0})
+        call_json(f'{cluster.url(LOG)}/admin/faults', {'outage_ms': 0})
     assert (status, body['error']['code']) == (503, 1402)
     assert int(headers['Retry-After']) >= 1
     assert elapsed < 1.0
@@ -176,7 +145,7 @@
     path = tmp_path / 'bad.yaml'
     path.write_text('host:\n  name: x\n  zone: z\n  listen: {port: 0}\n')
     done = subprocess.run(
-        [os.path.join(processes.BIN, 'pearrund'), f'--settings={path}'],
+        [os.path.join(BIN, 'pearrund'), f'--settings={path}'],
         capture_output=True,
         text=True,
         timeout=30,
@@ -184,3 +153,59 @@
     assert done.returncode == 2
     assert '1102' in done.stderr
     assert 'host.listen.port' in done.stderr
+
+
+def test_request_is_found_on_the_other_host(cluster):
+    _, _, body = completion(cluster, 'asked at one host')
+    _, _, status = call_json(
+        f'{daemon_url(cluster, 2)}/v1/requests/{body["id"]}'
+    )
+    assert status['text'] == text.answer_text('asked at one host', 0, 12)
+
+
+def test_stream_resumes_by_id_from_a_token_on_the_other_host(cluster):
+    _, headers, _ = completion(cluster, 'to be resumed')
+    url = f'{daemon_url(cluster, 2)}/v1/requests/{headers["X-Request-Id"]}'
+    _, _, raw = call(f'{url}?stream=true&from=5')
+    events = [
+        json.loads(line[6:])
+        for line in raw.decode().splitlines()
+        if line.startswith('data: {')
+    ]
+    tokens = [e['token'] for e in events if 'choices' in e]
+    assert tokens == text.answer_tokens('to be resumed', 0, 12, start=5)
+
+
+def test_bad_resume_index_gets_code_1200(cluster):
+    _, headers, _ = completion(cluster, 'resumed badly')
+    url = f'{daemon_url(cluster)}/v1/requests/{headers["X-Request-Id"]}'
+    status, _, body = call_json(f'{url}?stream=true&from=x')
+    assert (status, body['error']['code']) == (400, 1200)
+
+
+def test_reused_key_with_another_body_gets_code_1204(cluster):
+    headers = {'Idempotency-Key': 'reused'}
+    for number, prompt, status in (
+        (1, 'a', 200),
+        (1, 'b', 422),
+        (2, 'b', 422),
+    ):
+        body = {'model': 'alarme-svc', 'prompt': prompt}
+        url = f'{daemon_url(cluster, number)}/v1/completions'
+        got = call_json(url, body, headers)
+        assert got[0] == status
+        if status != 200:
+            assert got[2]['error']['code'] == 1204
+    assert executions(cluster, 'reused') == 1
+
+
+def test_simultaneous_requests_with_one_key_run_once(cluster):
+    """A retry may arrive while the first is still being journaled."""
+    headers = {'Idempotency-Key': 'at-once'}
+    body = {'model': 'alarme-svc', 'prompt': 'alarm at once'}
+    urls = [f'{daemon_url(cluster, n)}/v1/completions' for n in (1, 2)] * 4
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        answers = list(pool.map(lambda u: call_json(u, body, headers), urls))
+    assert [a[0] for a in answers] == [200] * 8
+    assert len({a[2]['choices'][0]['text'] for a in answers}) == 1
+    assert executions(cluster, 'at-once') == 1
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,307 @@
+"""Acceptance, sealing and take-over, under everything the log can do."""
+
+import asyncio
+import contextlib
+
+from hypothesis import settings as hypothesis_settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from pearrun import entries
+from pearrun import exceptions
+from pearrun import journal as journal_module
+from pearrun.ledger import read_ledger
+from pearrun.recovery import Recovery
+from tests import builders
+
+HOSTS = 3
+TIMEOUT_MS = 10
+
+
+class FrozenLog:
+    """One host's way to the log, held up while the host is frozen."""
+
+    def __init__(self, log):
+        self.log = log
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    async def append(self, *args, **kwargs):
+        await self.thawed.wait()
+        return await self.log.append(*args, **kwargs)
+
+    async def read(self, *args, **kwargs):
+        await self.thawed.wait()
+        return await self.log.read(*args, **kwargs)
+
+    async def read_all(self, *args, **kwargs):
+        await self.thawed.wait()
+        return await self.log.read_all(*args, **kwargs)
+
+
+class FakeMembership:
+    """Says that everybody but the asker is dead, rightly or not."""
+
+    def __init__(self):
+        self.dead = set()
+        self.orphan_beats = 2
+
+    def find(self, stream):
+        return stream
+
+    def is_dead(self, stream):
+        return stream in self.dead
+
+    def forget(self, stream):
+        pass
+
+
+class Host:
+    """A journal and a recovery with nothing else of a daemon."""
+
+    def __init__(self, log, number):
+        self.log = FrozenLog(log)
+        settings = builders.settings(f'h{number}', timeout_ms=TIMEOUT_MS)
+        self.journal = journal_module.Journal(self.log, settings)
+        self.membership = FakeMembership()
+        self.adopted = []
+        self.recovery = Recovery(
+            self.log,
+            settings,
+            self.membership,
+            self.journal,
+            lambda entry, progress: self.adopted.append(entry.id),
+        )
+        self.writer = asyncio.ensure_future(self.journal.run())
+        self.work = []
+
+    def stop(self):
+        for task in [self.writer, *self.work]:
+            task.cancel()
+
+
+class Survival(stateful.RuleBasedStateMachine):
+    """Hosts accept, freeze, die and take each other's journals over.
+
+    At the end one host takes over all others.  Then every request
+    whose caller was told "accepted" is owed by that host or finished,
+    no request whose caller was told "not run" is, and no journal was
+    emptied by two hosts.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.log = builders.FakeLog()
+        self.told = {}
+        self.streams = {}
+        self.run(self.begin())
+
+    async def begin(self):
+        self.hosts = [Host(self.log, n) for n in range(HOSTS)]
+        self.note_streams()
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    def settle(self, ms=2):
+        self.run(asyncio.sleep(ms / 1000))
+        self.note_streams()
+
+    def note_streams(self):
+        for host in self.hosts:
+            self.streams[host.journal.stream] = host
+
+    def teardown(self):
+        self.check_promises()
+        for host in self.hosts:
+            host.stop()
+        self.run(asyncio.sleep(0))
+        self.loop.close()
+
+    async def accept(self, host):
+        request_id = journal_module.new_request_id(host.journal.stream)
+        self.told[request_id] = 'pending'
+        try:
+            await host.journal.accept(builders.accepted(request_id))
+        except exceptions.PearrunError as exc:
+            self.told[request_id] = 'not run' if exc.not_run else 'unknown'
+        else:
+            self.told[request_id] = 'accepted'
+
+    @stateful.rule(number=st.integers(0, HOSTS - 1), count=st.integers(1, 4))
+    def accept_some(self, number, count):
+        host = self.hosts[number]
+        for _ in range(count):
+            host.work.append(self.loop.create_task(self.accept(host)))
+        self.settle()
+
+    @stateful.rule(number=st.integers(0, HOSTS - 1))
+    def finish_one(self, number):
+        self.run(self.finish(self.hosts[number]))
+        self.settle()
+
+    async def finish(self, host):
+        for request_id in list(host.journal.open)[:1]:
+            host.journal.enqueue(entries.Finished(request_id, 'done', ('x',)))
+
+    @stateful.rule(
+        answers=st.integers(0, 2),
+        appends=st.integers(0, 2),
+        late=st.integers(0, 2),
+    )
+    def lose(self, answers, appends, late):
+        self.log.lose_answers = answers
+        self.log.lose_appends = appends
+        self.log.delay_appends = late
+
+    @stateful.rule()
+    def deliver_late_appends(self):
+        self.log.deliver()
+        self.settle()
+
+    @stateful.rule(down=st.booleans(), ms=st.sampled_from([1, 30]))
+    def outage(self, down, ms):
+        self.log.down = down
+        self.settle(ms)
+
+    @stateful.rule(number=st.integers(0, HOSTS - 1), frozen=st.booleans())
+    def freeze(self, number, frozen):
+        thawed = self.hosts[number].log.thawed
+        thawed.clear() if frozen else thawed.set()
+        self.settle()
+
+    async def take_over(self, host, stream):
+        host.membership.dead = set(self.streams)
+        with contextlib.suppress(exceptions.PearrunError):
+            await host.recovery.take_over(stream)
+
+    @stateful.rule(
+        number=st.integers(0, HOSTS - 1), of=st.integers(0, HOSTS - 1)
+    )
+    def suspect(self, number, of):
+        """One host takes another for dead, even if it is not."""
+        if number == of:
+            return
+        host = self.hosts[number]
+        stream = self.hosts[of].journal.stream
+        host.work.append(self.loop.create_task(self.take_over(host, stream)))
+        self.settle()
+
+    def check_promises(self):
+        log = self.log
+        log.down = False
+        log.lose_answers = log.lose_appends = log.delay_appends = 0
+        log.deliver()
+        for host in self.hosts:
+            host.log.thawed.set()
+        self.settle(3 * TIMEOUT_MS)
+        survivor = self.hosts[0]
+        for _ in range(2):
+            for stream in list(self.streams):
+                if stream != survivor.journal.stream:
+                    self.run(self.take_over(survivor, stream))
+            self.settle(3 * TIMEOUT_MS)
+        own = self.run(read_ledger(log, survivor.journal.stream))
+        owed = set(own.unfinished)
+        ended = set()
+        for stream in self.streams:
+            ledger = self.run(read_ledger(log, stream))
+            ended |= set(ledger.finished)
+            if stream != survivor.journal.stream:
+                assert ledger.emptied
+                self.check_emptied_once(stream)
+        for request_id, told in self.told.items():
+            if told == 'accepted':
+                assert request_id in owed | ended
+            if told == 'not run':
+                assert request_id not in owed | ended
+            assert told != 'pending'
+
+    def check_emptied_once(self, stream):
+        holder = None
+        emptied = 0
+        for value in self.log.values(stream):
+            for raw in value['entries']:
+                match entries.from_value(raw):
+                    case entries.Sealed(by=by):
+                        assert not emptied
+                        holder = by
+                    case entries.Emptied(by=by):
+                        emptied += by == holder
+        assert emptied == 1
+
+
+Survival.TestCase.settings = hypothesis_settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+)
+TestSurvival = Survival.TestCase
+
+
+def run_with_journal(scenario, **platform):
+    """Run ``scenario(log, journal)`` with the journal's writer going."""
+
+    async def main():
+        log = builders.FakeLog()
+        settings = builders.settings(**{'timeout_ms': 50, **platform})
+        journal = journal_module.Journal(log, settings)
+        writer = asyncio.create_task(journal.run())
+        try:
+            return await scenario(log, journal)
+        finally:
+            writer.cancel()
+
+    return asyncio.run(main())
+
+
+def test_lost_answer_of_an_acceptance_is_settled_not_refused():
+    async def scenario(log, journal):
+        log.lose_answers = 1
+        await journal.accept(builders.accepted('h.1.a'))
+        return await read_ledger(log, journal.stream)
+
+    assert set(run_with_journal(scenario).unfinished) == {'h.1.a'}
+
+
+def test_outage_refuses_at_once_and_says_not_run():
+    async def scenario(log, journal):
+        log.down = True
+        with pytest.raises(exceptions.JournalUnavailableError) as caught:
+            await journal.accept(builders.accepted('h.1.a'))
+        log.down = False
+        await journal.write(entries.Finished('h.1.b', 'done'))
+        return caught.value, await read_ledger(log, journal.stream)
+
+    failure, ledger = run_with_journal(scenario)
+    assert failure.not_run
+    assert failure.retry_after_s >= 1
+    assert not ledger.unfinished
+
+
+def test_unsettled_acceptance_is_withdrawn_when_it_did_land():
+    """Told "unknown", so this host must not leave it to be run."""
+
+    async def scenario(log, journal):
+        log.lose_answers = 1
+        log.lose_after = 1000
+        with pytest.raises(exceptions.AmbiguousAppendError) as caught:
+            await journal.accept(builders.accepted('h.1.a'))
+        log.lose_appends = 0
+        await journal.write(entries.Finished('h.1.b', 'done'))
+        return caught.value, await read_ledger(log, journal.stream)
+
+    failure, ledger = run_with_journal(scenario)
+    assert not failure.not_run
+    assert not ledger.unfinished
+
+
+def test_entries_that_arrive_together_go_out_together():
+    async def scenario(log, journal):
+        writes = [
+            journal.accept(builders.accepted(f'h.1.{n}')) for n in range(100)
+        ]
+        await asyncio.gather(*writes)
+        return journal.appends
+
+    assert run_with_journal(scenario) <= 2
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,14 @@
+"""Every scenario in ``tests/scenarios/`` against real processes."""
+
+import pathlib
+
+import pytest
+
+from tests import scenarios
+
+FILES = sorted(pathlib.Path('tests/scenarios').glob('*.yaml'))
+
+
+@pytest.mark.parametrize('path', FILES, ids=lambda p: p.stem)
+def test_scenario(path, tmp_path):
+    scenarios.Player(scenarios.load(path), tmp_path).play()
