--- a/pearrun/claims.py
+++ b/pearrun/claims.py
@@ -56,6 +56,11 @@
     return hashlib.blake2b(text.encode('utf-8'), digest_size=12).hexdigest()
 
 
+def new_attempt():
+    """Return a unique id for one run of a request."""
+    return uuid.uuid4().hex
+
+
 class KeyClaims:
     """Claims keys and publishes outcomes on the log service.
 
@@ -66,7 +71,7 @@
         self.log = log
         self.clock = Clock()
 
-    async def claim(self, key, holder, digest=''):
+    async def claim(self, key, holder, digest='', attempt=None):
         """Claim a key, to make its call right afterwards.
 
         A lost answer is settled by claiming again: the second append
@@ -75,12 +80,14 @@
         :param key: the scoped idempotency key.
         :param holder: this daemon's journal stream.
         :param digest: hash of the request, to catch a reused key.
+        :param attempt: a unique id, the same one when a claim that
+            failed is tried again for the same run of the request.
         :returns: a :class:`Claim`; ``won`` is true when the caller may
             make the call.
         :raises JournalUnavailableError: the log cannot say; the call
             must not be made by this attempt.
         """
-        attempt = uuid.uuid4().hex
+        attempt = attempt or new_attempt()
         value = {
             'kind': CLAIMED,
             'attempt': attempt,
--- a/pearrun/daemon.py
+++ b/pearrun/daemon.py
@@ -56,7 +56,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.router = Router.from_settings(settings)
-        self.peers = Peers(settings, self.router)
+        self.peers = None
         self.metrics = MetricsTable()
         self.state = MemberState.LIVE
         self.session = None
@@ -77,7 +77,8 @@
         )
         settings = self.settings
         log = LogClient(self.session, settings.platform)
-        self.config = ConfigFollower(log, settings)
+        self.config = ConfigFollower(log, settings, self.on_config)
+        self.peers = Peers(settings, self.router, self.config)
         self.journal = Journal(log, settings, self.on_sealed)
         self.membership = Membership(
             log, settings, self.describe, self.hear_leaving
@@ -192,6 +193,11 @@
             leaving=tuple(self.router.leaving()),
         )
 
+    def on_config(self):
+        """Act on a newer team tree being in force."""
+        self.peers.broadcast_config()
+        self.membership.beat_now.set()
+
     def announce_leaving(self, endpoint_id):
         """Tell every daemon that an endpoint takes no new work.
 
--- a/pearrun/dispatcher.py
+++ b/pearrun/dispatcher.py
@@ -74,7 +74,7 @@
             )
         return service
 
-    async def submit(self, body, key=None):
+    async def submit(self, body, key=None, promise=True):
         """Accept a request: check it, journal it, start it.
 
         The acceptance goes on when the caller's connection drops in
@@ -82,6 +82,10 @@
 
         :param body: a :class:`CompletionBody`.
         :param key: the caller's ``Idempotency-Key`` header, if any.
+        :param promise: the caller will be told "accepted" before it
+            has the answer, so the acceptance must be on the log.  A
+            caller that waits for the answer of an idempotent request
+            is served also when the log is down.
         :returns: the :class:`Job`; an earlier one for a repeated key.
         :raises PearrunError: a coded error; nothing was accepted.
         """
@@ -109,7 +113,11 @@
             accepted_ms=self.clock.now(),
             idempotency_key=scoped,
         )
-        acceptance = asyncio.create_task(self.accept(job, service))
+        if promise or not service.idempotent:
+            work = self.accept(job, service)
+        else:
+            work = self.serve(job, service)
+        acceptance = asyncio.create_task(work)
         if scoped is not None:
             self.by_key[scoped] = acceptance
         return await asyncio.shield(acceptance)
@@ -128,9 +136,33 @@
             counters.rejected += 1
             raise
         counters.accepted += 1
+        job.durable = True
         self.start(job, service)
         return job
 
+    async def serve(self, job, service):
+        """Start a job at once and journal it meanwhile.
+
+        :returns: the :class:`Job`, once it is on the log, or once the
+            log fails or takes longer than ``accept_wait_ms``; it gets
+            there later then, or the answer does.
+        :raises JournalUnavailableError: too much waits for the log.
+        """
+        if self.journal.full:
+            self.by_key.pop(job.idempotency_key, None)
+            raise exceptions.JournalUnavailableError(
+                'the log service is behind', retry_after_s=1
+            )
+        self.metrics.of(job.service).accepted += 1
+        self.start(job, service)
+        landed = self.journal.enqueue(describe_acceptance(job))
+        landed.add_done_callback(lambda done: note_landing(job, done))
+        self.journal.wake.set()
+        if not self.journal.failing:
+            wait_s = to_seconds(self.settings.host.accept_wait_ms)
+            await asyncio.wait({landed}, timeout=wait_s)
+        return job
+
     def adopt(self, entry, progress=None):
         """Start a request taken over from a dead host's journal.
 
@@ -154,6 +186,7 @@
             job.tokens = list(progress.tokens)
             job.endpoint = progress.endpoint
             job.saved = len(job.tokens)
+        job.durable = True
         self.metrics.of(job.service).adopted += 1
         service = self.config.tree.find_service(job.service)
         if service is None:
@@ -322,6 +355,11 @@
             await asyncio.sleep(0)
 
 
+def note_landing(job, landed):
+    """Note that a job's acceptance is on the log, if it is."""
+    job.durable = not landed.cancelled() and landed.exception() is None
+
+
 def describe_acceptance(job):
     """Return a job's acceptance as a journal entry."""
     return entries.Accepted(
--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -210,6 +210,13 @@
     http_status = 409
 
 
+class ForeignBranchError(PearrunError):
+    """A team's change touches another team's branch."""
+
+    code = 1602
+    http_status = 403
+
+
 class StaleOrderError(PearrunError):
     """An order carries an older fencing number than one already seen."""
 
@@ -250,6 +257,7 @@
     EndpointRefusedError,
     EndpointUnreachableError,
     ConfigConflictError,
+    ForeignBranchError,
     StaleOrderError,
     NotFoundError,
 )
--- a/pearrun/intake.py
+++ b/pearrun/intake.py
@@ -12,7 +12,9 @@
   ``?wait=true`` answers when the request has ended.
 - ``POST /v1/requests/{id}/cancel``.
 
-Every answer carries the request's id in ``X-Request-Id``.
+Every answer carries the request's id in ``X-Request-Id``, and in
+``X-Pearrun-Durable`` whether it is on the platform's log, so that it
+survives the loss of this host.
 
 Operators: ``GET /healthz``, ``GET /v1/status``, ``GET /v1/metrics``,
 ``POST /admin/drain`` ``{endpoint}``; peers: websocket ``/peer``.
@@ -30,6 +32,7 @@
 from pearrun import web
 
 REQUEST_ID = 'X-Request-Id'
+DURABLE = 'X-Pearrun-Durable'
 
 
 def parse_body(request, model):
@@ -85,7 +88,9 @@
     }
 
 
-async def send_events(request, job_id, service, tokens, chat=False):
+async def send_events(
+    request, job_id, service, tokens, chat=False, durable=True
+):
     """Stream tokens to a caller as server-sent events.
 
     :param tokens: an async iterator of ``(index, token)``, then
@@ -93,7 +98,11 @@
     """
     stream = await request.respond(
         content_type='text/event-stream',
-        headers={'Cache-Control': 'no-cache', REQUEST_ID: job_id},
+        headers={
+            'Cache-Control': 'no-cache',
+            REQUEST_ID: job_id,
+            DURABLE: str(durable).lower(),
+        },
     )
     async with contextlib.aclosing(tokens):
         async for index, token in tokens:
@@ -106,13 +115,20 @@
     await stream.eof()
 
 
+def wants_promise(request):
+    """Say whether a caller wants ``202 accepted`` before the answer."""
+    return 'respond-async' in request.headers.get('Prefer', '')
+
+
 async def answer(daemon, request, job, stream, chat):
     """Answer a caller: streamed, whole, or 202 for async."""
     if stream:
         tokens = daemon.lookup.follow(job.id)
-        return await send_events(request, job.id, job.service, tokens, chat)
-    headers = {REQUEST_ID: job.id}
-    if 'respond-async' in request.headers.get('Prefer', ''):
+        return await send_events(
+            request, job.id, job.service, tokens, chat, job.durable
+        )
+    headers = {REQUEST_ID: job.id, DURABLE: str(job.durable).lower()}
+    if wants_promise(request):
         return response.json(job.to_body(), status=202, headers=headers)
     tokens = []
     final = None
@@ -212,7 +228,7 @@
     async def completions(request):
         body = parse_body(request, models.CompletionBody)
         key = request.headers.get('Idempotency-Key')
-        job = await daemon.dispatcher.submit(body, key)
+        job = await daemon.dispatcher.submit(body, key, wants_promise(request))
         return await answer(daemon, request, job, body.stream, chat=False)
 
     @app.post('/v1/chat/completions')
@@ -220,7 +236,7 @@
         chat = parse_body(request, models.ChatBody)
         body = chat.to_completion()
         key = request.headers.get('Idempotency-Key')
-        job = await daemon.dispatcher.submit(body, key)
+        job = await daemon.dispatcher.submit(body, key, wants_promise(request))
         return await answer(daemon, request, job, body.stream, chat=True)
 
     @app.get('/v1/requests/<request_id>')
--- a/pearrun/journal.py
+++ b/pearrun/journal.py
@@ -31,6 +31,7 @@
 
 PREFIX = 'requests.'
 MAX_BATCH = 256
+MAX_WAITING = 10_000
 RETRIES_PER_TIMEOUT = 40
 LINGER_MS = 50
 RUN_DIGITS = 8
@@ -100,6 +101,7 @@
         self.lost = {}
         self.open = {}
         self.appends = 0
+        self.failing = False
 
     async def accept(self, entry):
         """Record a request; only then may the caller be told.
@@ -113,6 +115,11 @@
         """
         await self.write(entry, durable=False)
 
+    @property
+    def full(self):
+        """Whether too much waits for the log to take on more."""
+        return len(self.waiting) >= MAX_WAITING
+
     async def write(self, entry, durable=True):
         """Write one entry and wait until it is on the log."""
         landed = self.enqueue(entry, durable)
@@ -210,6 +217,7 @@
 
     def landed(self, batch):
         """Note a landed batch and wake its writers."""
+        self.failing = False
         self.next_offset += 1
         now = self.clock.now()
         for pending in batch:
@@ -229,6 +237,7 @@
 
     async def refuse(self, batch, failure):
         """Fail the batch's acceptances; keep its durable entries."""
+        self.failing = True
         for pending in batch:
             if not pending.durable and not pending.landed.done():
                 pending.landed.set_exception(failure)
--- a/pearrun/logservice.py
+++ b/pearrun/logservice.py
@@ -5,10 +5,12 @@
 import aiohttp
 
 from pearrun import exceptions
+from pearrun.clock import to_seconds
 from pearrun.ids import Offset
 
 RETRY_AFTER_S = 1
 READ_BATCH = 500
+UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,7 +32,10 @@
     def __init__(self, session, settings):
         self.session = session
         self.base = settings.log_url.rstrip('/')
-        self.timeout = aiohttp.ClientTimeout(total=settings.timeout_ms / 1e3)
+        total_s = to_seconds(settings.timeout_ms)
+        self.timeout = aiohttp.ClientTimeout(
+            total=total_s, sock_connect=total_s / 2
+        )
 
     def _url(self, stream):
         return f'{self.base}/v1/streams/{stream}/records'
@@ -56,7 +61,7 @@
                 data = await reply.json(content_type=None)
                 status = reply.status
                 retry = reply.headers.get('Retry-After', RETRY_AFTER_S)
-        except aiohttp.ClientConnectorError as exc:
+        except UNSENT as exc:
             raise exceptions.JournalUnavailableError(
                 f'log service unreachable: {exc!r}',
                 retry_after_s=RETRY_AFTER_S,
--- a/pearrun/peers.py
+++ b/pearrun/peers.py
@@ -8,6 +8,9 @@
 
 - ``{"type": "heartbeat", "from": name}``
 - ``{"type": "leaving", "from": name, "endpoint": id}``
+- ``{"type": "config", "from": name, "yaml": text}``: the team tree in
+  force, sent when a link comes up and when it changes, so that a
+  daemon that cannot reach the platform's log still gets it.
 """
 
 import asyncio
@@ -17,12 +20,15 @@
 from loguru import logger
 import websockets
 
+from pearrun import config as config_module
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.states import EndpointState
 
 HEARTBEAT = 'heartbeat'
 LEAVING = 'leaving'
+CONFIG = 'config'
+MAX_QUEUED = 1000
 
 
 @dataclasses.dataclass
@@ -41,14 +47,18 @@
     :param settings: the daemon's whole :class:`Settings`.
     :param router: the daemon's :class:`Router`, told of leaving
         endpoints that peers report.
+    :param config: the daemon's :class:`ConfigFollower`.
     """
 
-    def __init__(self, settings, router):
+    def __init__(self, settings, router, config):
         self.settings = settings
         self.router = router
+        self.config = config
         self.clock = Clock()
         self.links = {url: PeerLink(url) for url in settings.host.peers}
-        self.outbox = {url: asyncio.Queue() for url in settings.host.peers}
+        self.outbox = {
+            url: asyncio.Queue(MAX_QUEUED) for url in settings.host.peers
+        }
 
     def encode(self, message):
         """Encode a message as CBOR, stamped with this daemon's name."""
@@ -57,15 +67,30 @@
     def broadcast(self, message):
         """Queue a message for every peer."""
         for queue in self.outbox.values():
-            queue.put_nowait(message)
+            if not queue.full():
+                queue.put_nowait(message)
+
+    def describe_config(self):
+        """Return the message that carries the tree in force."""
+        text = config_module.tree_to_yaml(self.config.tree)
+        return {'type': CONFIG, 'yaml': text}
+
+    def broadcast_config(self):
+        """Send the tree in force to every peer."""
+        self.broadcast(self.describe_config())
 
     def receive(self, data):
         """Act on one message from a peer."""
         message = cbor2.loads(data)
-        if message.get('type') == LEAVING:
-            endpoint = message.get('endpoint')
-            if self.router.mark(endpoint, EndpointState.LEAVING):
-                logger.info('peer reports endpoint leaving', endpoint=endpoint)
+        match message.get('type'):
+            case 'leaving':
+                endpoint = message.get('endpoint')
+                if self.router.mark(endpoint, EndpointState.LEAVING):
+                    logger.info(
+                        'peer reports endpoint leaving', endpoint=endpoint
+                    )
+            case 'config':
+                self.config.receive(message.get('yaml'))
 
     async def serve(self, websocket):
         """Handle one incoming peer connection until it closes."""
@@ -83,6 +108,10 @@
                 ) as websocket:
                     link.connected = True
                     link.last_seen_ms = self.clock.now()
+                    if self.config.tree.version > 0:
+                        await websocket.send(
+                            self.encode(self.describe_config())
+                        )
                     await self.talk(websocket, link)
             except (OSError, websockets.WebSocketException, TimeoutError):
                 pass
--- a/pearrun/runner.py
+++ b/pearrun/runner.py
@@ -266,11 +266,12 @@
         """
         key = job.idempotency_key
         digest = claims_module.digest_of(job.prompt)
+        attempt = claims_module.new_attempt()
         backoff = Backoff()
         while True:
             try:
                 claim = await self.claims.claim(
-                    key, self.journal.stream, digest
+                    key, self.journal.stream, digest, attempt
                 )
                 break
             except exceptions.CapacityError:
--- a/pearrun/settings.py
+++ b/pearrun/settings.py
@@ -52,6 +52,7 @@
     beat_ms: int = pydantic.Field(default=1000, ge=20)
     members_poll_ms: int = pydantic.Field(default=500, ge=20)
     orphan_beats: int = pydantic.Field(default=4, ge=2)
+    accept_wait_ms: int = pydantic.Field(default=300, ge=0)
     stall_ms: int = pydantic.Field(default=5000, ge=100)
     first_token_ms: int = pydantic.Field(default=60_000, ge=100)
     progress_ms: int = pydantic.Field(default=1000, ge=20)
--- a/pearrun/standins/main.py
+++ b/pearrun/standins/main.py
@@ -7,12 +7,16 @@
 from pearrun import web
 from pearrun.standins import cloud
 from pearrun.standins import engine
+from pearrun.standins import link
 from pearrun.standins import logstore
 from pearrun.standins import service
 
 FLAGS = flags.FLAGS
 flags.DEFINE_enum(
-    'kind', None, ['engine', 'service', 'log', 'cloud'], 'Which stand-in.'
+    'kind',
+    None,
+    ['engine', 'service', 'log', 'cloud', 'link'],
+    'Which stand-in.',
 )
 flags.DEFINE_string('host', '127.0.0.1', 'Address to listen on.')
 flags.DEFINE_integer('port', None, 'Port to listen on.')
@@ -27,6 +31,8 @@
 flags.DEFINE_integer('list_lag_ms', 1500, 'Cloud: host list lag.')
 flags.DEFINE_integer('retention_ms', 3_600_000, 'Log: record retention.')
 flags.DEFINE_integer('appends_per_second', 500, 'Log: append rate.')
+flags.DEFINE_integer('listen_port', None, 'Link: port it carries.')
+flags.DEFINE_string('target', None, 'Link: host:port it leads to.')
 flags.DEFINE_enum('log_format', 'text', ['text', 'json'], 'Log format.')
 flags.mark_flags_as_required(['kind', 'port'])
 
@@ -54,6 +60,10 @@
                     appends_per_second=FLAGS.appends_per_second,
                 )
             )
+        case 'link':
+            return link.build_app(
+                link.LinkConfig(FLAGS.listen_port, FLAGS.target)
+            )
         case 'cloud':
             pairs = tuple(tuple(h.split(':', 1)) for h in FLAGS.hosts)
             return cloud.build_app(
--- a/pearrun/structures.py
+++ b/pearrun/structures.py
@@ -47,7 +47,8 @@
     are being answered now, and ``token_ms`` the time between tokens.
     ``saved`` counts the tokens on the log, ``saved_ms`` says when the
     acceptance was last written there, and ``handed_over`` that another
-    host goes on with the job.
+    host goes on with the job.  ``durable`` says that its acceptance is
+    on the log.
     """
 
     id: RequestId
@@ -71,6 +72,7 @@
     saved_ms: Millis = Millis(0)
     saving: asyncio.Future | None = None
     handed_over: bool = False
+    durable: bool = False
     changed: asyncio.Condition = dataclasses.field(
         default_factory=asyncio.Condition
     )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -133,6 +133,7 @@
         self.down = False
         self.lose_answers = 0
         self.lose_after = 0
+        self.down_after_loss = False
         self.lose_appends = 0
         self.delay_appends = 0
         self.under_way = []
@@ -182,6 +183,7 @@
         if self.lose_answers > 0:
             self.lose_answers -= 1
             self.lose_appends += self.lose_after
+            self.down = self.down or self.down_after_loss
             raise exceptions.AmbiguousAppendError('lost', retry_after_s=1)
         return offset
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -57,6 +57,22 @@
     assert asyncio.run(scenario()) == (True, False, False)
 
 
+def test_claim_whose_answer_was_lost_before_an_outage_is_still_ours():
+    """Else the call would never be made: an alarm lost."""
+    log = builders.FakeLog()
+    key_claims = claims_module.KeyClaims(log)
+    key, attempt = 'alarme-svc/k', claims_module.new_attempt()
+
+    async def scenario():
+        log.lose_answers, log.down_after_loss = 1, True
+        with pytest.raises(exceptions.JournalUnavailableError):
+            await key_claims.claim(key, 'requests.a', attempt=attempt)
+        log.down = False
+        return await key_claims.claim(key, 'requests.a', attempt=attempt)
+
+    assert asyncio.run(scenario()).won
+
+
 def test_dead_holder_gives_unknown_and_the_late_answer_loses():
     """A paused holder that wakes cannot turn ``unknown`` into done."""
     log = builders.FakeLog()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -131,3 +131,20 @@
     unfinished, running = play(scenario)
     assert unfinished == running
     assert len(running) == 1
+
+
+def test_waiting_caller_is_journaled_once_the_log_is_back():
+    async def scenario(log, dispatcher):
+        log.down = True
+        body = CompletionBody(model='pearrun-oficina', prompt='p')
+        job = await dispatcher.submit(body, promise=False)
+        told = job.durable
+        log.down = False
+        await asyncio.sleep(0.1)
+        ledger = await read_ledger(log, dispatcher.journal.stream)
+        return told, job, ledger
+
+    told, job, ledger = play(scenario)
+    assert not told
+    assert job.durable
+    assert set(ledger.unfinished) == {job.id}
