--- a/pearrun/daemon.py
+++ b/pearrun/daemon.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import signal
 
 from absl import app as absl_app
 from absl import flags
@@ -30,6 +31,7 @@
 from pearrun.members import Member
 from pearrun.members import Membership
 from pearrun.metrics import MetricsTable
+from pearrun.orders import OrderKeeper
 from pearrun.peers import Peers
 from pearrun.recovery import Recovery
 from pearrun.router import Router
@@ -51,10 +53,12 @@
     """The parts of one daemon, built from its whole settings.
 
     :param settings: a checked :class:`Settings`.
+    :param path: the file they came from, read again on SIGHUP.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, path=None):
         self.settings = settings
+        self.path = path
         self.router = Router.from_settings(settings)
         self.peers = None
         self.metrics = MetricsTable()
@@ -66,6 +70,7 @@
         self.dispatcher = None
         self.lookup = None
         self.hosts = None
+        self.orders = None
         self.recovery = None
         self.tasks = []
 
@@ -110,6 +115,13 @@
             self.announce_leaving,
             self.on_reclaim,
         )
+        self.orders = OrderKeeper(
+            self.session,
+            settings,
+            self.router,
+            self.config,
+            self.membership,
+        )
         self.recovery = Recovery(
             log,
             settings,
@@ -129,6 +141,7 @@
             'recovery': self.watch_members(),
             'cloud': self.hosts.watch_cloud(),
             'loads': self.hosts.watch_loads(),
+            'orders': self.orders.watch(),
         }
         for url in self.settings.host.peers:
             work[url] = self.peers.keep_link(url)
@@ -136,8 +149,35 @@
             asyncio.create_task(coroutine, name=name)
             for name, coroutine in work.items()
         ]
+        if self.path is not None:
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGHUP, self.reload
+            )
         logger.info('daemon started', name=self.settings.host.name)
 
+    def reload(self):
+        """Read the settings file again and take its endpoints over.
+
+        A bad file changes nothing: the last good settings stay.  The
+        ``host`` and ``platform`` branches need a restart.
+        """
+        try:
+            settings = settings_module.load(self.path)
+        except exceptions.SettingsError as exc:
+            logger.error(
+                'bad settings; the last good ones stay',
+                code=exc.code,
+                error=exc.message,
+            )
+            return
+        if settings.host != self.settings.host or (
+            settings.platform != self.settings.platform
+        ):
+            logger.warning('host and platform settings need a restart')
+        self.router.replace(settings.endpoints)
+        self.config.apply(settings.team_tree())
+        logger.info('settings read again', endpoints=len(settings.endpoints))
+
     async def watch_members(self):
         """Recover dead hosts' requests once a configuration is known."""
         while self.config.tree.version == 0:
@@ -273,11 +313,14 @@
         }
 
 
-def build_app(settings):
-    """Build the daemon's sanic app from its whole settings."""
+def build_app(settings, path=None):
+    """Build the daemon's sanic app from its whole settings.
+
+    :param path: the file they came from, read again on SIGHUP.
+    """
     app = Sanic('pearrund')
     app.config.WEBSOCKET_PING_INTERVAL = None
-    daemon = Daemon(settings)
+    daemon = Daemon(settings, path)
     app.ctx.daemon = daemon
     web.install_error_handler(app)
 
@@ -307,7 +350,7 @@
     logs.configure(
         'pearrund', settings.host.zone, FLAGS.log_format, FLAGS.log_level
     )
-    app = build_app(settings)
+    app = build_app(settings, FLAGS.settings)
     listen = settings.host.listen
     grace_s = to_seconds(settings.host.drain_timeout_ms)
     web.serve(app, listen.host, listen.port, grace_s)
--- a/pearrun/router.py
+++ b/pearrun/router.py
@@ -70,18 +70,8 @@
     @classmethod
     def from_settings(cls, settings, policy=None):
         """Build a router from a daemon's whole :class:`Settings`."""
-        endpoints = [
-            Endpoint(
-                id=e.id,
-                zone=e.zone,
-                url=e.url,
-                kind=e.kind,
-                services=frozenset(e.services),
-            )
-            for e in settings.endpoints
-        ]
         return cls(
-            endpoints,
+            [Endpoint.from_settings(e) for e in settings.endpoints],
             settings.host.zone,
             policy,
             settings.host.max_load_per_endpoint,
@@ -145,6 +135,26 @@
                 return pool[next(self.turn) % len(pool)]
         raise TypeError(f'unknown policy {self.policy!r}')
 
+    def replace(self, settings):
+        """Take over the endpoints of newly read settings.
+
+        New ones join; ones no longer listed get no new work.  One that
+        stays keeps its state and load, and one that was leaving stays
+        so: a replacement host comes with a new id.
+
+        :param settings: a list of :class:`EndpointSettings`.
+        """
+        listed = {e.id: e for e in settings}
+        for endpoint_id in self.endpoints:
+            if endpoint_id not in listed:
+                self.mark(endpoint_id, EndpointState.LEAVING)
+        for endpoint_id, wanted in listed.items():
+            known = self.endpoints.get(endpoint_id)
+            if known is None:
+                self.endpoints[endpoint_id] = Endpoint.from_settings(wanted)
+            else:
+                known.services = frozenset(wanted.services)
+
     def leaving(self):
         """Return the ids of endpoints that take no new work."""
         return [
--- a/pearrun/settings.py
+++ b/pearrun/settings.py
@@ -55,6 +55,7 @@
     accept_wait_ms: int = pydantic.Field(default=300, ge=0)
     stall_ms: int = pydantic.Field(default=5000, ge=100)
     first_token_ms: int = pydantic.Field(default=60_000, ge=100)
+    orders_ms: int = pydantic.Field(default=1000, ge=20)
     progress_ms: int = pydantic.Field(default=1000, ge=20)
     save_progress: bool = True
     answer_keep_ms: int = pydantic.Field(default=60_000, ge=100)
@@ -100,6 +101,7 @@
     idempotent: bool = True
     priority: Priority = Priority.NORMAL
     max_tokens: int = pydantic.Field(default=256, ge=1)
+    model: str | None = None
     targets: Targets = Targets()
 
     @pydantic.field_validator('priority', mode='before')
--- a/pearrun/structures.py
+++ b/pearrun/structures.py
@@ -32,6 +32,17 @@
     reported_load: int = 0
     reclaim_at_ms: Millis | None = None
 
+    @classmethod
+    def from_settings(cls, settings):
+        """Build an endpoint from its :class:`EndpointSettings`."""
+        return cls(
+            id=settings.id,
+            zone=settings.zone,
+            url=settings.url,
+            kind=settings.kind,
+            services=frozenset(settings.services),
+        )
+
     @property
     def load(self):
         """Requests this daemon has running there, plus reported load."""
