pearrun bench, routing per service, and affinity across zones

Ruled out: a larger slack (load was not what sent requests elsewhere); a cache index from engines' events (late, with gaps).

Change: pearrun/bench (plan checked to be bounded and on loopback; arrivals like a show's audience; faults by schedule; cost, percentiles, tokens; JSON, table, PNG); scripts/bench; routing per service in the team tree; long prompts (affinity_reach characters) have one favourite over all zones; over its limit a prefix goes to its next in rank rather than to any engine; a stopping host says Retry-After: 0.

--- a/pearrun/cli.py
+++ b/pearrun/cli.py
@@ -8,6 +8,7 @@
     pearrun drain ENDPOINT                    stop new work to it
     pearrun burn                              service-level burn report
     pearrun workload FILE                     send a burst, check answers
+    pearrun bench FILE [--out=JSON] [--plot=PNG]   load and experiment tool
     pearrun wait URL...                       wait for /healthz to answer
 """
 
@@ -25,6 +26,10 @@
 from pearrun import exceptions
 from pearrun import settings as settings_module
 from pearrun import workload
+from pearrun.bench import experiment
+from pearrun.bench import plan
+from pearrun.bench import plots
+from pearrun.bench import report
 from pearrun.logservice import LogClient
 
 FLAGS = flags.FLAGS
@@ -33,6 +38,8 @@
 )
 flags.DEFINE_string('log_url', 'http://127.0.0.1:8201', 'Log service URL.')
 flags.DEFINE_string('config_stream', 'config', 'Config stream name.')
+flags.DEFINE_string('out', None, 'bench: write the report here as JSON.')
+flags.DEFINE_string('plot', None, 'bench: draw latency and cost here (PNG).')
 flags.DEFINE_string('team', None, 'config apply: publish only this team.')
 
 USAGE = __doc__
@@ -140,6 +147,19 @@
         raise SystemExit(1)
 
 
+async def run_bench(path):
+    """Play a bench file; print its table, write JSON and plot."""
+    played = experiment.Experiment(plan.load(path))
+    rounds = await played.run()
+    figures = report.build_report(rounds, played.tree)
+    print(report.format_report(figures))
+    if FLAGS.out:
+        with open(FLAGS.out, 'w', encoding='utf-8') as handle:
+            json.dump(figures, handle, indent=2)
+    if FLAGS.plot:
+        plots.draw(rounds, FLAGS.plot)
+
+
 async def wait_healthy(urls, timeout_s=30.0):
     """Wait until every URL's ``/healthz`` answers 200.
 
@@ -176,6 +196,8 @@
             return show_burn()
         case ['workload', path]:
             return run_workload(path)
+        case ['bench', path]:
+            return run_bench(path)
         case ['wait', *urls] if urls:
             return wait_healthy(urls)
     raise absl_app.UsageError(USAGE)
--- a/pearrun/dispatcher.py
+++ b/pearrun/dispatcher.py
@@ -100,7 +100,7 @@
             return job
         if not self.accepting:
             raise exceptions.CapacityError(
-                'this host is stopping', retry_after_s=1
+                'this host is stopping; others are not', retry_after_s=0
             )
         self.router.admit(body.model)
         job = Job(
--- a/pearrun/hosts.py
+++ b/pearrun/hosts.py
@@ -86,6 +86,22 @@
                 logger.debug('cloud API not read', error=repr(exc))
             await asyncio.sleep(to_seconds(self.settings.host.hosts_poll_ms))
 
+    def polled(self):
+        """Return the engines whose load is asked for.
+
+        All of them while a round takes at most a second, else the own
+        zone's.
+        """
+        engines = [
+            e
+            for e in self.router.endpoints.values()
+            if e.kind == BackendKind.ENGINE and e.state == EndpointState.LIVE
+        ]
+        if len(engines) <= self.settings.host.load_polls_per_s:
+            return engines
+        zone = self.settings.host.zone
+        return [e for e in engines if e.zone == zone]
+
     async def read_load(self, endpoint):
         """Refresh one engine's reported load."""
         load = await backends.read_load(self.session, endpoint)
@@ -95,20 +111,15 @@
     async def watch_loads(self):
         """Poll the engines' loads at a bounded rate.
 
-        At most ``load_polls_per_s`` engines are asked a second, those
-        of the daemon's own zone only, so that the cost does not grow
-        with the fleet.
+        At most ``load_polls_per_s`` engines are asked a second, so
+        that the cost does not grow with the fleet.
         """
         gap_s = 1.0 / self.settings.host.load_polls_per_s
-        zone = self.settings.host.zone
         while True:
             started = self.clock.now()
-            for endpoint in list(self.router.endpoints.values()):
-                if endpoint.kind == BackendKind.ENGINE and (
-                    endpoint.zone == zone
-                ):
-                    await self.read_load(endpoint)
-                    await asyncio.sleep(gap_s)
+            for endpoint in self.polled():
+                await self.read_load(endpoint)
+                await asyncio.sleep(gap_s)
             rest_ms = self.settings.host.hosts_poll_ms
             rest_ms -= self.clock.since(started)
             await asyncio.sleep(to_seconds(max(rest_ms, 10)))
--- a/pearrun/metrics.py
+++ b/pearrun/metrics.py
@@ -14,9 +14,15 @@
 class ServiceMetrics:
     """Histograms and counters for one service on one daemon."""
 
-    ttft: HdrHistogram = dataclasses.field(default_factory=lambda: _new())
-    itl: HdrHistogram = dataclasses.field(default_factory=lambda: _new())
-    total: HdrHistogram = dataclasses.field(default_factory=lambda: _new())
+    ttft: HdrHistogram = dataclasses.field(
+        default_factory=lambda: new_histogram()
+    )
+    itl: HdrHistogram = dataclasses.field(
+        default_factory=lambda: new_histogram()
+    )
+    total: HdrHistogram = dataclasses.field(
+        default_factory=lambda: new_histogram()
+    )
     accepted: int = 0
     done: int = 0
     failed: int = 0
@@ -57,7 +63,8 @@
         return self[service]
 
 
-def _new():
+def new_histogram():
+    """Return an empty latency histogram in milliseconds."""
     return HdrHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS)
 
 
@@ -81,7 +88,7 @@
     :param encoded_list: strings from :meth:`ServiceMetrics.to_body`.
     :returns: one :class:`HdrHistogram`.
     """
-    total = _new()
+    total = new_histogram()
     for encoded in encoded_list:
         total.add(decode(encoded))
     return total
--- a/pearrun/router.py
+++ b/pearrun/router.py
@@ -15,6 +15,7 @@
 
 from pearrun import exceptions
 from pearrun.states import EndpointState
+from pearrun.states import RoutingKind
 from pearrun.structures import Endpoint
 
 PREFIX_CHARS = 256
@@ -27,9 +28,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class AffinityPolicy:
-    """Prefix-cache affinity, bounded by load."""
+    """Prefix-cache affinity, bounded by load.
+
+    ``reach`` is the prompt length, in characters, from which on the
+    favourite is sought in all zones: reading a long prompt again costs
+    more than a hop between zones.  ``None`` keeps to the own zone.
+    """
 
     slack: int = 4
+    reach: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +57,39 @@
     return int.from_bytes(digest, 'big')
 
 
+def choose_by_affinity(pool, prompt, slack):
+    """Return the prompt's favourite endpoint, unless it is too busy.
+
+    The endpoints are ranked by rendezvous hash of the prompt's start;
+    the first one that is at most ``slack`` requests busier than the
+    lightest is taken, so that a hot prefix spreads over few endpoints.
+    """
+    key = prompt[:PREFIX_CHARS]
+    limit = min(e.load for e in pool) + slack
+    ranked = sorted(
+        pool, key=lambda e: rendezvous_score(e.id, key), reverse=True
+    )
+    return next(e for e in ranked if e.load <= limit)
+
+
+def policy_of(service):
+    """Return the routing policy that a service's settings ask for.
+
+    :param service: a :class:`ServiceSettings`.
+    """
+    match service.routing:
+        case RoutingKind.AFFINITY:
+            return AffinityPolicy(
+                service.affinity_slack, service.affinity_reach
+            )
+        case RoutingKind.ZONE_AFFINITY:
+            return AffinityPolicy(service.affinity_slack)
+        case RoutingKind.LEAST_LOADED:
+            return LeastLoadedPolicy()
+        case RoutingKind.ROUND_ROBIN:
+            return RoundRobinPolicy()
+
+
 class Router:
     """Keeps the endpoints and picks one per request.
 
@@ -77,15 +117,25 @@
             settings.host.max_load_per_endpoint,
         )
 
-    def candidates(self, service):
-        """Return live endpoints for a service, own zone first."""
+    def candidates(self, service, exclude=(), everywhere=False):
+        """Return the live endpoints that may serve a service.
+
+        :param service: the service name.
+        :param exclude: endpoint ids to leave out.
+        :param everywhere: take those of all zones; else only the own
+            zone's, or all if it has none.
+        :returns: a list of :class:`Endpoint`, sorted by id.
+        """
         live = [
             e
             for e in self.endpoints.values()
-            if service in e.services and e.state == EndpointState.LIVE
+            if service in e.services
+            and e.state == EndpointState.LIVE
+            and e.id not in exclude
         ]
         local = [e for e in live if e.zone == self.zone]
-        return sorted(local or live, key=lambda e: e.id)
+        chosen = live if everywhere else local or live
+        return sorted(chosen, key=lambda e: e.id)
 
     def admit(self, service):
         """Check that a new request of a service can be taken on.
@@ -107,28 +157,27 @@
                 retry_after_s=1,
             )
 
-    def choose(self, service, prompt, exclude=()):
+    def choose(self, service, prompt, exclude=(), policy=None):
         """Pick an endpoint for a request.
 
         :param service: the service name.
         :param prompt: the prompt text (its start is the affinity key).
         :param exclude: endpoint ids to leave out (already failed).
+        :param policy: a policy data class; the router's own by default.
         :returns: an :class:`Endpoint`.
         :raises NoEndpointError: no live endpoint serves the service.
         """
-        pool = [e for e in self.candidates(service) if e.id not in exclude]
+        policy = policy or self.policy
+        reach = getattr(policy, 'reach', None)
+        everywhere = reach is not None and len(prompt) >= reach
+        pool = self.candidates(service, exclude, everywhere)
         if not pool:
             raise exceptions.NoEndpointError(
                 f'no live endpoint serves {service!r}', retry_after_s=1
             )
-        match self.policy:
+        match policy:
             case AffinityPolicy(slack=slack):
-                key = prompt[:PREFIX_CHARS]
-                best = max(pool, key=lambda e: rendezvous_score(e.id, key))
-                lightest = min(pool, key=lambda e: e.load)
-                if best.load - lightest.load > slack:
-                    return lightest
-                return best
+                return choose_by_affinity(pool, prompt, slack)
             case LeastLoadedPolicy():
                 return min(pool, key=lambda e: e.load)
             case RoundRobinPolicy():
--- a/pearrun/runner.py
+++ b/pearrun/runner.py
@@ -17,6 +17,7 @@
 from pearrun.backoff import Backoff
 from pearrun.clock import Clock
 from pearrun.handoff import move_cache
+from pearrun.router import policy_of
 from pearrun.states import BackendKind
 from pearrun.states import EndpointState
 from pearrun.states import RequestState
@@ -61,7 +62,7 @@
             if service.idempotent:
                 await self.run_repeatable(job, service)
             else:
-                await self.run_once(job)
+                await self.run_once(job, service)
         except exceptions.PearrunError as exc:
             counters.failed += 1
             await job.publish(state=RequestState.FAILED, failure=exc)
@@ -86,12 +87,12 @@
             tokens=len(job.tokens),
         )
 
-    async def choose(self, job, tried, backoff):
+    async def choose(self, job, service, tried, backoff):
         """Pick an endpoint, waiting for one as long as it takes."""
         while True:
             try:
                 return self.router.choose(
-                    job.service, job.prompt, exclude=tried
+                    job.service, job.prompt, tried, policy_of(service)
                 )
             except exceptions.NoEndpointError:
                 tried.clear()
@@ -108,7 +109,9 @@
         backoff = Backoff()
         refuge = await self.revisit(job)
         while True:
-            endpoint = refuge or await self.choose(job, tried, backoff)
+            endpoint = refuge or await self.choose(
+                job, service, tried, backoff
+            )
             refuge = None
             progress = len(job.tokens)
             try:
@@ -256,7 +259,7 @@
             )
         await backends.cancel_stream(self.session, source, job)
 
-    async def run_once(self, job):
+    async def run_once(self, job, service):
         """Make a non-idempotent call, or learn what became of it.
 
         :raises OutcomeUnknownError: it may have run.
@@ -284,7 +287,7 @@
             await self.finish_call(job, await self.wait_outcome(key))
             return
         try:
-            text = await self.call_once(job)
+            text = await self.call_once(job, service)
         except exceptions.BackendError as exc:
             await self.claims.publish(key, claims_module.UNKNOWN)
             raise exceptions.OutcomeUnknownError(
@@ -299,7 +302,7 @@
             key, self.settings.host.stall_ms, self.membership.is_gone
         )
 
-    async def call_once(self, job):
+    async def call_once(self, job, service):
         """Make a claimed call; only a call that cannot have run is retried.
 
         :returns: the service's answer.
@@ -308,7 +311,7 @@
         tried = set()
         backoff = Backoff()
         while True:
-            endpoint = await self.choose(job, tried, backoff)
+            endpoint = await self.choose(job, service, tried, backoff)
             try:
                 with self.occupy(job, endpoint):
                     return await backends.call_service(
--- a/pearrun/settings.py
+++ b/pearrun/settings.py
@@ -19,6 +19,7 @@
 from pearrun import exceptions
 from pearrun.states import BackendKind
 from pearrun.states import Priority
+from pearrun.states import RoutingKind
 
 DEFAULT_TTFT_MS = 460
 DEFAULT_ITL_MS = 77
@@ -102,6 +103,9 @@
     priority: Priority = Priority.NORMAL
     max_tokens: int = pydantic.Field(default=256, ge=1)
     model: str | None = None
+    routing: RoutingKind = RoutingKind.AFFINITY
+    affinity_slack: int = pydantic.Field(default=4, ge=0)
+    affinity_reach: int = pydantic.Field(default=1500, ge=0)
     targets: Targets = Targets()
 
     @pydantic.field_validator('priority', mode='before')
--- a/pearrun/standins/cloud.py
+++ b/pearrun/standins/cloud.py
@@ -6,6 +6,7 @@
 - ``GET /v1/notices?since=N``: reclaim notices, at once.
 - ``POST /v1/hosts`` ``{zone}``: ask for a replacement host; refused
   with ``503`` when the stand-in is set to refuse.
+- ``POST /admin/refuse`` ``{refuse}``: refuse replacements or not.
 - ``POST /admin/reclaim`` ``{zone, notice_ms}``: reclaim a whole zone.
 """
 
@@ -37,6 +38,8 @@
         self.changes = []
         self.notices = []
         self.notice_seq = itertools.count(1)
+        self.refusing = config.refuse_replacements
+        self.new_hosts = itertools.count(1)
 
     def host_list(self):
         """Return hosts with states as of ``list_lag_ms`` ago."""
@@ -50,6 +53,12 @@
             for host in sorted(self.zones)
         ]
 
+    def add_host(self, zone):
+        """Grant a replacement host; return its id."""
+        host = f'replacement-{zone}-{next(self.new_hosts)}'
+        self.zones[host] = zone
+        return host
+
     def reclaim(self, zone, notice_ms):
         """Announce the reclaim of every host in a zone."""
         now = self.clock.now()
@@ -85,9 +94,16 @@
 
     @app.post('/v1/hosts')
     async def request_host(request):
-        if config.refuse_replacements:
+        if cloud.refusing:
             return response.json({'error': 'no capacity'}, status=503)
-        return response.json({'error': 'not modelled'}, status=501)
+        zone = str((request.json or {}).get('zone', ''))
+        host = cloud.add_host(zone)
+        return response.json({'id': host, 'zone': zone}, status=201)
+
+    @app.post('/admin/refuse')
+    async def refuse(request):
+        cloud.refusing = bool((request.json or {}).get('refuse', True))
+        return response.json({'refusing': cloud.refusing})
 
     @app.post('/admin/reclaim')
     async def reclaim(request):
--- a/pearrun/standins/engine.py
+++ b/pearrun/standins/engine.py
@@ -15,6 +15,7 @@
 - ``POST /v1/orders`` ``{kind, value, fencing}``: load a model or
   adapter, or change role; refused when ``fencing`` is older than one
   already seen, if this engine enforces fencing.
+- ``POST /admin/forget`` empties the prefix cache, between rounds.
 - ``GET /v1/stats`` and ``GET /v1/started``: counters for tests, and
   how often each request was begun.
 """
@@ -270,6 +271,11 @@
     async def started(request):
         return response.json({'started': dict(engine.started)})
 
+    @app.post('/admin/forget')
+    async def forget(request):
+        engine.cache.clear()
+        return response.json({'forgotten': True})
+
     @app.get('/healthz')
     async def health(request):
         return response.json({'ok': True, 'id': config.endpoint_id})
--- a/pearrun/standins/service.py
+++ b/pearrun/standins/service.py
@@ -45,6 +45,14 @@
     async def list_executions(request):
         return response.json({'executions': dict(executions)})
 
+    @app.get('/v1/stats')
+    async def stats(request):
+        return response.json({'executions': dict(executions)})
+
+    @app.post('/admin/forget')
+    async def forget(request):
+        return response.json({'forgotten': False})
+
     @app.get('/healthz')
     async def health(request):
         return response.json({'ok': True, 'id': config.endpoint_id})
--- a/pearrun/states.py
+++ b/pearrun/states.py
@@ -36,6 +36,15 @@
     BATCH = 2
 
 
+class RoutingKind(enum.Enum):
+    """How a service's requests are spread over its endpoints."""
+
+    AFFINITY = 'affinity'
+    ZONE_AFFINITY = 'zone_affinity'
+    LEAST_LOADED = 'least_loaded'
+    ROUND_ROBIN = 'round_robin'
+
+
 class MemberState(enum.Enum):
     """What a daemon says of itself in its beats."""
 
--- a/pearrun/web.py
+++ b/pearrun/web.py
@@ -1,5 +1,8 @@
 """Small helpers around sanic shared by the daemon and the stand-ins."""
 
+import asyncio
+import os
+
 from sanic import response
 
 from pearrun import exceptions
@@ -30,11 +33,13 @@
     )
 
 
-def count_traffic(app):
-    """Count the requests and bytes an app serves, for measurements.
+def install_admin(app):
+    """Add what tests and measurements need of any stand-in.
 
     ``GET /admin/traffic`` answers ``{requests, bytes}``: heads and
     bodies of requests, and bodies of responses that are not streamed.
+    ``POST /admin/die`` ``{after_ms}`` ends the process without notice,
+    as a host that is taken away does.
     """
     counts = {'requests': 0, 'bytes': 0}
 
@@ -48,6 +53,12 @@
     async def traffic(request):
         return response.json(counts)
 
+    @app.post('/admin/die')
+    async def die(request):
+        after_ms = int((request.json or {}).get('after_ms', 0))
+        asyncio.get_running_loop().call_later(after_ms / 1000, os._exit, 1)
+        return response.json({'after_ms': after_ms})
+
 
 def error_response(exc, headers=None):
     """Turn a :class:`PearrunError` into a JSON response.
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -50,6 +50,38 @@
     assert router.choose('pearrun-oficina', prefix + tail) is first
 
 
+@given(tail=st.text(max_size=50))
+def test_long_prompts_have_one_favourite_over_all_zones(tail):
+    """Every zone's daemons send them where the prefix is cached."""
+    policy = router_module.AffinityPolicy(reach=300)
+    prompt = 'p' * 300 + tail
+    chosen = set()
+    for zone in ('boa-viagem', 'santo-amaro'):
+        router = make_router(policy)
+        router.zone = zone
+        chosen.add(router.choose('pearrun-oficina', prompt).id)
+    assert len(chosen) == 1
+
+
+def test_short_prompts_stay_in_the_zone():
+    policy = router_module.AffinityPolicy(reach=300)
+    for number in range(50):
+        router = make_router(policy, local=2, remote=8)
+        chosen = router.choose('pearrun-oficina', f'short {number}')
+        assert chosen.zone == 'boa-viagem'
+
+
+def test_hot_prefix_spreads_over_few_endpoints():
+    """Over its limit, the next in rank is taken, not just any."""
+    router = make_router(router_module.AffinityPolicy(slack=2), local=8)
+    used = []
+    for _ in range(6):
+        endpoint = router.choose('pearrun-oficina', 'hot prefix')
+        endpoint.in_flight += 1
+        used.append(endpoint.id)
+    assert len(set(used)) == 2
+
+
 def test_affinity_yields_to_load():
     router = make_router(router_module.AffinityPolicy(slack=2))
     favourite = router.choose('pearrun-oficina', 'same prefix')
