A host back from a partition accepts its first request; idle polls halved

Change: an acceptance that found the seal is written again to the new stream under a new id, which nobody has been told yet.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -49,8 +49,9 @@
 DAEMON = f'{ZONE}-1'
 ENGINE = f'engine-{ZONE}-1'
 PRODUCTION_HOST = {
-    'config_poll_ms': 250,
-    'hosts_poll_ms': 250,
+    'config_poll_ms': 500,
+    'hosts_poll_ms': 500,
+    'loads_poll_ms': 250,
     'members_poll_ms': 500,
     'beat_ms': 1000,
     'heartbeat_ms': 500,
--- a/pearrun/dispatcher.py
+++ b/pearrun/dispatcher.py
@@ -130,7 +130,7 @@
         """
         counters = self.metrics.of(job.service)
         try:
-            await self.journal.accept(describe_acceptance(job))
+            await self.journal_acceptance(job)
         except exceptions.PearrunError:
             self.by_key.pop(job.idempotency_key, None)
             counters.rejected += 1
@@ -140,6 +140,21 @@
         self.start(job, service)
         return job
 
+    async def journal_acceptance(self, job):
+        """Write a job's acceptance to the journal.
+
+        A host that was cut off may find its journal sealed.  Then the
+        acceptance has not landed, nobody knows the job's id yet, and
+        it is written to the newly opened stream under a new one.
+
+        :raises CapacityError: it could not be journaled.
+        """
+        try:
+            await self.journal.accept(describe_acceptance(job))
+        except exceptions.StreamSealedError:
+            job.id = journal_module.new_request_id(self.journal.stream)
+            await self.journal.accept(describe_acceptance(job))
+
     async def serve(self, job, service):
         """Start a job at once and journal it meanwhile.
 
--- a/pearrun/hosts.py
+++ b/pearrun/hosts.py
@@ -1,6 +1,7 @@
 """Watching endpoints: reclaim notices, the host list, load reports."""
 
 import asyncio
+import itertools
 
 import aiohttp
 from loguru import logger
@@ -11,6 +12,9 @@
 from pearrun.states import BackendKind
 from pearrun.states import EndpointState
 
+LIST_EVERY = 4
+IDLE_MS = 2000
+MIN_REST_MS = 10
 CLOUD_TIMEOUT = aiohttp.ClientTimeout(total=2)
 
 
@@ -53,8 +57,8 @@
             )
             self.announce(endpoint_id)
 
-    async def read_cloud(self):
-        """Read new reclaim notices and the host list once."""
+    async def read_notices(self):
+        """Read new reclaim notices once."""
         base = self.settings.platform.cloud_url.rstrip('/')
         params = {'since': str(self.notice_seq)}
         async with self.session.get(
@@ -67,6 +71,10 @@
             if notice['id'] == self.settings.host.name:
                 self.on_reclaim(at_ms)
             self.mark_leaving(notice['id'], 'notice', at_ms)
+
+    async def read_host_list(self):
+        """Read the cloud's lagging host list once."""
+        base = self.settings.platform.cloud_url.rstrip('/')
         async with self.session.get(
             f'{base}/v1/hosts', timeout=CLOUD_TIMEOUT
         ) as reply:
@@ -79,9 +87,11 @@
         """Poll the cloud for the daemon's whole life."""
         if not self.settings.platform.cloud_url:
             return
-        while True:
+        for poll in itertools.count():
             try:
-                await self.read_cloud()
+                await self.read_notices()
+                if poll % LIST_EVERY == 0:
+                    await self.read_host_list()
             except (aiohttp.ClientError, OSError, ValueError, KeyError) as exc:
                 logger.debug('cloud API not read', error=repr(exc))
             await asyncio.sleep(to_seconds(self.settings.host.hosts_poll_ms))
@@ -109,17 +119,23 @@
             endpoint.reported_load = max(0, load - endpoint.in_flight)
 
     async def watch_loads(self):
-        """Poll the engines' loads at a bounded rate.
+        """Poll the engines' loads at a bounded rate, while in use.
 
         At most ``load_polls_per_s`` engines are asked a second, so
-        that the cost does not grow with the fleet.
+        that the cost does not grow with the fleet, and none while no
+        request was routed for :data:`IDLE_MS`.
         """
         gap_s = 1.0 / self.settings.host.load_polls_per_s
+        rest_ms = self.settings.host.loads_poll_ms
         while True:
             started = self.clock.now()
+            if started - self.router.used_ms > IDLE_MS:
+                for endpoint in self.router.endpoints.values():
+                    endpoint.reported_load = 0
+                await asyncio.sleep(to_seconds(rest_ms))
+                continue
             for endpoint in self.polled():
                 await self.read_load(endpoint)
                 await asyncio.sleep(gap_s)
-            rest_ms = self.settings.host.hosts_poll_ms
-            rest_ms -= self.clock.since(started)
-            await asyncio.sleep(to_seconds(max(rest_ms, 10)))
+            left_ms = rest_ms - self.clock.since(started)
+            await asyncio.sleep(to_seconds(max(left_ms, MIN_REST_MS)))
--- a/pearrun/router.py
+++ b/pearrun/router.py
@@ -14,6 +14,7 @@
 import itertools
 
 from pearrun import exceptions
+from pearrun.clock import Clock
 from pearrun.states import EndpointState
 from pearrun.states import RoutingKind
 from pearrun.structures import Endpoint
@@ -106,6 +107,8 @@
         self.max_load = max_load
         self.policy = policy or AffinityPolicy()
         self.turn = itertools.count()
+        self.clock = Clock()
+        self.used_ms = self.clock.now()
 
     @classmethod
     def from_settings(cls, settings, policy=None):
@@ -167,6 +170,7 @@
         :returns: an :class:`Endpoint`.
         :raises NoEndpointError: no live endpoint serves the service.
         """
+        self.used_ms = self.clock.now()
         policy = policy or self.policy
         reach = getattr(policy, 'reach', None)
         everywhere = reach is not None and len(prompt) >= reach
--- a/pearrun/settings.py
+++ b/pearrun/settings.py
@@ -47,8 +47,9 @@
     peers: list[str] = []
     heartbeat_ms: int = pydantic.Field(default=500, ge=50)
     peer_timeout_ms: int = pydantic.Field(default=2000, ge=100)
-    config_poll_ms: int = pydantic.Field(default=250, ge=20)
-    hosts_poll_ms: int = pydantic.Field(default=250, ge=20)
+    config_poll_ms: int = pydantic.Field(default=500, ge=20)
+    hosts_poll_ms: int = pydantic.Field(default=500, ge=20)
+    loads_poll_ms: int = pydantic.Field(default=250, ge=20)
     retry_after_s: int = pydantic.Field(default=1, ge=1)
     beat_ms: int = pydantic.Field(default=1000, ge=20)
     members_poll_ms: int = pydantic.Field(default=500, ge=20)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from pearrun import entries
 from pearrun import journal as journal_module
 from pearrun.config import ConfigFollower
 from pearrun.dispatcher import Dispatcher
@@ -117,6 +118,22 @@
     assert adopted.attempts == 1
 
 
+def test_host_that_finds_its_journal_sealed_accepts_into_a_new_one():
+    """As after a partition: the first caller is not to be refused."""
+
+    async def scenario(log, dispatcher):
+        old = dispatcher.journal.stream
+        seal = entries.to_value(entries.Sealed(by='requests.other.1'))
+        await log.append(old, {'batch': 'seal', 'entries': [seal]})
+        job = await submit(dispatcher)
+        new = dispatcher.journal.stream
+        return old, job, await read_ledger(log, new)
+
+    old, job, ledger = play(scenario)
+    assert set(ledger.unfinished) == {job.id}
+    assert journal_module.stream_of(job.id) == ledger.stream != old
+
+
 def test_caller_that_leaves_while_being_accepted_leaves_no_orphan():
     """A journaled request is run although its caller has gone."""
 
