--- a/pearrun/backends.py
+++ b/pearrun/backends.py
@@ -49,7 +49,7 @@
 
 
 async def read_lines(reply, stall_ms):
-    """Iterate over an answer's JSON lines; silence ends it.
+    """Iterate over an answer's lines as they come; silence ends it.
 
     :raises TimeoutError: no line came for ``stall_ms``.
     """
@@ -60,7 +60,7 @@
     try:
         async for raw in reply.content:
             watchdog.hear()
-            yield orjson.loads(raw)
+            yield raw
     finally:
         watchdog.stop()
 
@@ -107,7 +107,8 @@
                 )
             lines = read_lines(reply, host.stall_ms)
             async with contextlib.aclosing(lines):
-                async for line in lines:
+                async for raw in lines:
+                    line = orjson.loads(raw)
                     if line.get('done'):
                         yield None, line.get('finish_reason', 'length')
                         return
--- /dev/null
+++ b/pearrun/calls.py
@@ -0,0 +1,107 @@
+"""Non-idempotent calls: made at most once, whoever retries them."""
+
+import dataclasses
+
+from pearrun import backends
+from pearrun import claims as claims_module
+from pearrun import exceptions
+from pearrun.backoff import Backoff
+
+
+@dataclasses.dataclass(frozen=True)
+class CallOutcome:
+    """What became of a call.
+
+    ``failure`` is set when it may have run and gave no answer.
+    ``publish`` is what the log is to be told, ``None`` when another
+    host made the call.
+    """
+
+    text: str | None = None
+    failure: exceptions.PearrunError | None = None
+    publish: str | None = None
+
+
+class OnceCaller:
+    """Claims keys and makes their calls.
+
+    :param settings: the daemon's whole :class:`Settings`.
+    :param session: an :class:`aiohttp.ClientSession` for back ends.
+    :param claims: a :class:`KeyClaims`.
+    :param journal: the daemon's :class:`Journal`.
+    :param membership: the daemon's :class:`Membership`.
+    :param places: a :class:`Placement` that picks endpoints.
+    """
+
+    def __init__(self, settings, session, claims, journal, membership, places):
+        self.settings = settings
+        self.session = session
+        self.claims = claims
+        self.journal = journal
+        self.membership = membership
+        self.places = places
+
+    async def call(self, job, service):
+        """Make a job's call, or learn what became of it elsewhere.
+
+        :returns: a :class:`CallOutcome`; its ``publish`` has not been
+            done yet, so that no caller waits for the log.
+        :raises IdempotencyMismatchError: the key belongs to another
+            request.
+        :raises OutcomeUnknownError: another host's call may have run.
+        :raises CapacityError: another host is still making the call.
+        """
+        key = job.idempotency_key
+        digest = claims_module.digest_of(job.prompt)
+        claim = await self.claim(key, digest)
+        if claim.digest != digest:
+            raise exceptions.IdempotencyMismatchError(
+                'this Idempotency-Key was used for another request'
+            )
+        if not claim.won:
+            text = await self.claims.wait_outcome(
+                key, self.settings.host.stall_ms, self.membership.is_gone
+            )
+            return CallOutcome(text)
+        try:
+            text = await self.make(job, service)
+        except exceptions.BackendError as exc:
+            failure = exceptions.OutcomeUnknownError(
+                f'the call may have run; it is not repeated: {exc.message}'
+            )
+            return CallOutcome(failure=failure, publish=claims_module.UNKNOWN)
+        return CallOutcome(text, publish=claims_module.ANSWERED)
+
+    async def claim(self, key, digest):
+        """Claim a key, however long the log is down.
+
+        :returns: a :class:`Claim`.
+        """
+        attempt = claims_module.new_attempt()
+        backoff = Backoff()
+        while True:
+            try:
+                return await self.claims.claim(
+                    key, self.journal.stream, digest, attempt
+                )
+            except exceptions.CapacityError:
+                await backoff.pause()
+
+    async def make(self, job, service):
+        """Make a claimed call; only one that cannot have run is retried.
+
+        :returns: the service's answer.
+        :raises BackendError: the call may have run.
+        """
+        tried = set()
+        backoff = Backoff()
+        while True:
+            endpoint = await self.places.choose(job, service, tried, backoff)
+            try:
+                with self.places.occupy(job, endpoint):
+                    return await backends.call_service(
+                        self.session, endpoint, job, self.settings.host
+                    )
+            except exceptions.EndpointUnreachableError:
+                tried.add(endpoint.id)
+                await backoff.pause()
--- a/pearrun/cli.py
+++ b/pearrun/cli.py
@@ -53,21 +53,9 @@
     return LogClient(session, platform)
 
 
-def read_tree(path):
-    """Read a team tree from a tree file or a whole settings file."""
-    try:
-        with open(path, encoding='utf-8') as handle:
-            source = handle.read()
-    except OSError as exc:
-        raise exceptions.SettingsError(f'{path}: {exc.strerror}') from exc
-    return settings_module.parse_yaml(
-        source, settings_module.TeamTree, source=path
-    )
-
-
 async def apply_config(path):
     """Publish a team tree; print its version."""
-    tree = read_tree(path)
+    tree = settings_module.load_yaml(path, settings_module.TeamTree)
     async with aiohttp.ClientSession() as session:
         version, offset = await config.publish(
             log_client(session), FLAGS.config_stream, tree, FLAGS.team
--- a/pearrun/daemon.py
+++ b/pearrun/daemon.py
@@ -20,9 +20,9 @@
 from pearrun import settings as settings_module
 from pearrun import web
 from pearrun.claims import KeyClaims
-from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.config import ConfigFollower
+from pearrun.departure import Departure
 from pearrun.dispatcher import Dispatcher
 from pearrun.hosts import HostWatcher
 from pearrun.journal import Journal
@@ -32,22 +32,18 @@
 from pearrun.members import Membership
 from pearrun.metrics import MetricsTable
 from pearrun.orders import OrderKeeper
+from pearrun.pace import Pace
 from pearrun.peers import Peers
 from pearrun.recovery import Recovery
 from pearrun.router import Router
 from pearrun.runner import Runner
 from pearrun.states import EndpointState
-from pearrun.states import MemberState
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string('settings', None, 'Path of the YAML settings file.')
 flags.DEFINE_enum('log_format', 'text', ['text', 'json'], 'Log format.')
 flags.DEFINE_string('log_level', 'INFO', 'Lowest log level written.')
 
-BACKGROUND_GRACE_S = 2
-HANDOVER_MS = 3000
-READERS_POLL_MS = 50
-
 
 class Daemon:
     """The parts of one daemon, built from its whole settings.
@@ -62,13 +58,13 @@
         self.router = Router.from_settings(settings)
         self.peers = None
         self.metrics = MetricsTable()
-        self.state = MemberState.LIVE
         self.session = None
         self.journal = None
         self.config = None
         self.membership = None
         self.dispatcher = None
         self.lookup = None
+        self.departure = None
         self.hosts = None
         self.orders = None
         self.recovery = None
@@ -84,7 +80,8 @@
         log = LogClient(self.session, settings.platform)
         self.config = ConfigFollower(log, settings, self.on_config)
         self.peers = Peers(settings, self.router, self.config)
-        self.journal = Journal(log, settings, self.on_sealed)
+        pace = Pace(settings.platform.appends_per_s, self.count_daemons)
+        self.journal = Journal(log, settings, self.on_sealed, pace)
         self.membership = Membership(
             log, settings, self.describe, self.hear_leaving
         )
@@ -106,14 +103,26 @@
             self.metrics,
         )
         self.lookup = Lookup(
-            log, self.session, self.dispatcher, self.membership, self.journal
+            settings,
+            log,
+            self.session,
+            self.dispatcher,
+            self.membership,
+            self.journal,
+        )
+        self.departure = Departure(
+            settings,
+            self.dispatcher,
+            self.journal,
+            self.lookup,
+            self.membership,
         )
         self.hosts = HostWatcher(
             self.session,
             settings,
             self.router,
             self.announce_leaving,
-            self.on_reclaim,
+            self.departure.on_reclaim,
         )
         self.orders = OrderKeeper(
             self.session,
@@ -135,7 +144,9 @@
         self.build()
         work = {
             'journal': self.journal.run(),
-            'progress': self.dispatcher.keep_saving(),
+            'progress': self.dispatcher.saver.keep_saving(
+                self.dispatcher.list_running
+            ),
             'config': self.config.follow(),
             'beats': self.membership.keep_beating(),
             'recovery': self.watch_members(),
@@ -143,7 +154,7 @@
             'loads': self.hosts.watch_loads(),
             'orders': self.orders.watch(),
         }
-        for url in self.settings.host.peers:
+        for url in self.peers.links:
             work[url] = self.peers.keep_link(url)
         self.tasks = [
             asyncio.create_task(coroutine, name=name)
@@ -185,41 +196,12 @@
         await self.recovery.watch()
 
     async def stop(self):
-        """Finish in-flight work, tell the others, close everything.
-
-        What does not end within ``drain_timeout_ms`` is handed over:
-        another host goes on with it, and callers here are answered
-        from there.
-        """
-        logger.info('daemon stopping; finishing in-flight requests')
-        self.dispatcher.accepting = False
-        self.state = MemberState.STOPPING
-        self.membership.beat_now.set()
-        host = self.settings.host
-        try:
-            async with asyncio.timeout(to_seconds(host.drain_timeout_ms)):
-                await self.dispatcher.drain()
-        except TimeoutError:
-            logger.warning('drain timed out; handing requests over')
-            await self.dispatcher.hand_over()
-        try:
-            async with asyncio.timeout(BACKGROUND_GRACE_S):
-                await self.journal.flush()
-        except TimeoutError:
-            logger.warning('journal not written to its end')
-        self.state = MemberState.LEFT
-        await self.membership.beat()
-        await self.wait_for_readers()
+        """Leave, then close everything."""
+        await self.departure.stop()
         for task in self.tasks:
             task.cancel()
         await self.session.close()
 
-    async def wait_for_readers(self):
-        """Let callers whose requests were handed over get their answers."""
-        deadline = Clock().now() + self.settings.host.drain_timeout_ms
-        while self.lookup.followers and Clock().now() < deadline:
-            await asyncio.sleep(to_seconds(READERS_POLL_MS))
-
     def describe(self):
         """Return this daemon as a :class:`Member`, for its beats."""
         listen = self.settings.host.listen
@@ -228,51 +210,32 @@
             stream=self.journal.stream,
             zone=self.settings.host.zone,
             url=f'http://{listen.host}:{listen.port}',
-            state=self.state,
+            state=self.departure.state,
             config_version=self.config.tree.version,
             leaving=tuple(self.router.leaving()),
         )
 
     def on_config(self):
         """Act on a newer team tree being in force."""
-        self.peers.broadcast_config()
         self.membership.beat_now.set()
 
+    def count_daemons(self):
+        """Return how many daemons share the log's append rate."""
+        return len(self.membership.live())
+
     def announce_leaving(self, endpoint_id):
         """Tell every daemon that an endpoint takes no new work.
 
         Peers of the zone hear it over their links, the other zones
         through the next beat, which is sent at once.
         """
-        self.peers.broadcast({'type': 'leaving', 'endpoint': endpoint_id})
+        self.peers.broadcast_leaving(endpoint_id)
         self.membership.beat_now.set()
 
     def hear_leaving(self, endpoint_id):
         """Note an endpoint that another daemon reports as leaving."""
         self.router.mark(endpoint_id, EndpointState.LEAVING)
 
-    def on_reclaim(self, at_ms):
-        """Act on the announced reclaim of this daemon's own host."""
-        if self.state == MemberState.LIVE:
-            logger.warning('this host is being reclaimed')
-            self.dispatcher.accepting = False
-            self.state = MemberState.STOPPING
-            self.membership.beat_now.set()
-            self.tasks.append(asyncio.create_task(self.leave_by(at_ms)))
-
-    async def leave_by(self, at_ms):
-        """Hand unfinished requests over before this host goes away."""
-        left_ms = at_ms - Clock().now()
-        patience_ms = max(left_ms // 2, left_ms - HANDOVER_MS)
-        try:
-            async with asyncio.timeout(to_seconds(max(0, patience_ms))):
-                await self.dispatcher.drain()
-        except TimeoutError:
-            logger.warning('handing unfinished requests over')
-            await self.dispatcher.hand_over()
-        self.state = MemberState.LEFT
-        self.membership.beat_now.set()
-
     def on_sealed(self):
         """Act on another host having taken over this host's journal.
 
--- a/pearrun/dispatcher.py
+++ b/pearrun/dispatcher.py
@@ -4,7 +4,6 @@
 
 from loguru import logger
 
-from pearrun import entries
 from pearrun import exceptions
 from pearrun import journal as journal_module
 from pearrun.clock import Clock
@@ -12,6 +11,9 @@
 from pearrun.ids import CustomerId
 from pearrun.ids import IdempotencyKey
 from pearrun.ids import ServiceName
+from pearrun.saving import describe_acceptance
+from pearrun.saving import describe_end
+from pearrun.saving import Saver
 from pearrun.states import RequestState
 from pearrun.structures import Job
 
@@ -40,6 +42,7 @@
         self.runner = runner
         self.metrics = metrics
         self.clock = Clock()
+        self.saver = Saver(settings, journal)
         self.jobs = {}
         self.by_key = {}
         self.running = {}
@@ -217,7 +220,7 @@
     def start(self, job, service):
         """Run a journaled job in a task of its own."""
         self.jobs[job.id] = job
-        job.saved_ms = self.clock.now()
+        self.saver.begin(job)
         task = asyncio.create_task(self.runner.run(job, service), name=job.id)
         self.running[job.id] = task
         task.add_done_callback(lambda done: self.end(job, done))
@@ -240,15 +243,7 @@
         asyncio.get_running_loop().call_later(
             to_seconds(self.settings.host.answer_keep_ms), self.forget, job
         )
-        return self.journal.enqueue(
-            entries.Finished(
-                id=job.id,
-                state=job.state.value,
-                tokens=tuple(job.tokens),
-                finish_reason=job.finish_reason,
-                error=job.failure.to_body() if job.failure else None,
-            )
-        )
+        return self.journal.enqueue(describe_end(job))
 
     def forget(self, job):
         """Drop a finished job; its answer is on the log from here on."""
@@ -278,41 +273,10 @@
             self.jobs.pop(job.id, None)
             self.by_key.pop(job.idempotency_key, None)
 
-    def save(self, job):
-        """Bring the journal up to date about a running job.
-
-        Its acceptance is written again before the log's retention
-        drops it, and the tokens it got since the last time are added.
-        """
-        if job.saving is not None and not job.saving.done():
-            return
-        now = self.clock.now()
-        keep_ms = self.settings.platform.retention_ms // 2
-        if now - job.saved_ms >= keep_ms:
-            job.saving = self.journal.enqueue(describe_acceptance(job))
-            job.saved_ms = now
-            job.saved = 0
-        if self.settings.host.save_progress and len(job.tokens) > job.saved:
-            job.saving = self.journal.enqueue(
-                entries.Progress(
-                    id=job.id,
-                    start=job.saved,
-                    tokens=tuple(job.tokens[job.saved :]),
-                    endpoint=job.endpoint,
-                )
-            )
-            job.saved = len(job.tokens)
-
-    async def keep_saving(self):
-        """Save the running jobs' progress for the daemon's whole life."""
-        retention_ms = self.settings.platform.retention_ms
-        pause_ms = min(self.settings.host.progress_ms, retention_ms // 8)
-        while True:
-            await asyncio.sleep(to_seconds(pause_ms))
-            for request_id in list(self.running):
-                job = self.jobs.get(request_id)
-                if job is not None:
-                    self.save(job)
+    def list_running(self):
+        """Return the running jobs that are still this daemon's."""
+        found = [self.jobs.get(request_id) for request_id in self.running]
+        return [job for job in found if job is not None]
 
     async def hand_over(self):
         """Stop the running jobs so that another host goes on with them.
@@ -324,7 +288,7 @@
             job = self.jobs.pop(request_id)
             task.cancel()
             job.saving = None
-            self.save(job)
+            self.saver.save(job)
             await job.publish(handed_over=True)
         await self.journal.flush()
 
@@ -373,16 +337,3 @@
 def note_landing(job, landed):
     """Note that a job's acceptance is on the log, if it is."""
     job.durable = not landed.cancelled() and landed.exception() is None
-
-
-def describe_acceptance(job):
-    """Return a job's acceptance as a journal entry."""
-    return entries.Accepted(
-        id=job.id,
-        customer=job.customer,
-        service=job.service,
-        prompt=job.prompt,
-        max_tokens=job.max_tokens,
-        seed=job.seed,
-        idempotency_key=job.idempotency_key,
-    )
--- a/pearrun/intake.py
+++ b/pearrun/intake.py
@@ -167,6 +167,15 @@
     }
 
 
+async def check_known(daemon, request_id):
+    """Refuse an unknown id; one whose host is changing is waited for.
+
+    :raises UnknownRequestError: no request has this id.
+    """
+    with contextlib.suppress(exceptions.RequestMovingError):
+        await daemon.lookup.locate(request_id)
+
+
 async def request_status(daemon, request, request_id):
     """Answer a caller about a request, wherever it is held."""
     local = request.args.get('local') == 'true'
@@ -175,11 +184,11 @@
     skip = set()
     if request.args.get('stream') == 'true':
         start = parse_start(request)
-        await daemon.lookup.locate(request_id)
+        await check_known(daemon, request_id)
         tokens = daemon.lookup.follow(request_id, start)
         return await send_events(request, request_id, None, tokens)
     if request.args.get('wait') == 'true':
-        await daemon.lookup.locate(request_id)
+        await check_known(daemon, request_id)
         async for _ in daemon.lookup.follow(request_id):
             pass
     while True:
--- a/pearrun/journal.py
+++ b/pearrun/journal.py
@@ -82,12 +82,14 @@
     :param settings: the daemon's whole :class:`Settings`.
     :param on_sealed: called without arguments when another host has
         sealed the stream and a new one has been opened.
+    :param pace: a :class:`Pace` to keep to, or ``None``.
     """
 
-    def __init__(self, log, settings, on_sealed=None):
+    def __init__(self, log, settings, on_sealed=None, pace=None):
         self.log = log
         self.settings = settings
         self.on_sealed = on_sealed
+        self.pace = pace
         self.clock = Clock()
         self.retry_s = to_seconds(
             max(1, settings.platform.timeout_ms // RETRIES_PER_TIMEOUT)
@@ -151,6 +153,8 @@
             await self.wake.wait()
             self.wake.clear()
             while self.waiting:
+                if self.pace is not None:
+                    await asyncio.sleep(to_seconds(self.pace.take()))
                 self.drop_overdue()
                 count = min(MAX_BATCH, len(self.waiting))
                 batch = [self.waiting.popleft() for _ in range(count)]
--- a/pearrun/lookup.py
+++ b/pearrun/lookup.py
@@ -14,6 +14,7 @@
 import orjson
 
 from pearrun import exceptions
+from pearrun.backends import read_lines
 from pearrun.backoff import Backoff
 from pearrun.entries import Finished
 from pearrun.journal import PREFIX
@@ -51,6 +52,7 @@
 class Lookup:
     """Finds requests and follows their answers.
 
+    :param settings: the daemon's whole :class:`Settings`.
     :param log: a :class:`LogClient`.
     :param session: an :class:`aiohttp.ClientSession` for peers.
     :param dispatcher: this daemon's :class:`Dispatcher`.
@@ -58,7 +60,10 @@
     :param journal: this daemon's :class:`Journal`.
     """
 
-    def __init__(self, log, session, dispatcher, membership, journal):
+    def __init__(
+        self, settings, log, session, dispatcher, membership, journal
+    ):
+        self.settings = settings
         self.log = log
         self.session = session
         self.dispatcher = dispatcher
@@ -83,7 +88,7 @@
         if stream == PREFIX:
             raise exceptions.UnknownRequestError(f'no request {request_id!r}')
         for _ in range(MAX_CHAIN):
-            member = self.membership.find(stream)
+            member = await self.find_member(stream)
             alive = member is not None and not self.membership.is_dead(member)
             if alive and stream != self.journal.stream and stream not in skip:
                 return Remote(member)
@@ -100,6 +105,17 @@
             stream = ledger.sealed_by
         raise exceptions.UnknownRequestError(f'no request {request_id!r}')
 
+    async def find_member(self, stream):
+        """Return a journal's writer, or ``None``.
+
+        A writer not heard of may have begun to beat since the last
+        look at the log, as when this daemon has just started.
+        """
+        if self.membership.find(stream) is None:
+            with contextlib.suppress(exceptions.JournalUnavailableError):
+                await self.membership.poll_once()
+        return self.membership.find(stream)
+
     async def fetch(self, member, request_id, method='GET', action=''):
         """Ask another daemon about a request it holds.
 
@@ -126,7 +142,7 @@
         :param start: index of the first token wanted.
         :returns: an async iterator of ``(index, token)`` and, last,
             ``(None, final)`` with the final state's JSON-ready map.
-        :raises PearrunError: it cannot be found within a minute.
+        :raises PearrunError: it could not be found for a minute.
         """
         self.followers += 1
         try:
@@ -142,10 +158,12 @@
         """Follow a request from host to host; see :meth:`follow`."""
         backoff = Backoff(base_ms=100)
         skip = set()
-        deadline = asyncio.get_running_loop().time() + FOLLOW_TIMEOUT_S
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + FOLLOW_TIMEOUT_S
         while True:
             try:
                 found = await self.locate(request_id, skip)
+                deadline = loop.time() + FOLLOW_TIMEOUT_S
                 async with contextlib.aclosing(
                     self.read(found, request_id, start)
                 ) as tokens:
@@ -160,7 +178,7 @@
                 exceptions.RequestMovingError,
                 exceptions.JournalUnavailableError,
             ):
-                if asyncio.get_running_loop().time() > deadline:
+                if loop.time() > deadline:
                     raise
                 skip.clear()
             await backoff.pause()
@@ -178,7 +196,9 @@
     async def read_remote(self, member, request_id, start):
         """Read a request's tokens from another daemon.
 
-        Ends without a final state when that daemon fails.
+        Ends without a final state when that daemon fails or nothing
+        comes for ``stall_ms``; asking again costs little, and the
+        connection may have fallen silent for good.
         """
         params = {'local': 'true', 'stream': 'true', 'from': str(start)}
         try:
@@ -189,15 +209,16 @@
             ) as reply:
                 if reply.status != 200:
                     return
-                async for raw in reply.content:
-                    event = parse_event(raw)
-                    if event is None:
-                        continue
-                    if 'choices' in event:
+                lines = read_lines(reply, self.settings.host.stall_ms)
+                async with contextlib.aclosing(lines):
+                    async for raw in lines:
+                        event = parse_event(raw)
+                        if event is None:
+                            continue
+                        if 'choices' not in event:
+                            yield None, event
+                            return
                         yield event['index'], event['token']
-                    else:
-                        yield None, event
-                        return
         except (aiohttp.ClientError, OSError, ValueError):
             return
 
--- a/pearrun/members.py
+++ b/pearrun/members.py
@@ -22,7 +22,7 @@
 
 STREAM = 'members'
 TAIL = 2000
-READ_BATCH = 500
+BEATS_PER_S = 40
 
 
 @dataclasses.dataclass
@@ -87,6 +87,7 @@
         self.members = {}
         self.next_offset = None
         self.beat_now = asyncio.Event()
+        self.reading = asyncio.Lock()
         self.own_beats = 0
         self.asked = {}
 
@@ -130,50 +131,78 @@
         """Drop a member whose journal has been emptied."""
         self.members.pop(stream, None)
 
-    def receive(self, beat):
-        """Take one beat, read from the log, into account."""
+    def receive(self, beat, own_stream=None):
+        """Take one beat, read from the log, into account.
+
+        :param own_stream: this daemon's own journal stream, when the
+            caller has it at hand.
+        """
         member = Member.from_beat(beat)
-        own = self.describe()
-        self.own_beats += member.stream == own.stream
+        own_stream = own_stream or self.describe().stream
+        is_own = member.stream == own_stream
+        counts = is_own and not beat.get('extra', False)
+        self.own_beats += counts
         for other in self.members.values():
             if other.name == member.name and other.stream != member.stream:
                 other.replaced = True
-            if member.stream == own.stream and other.stream != own.stream:
+            if counts and other.stream != own_stream:
                 other.missed += 1
         self.members[member.stream] = member
-        if member.stream != own.stream and self.on_leaving is not None:
+        if not is_own and self.on_leaving is not None:
             for endpoint in member.leaving:
                 self.on_leaving(endpoint)
 
-    async def beat(self):
-        """Append one beat; a beat that does not land is skipped."""
+    async def beat(self, extra=False):
+        """Append one beat; a beat that does not land is skipped.
+
+        :param extra: it is sent between times, to tell some news, and
+            does not count when others' silence is measured.
+        """
+        beat = dict(self.describe().to_beat(), extra=extra)
         try:
-            await self.log.append(STREAM, self.describe().to_beat())
+            await self.log.append(STREAM, beat)
         except exceptions.PearrunError:
             return False
         return True
 
+    @property
+    def pause_ms(self):
+        """Time between beats: longer the more daemons are alive.
+
+        All of them together append at most :data:`BEATS_PER_S`.
+        """
+        crowded_ms = 1000 * len(self.live()) // BEATS_PER_S
+        return max(self.settings.host.beat_ms, crowded_ms)
+
     async def keep_beating(self):
         """Beat for the daemon's whole life."""
-        pause = to_seconds(self.settings.host.beat_ms)
         while True:
             await self.beat()
             try:
-                await asyncio.wait_for(self.beat_now.wait(), pause)
+                async with asyncio.timeout(to_seconds(self.pause_ms)):
+                    await self.tell_news()
             except TimeoutError:
                 continue
+
+    async def tell_news(self):
+        """Send an extra beat whenever there is news, until cancelled."""
+        while True:
+            await self.beat_now.wait()
             self.beat_now.clear()
+            await self.beat(extra=True)
 
     async def poll_once(self):
-        """Read the beats that are new on the log.
+        """Read the beats that are new on the log, each once.
 
         :raises JournalUnavailableError: the log service is down.
         """
-        if self.next_offset is None:
-            first, head = await self.log.bounds(STREAM)
-            self.next_offset = max(first, head - TAIL)
-        records, self.next_offset = await self.log.read_all(
-            STREAM, self.next_offset
-        )
-        for record in records:
-            self.receive(record.value)
+        async with self.reading:
+            if self.next_offset is None:
+                first, head = await self.log.bounds(STREAM)
+                self.next_offset = max(first, head - TAIL)
+            records, self.next_offset = await self.log.read_all(
+                STREAM, self.next_offset
+            )
+            own_stream = self.describe().stream
+            for record in records:
+                self.receive(record.value, own_stream)
--- a/pearrun/peers.py
+++ b/pearrun/peers.py
@@ -1,19 +1,23 @@
 """Peers: daemons of one failure domain, over websockets with CBOR.
 
-Each daemon keeps one task per peer address.  The task connects, sends
-a heartbeat every ``heartbeat_ms`` and reads messages; a connection
-that has been silent for ``peer_timeout_ms`` is dropped and dialled
-again, since a silent connection may never come back while a new one
-works.  Messages are CBOR maps with a ``type`` key:
-
-- ``{"type": "heartbeat", "from": name}``
-- ``{"type": "leaving", "from": name, "endpoint": id}``
+A daemon dials its next :data:`LINKS` neighbours in the ring of the
+zone's addresses, one task each, so that the cost of links does not
+grow with the zone.  The task sends a heartbeat every ``heartbeat_ms``;
+a link that has been silent for ``peer_timeout_ms`` is dropped and
+dialled again, since a silent connection may never come back while a
+new one works.  News is passed on around the ring.  Messages are CBOR
+maps with a ``type`` key:
+
+- ``{"type": "heartbeat", "from": name, "version": n}``; the other end
+  answers with its own, or with its team tree if that is newer.
+- ``{"type": "leaving", "from": name, "endpoint": id}``, passed on by
+  whoever did not know it.
 - ``{"type": "config", "from": name, "yaml": text}``: the team tree in
-  force, sent when a link comes up and when it changes, so that a
-  daemon that cannot reach the platform's log still gets it.
+  force, so that a daemon that cannot reach the platform's log gets it.
 """
 
 import asyncio
+import contextlib
 import dataclasses
 
 import cbor2
@@ -25,9 +29,7 @@
 from pearrun.clock import to_seconds
 from pearrun.states import EndpointState
 
-HEARTBEAT = 'heartbeat'
-LEAVING = 'leaving'
-CONFIG = 'config'
+LINKS = 3
 MAX_QUEUED = 1000
 
 
@@ -41,8 +43,19 @@
     reconnects: int = 0
 
 
+def choose_neighbours(own_url, urls, count=LINKS):
+    """Return the next ``count`` addresses after one's own in the ring.
+
+    :param own_url: this daemon's own peer address.
+    :param urls: the other daemons' addresses.
+    """
+    ring = sorted({*urls} - {own_url})
+    start = sum(url < own_url for url in ring)
+    return (ring[start:] + ring[:start])[:count]
+
+
 class Peers:
-    """The set of peer links of one daemon.
+    """The peer links of one daemon.
 
     :param settings: the daemon's whole :class:`Settings`.
     :param router: the daemon's :class:`Router`, told of leaving
@@ -55,47 +68,62 @@
         self.router = router
         self.config = config
         self.clock = Clock()
-        self.links = {url: PeerLink(url) for url in settings.host.peers}
-        self.outbox = {
-            url: asyncio.Queue(MAX_QUEUED) for url in settings.host.peers
-        }
+        listen = settings.host.listen
+        own_url = f'ws://{listen.host}:{listen.port}/peer'
+        urls = choose_neighbours(own_url, settings.host.peers)
+        self.links = {url: PeerLink(url) for url in urls}
+        self.outbox = {url: asyncio.Queue(MAX_QUEUED) for url in urls}
 
     def encode(self, message):
         """Encode a message as CBOR, stamped with this daemon's name."""
         return cbor2.dumps(dict(message, **{'from': self.settings.host.name}))
 
-    def broadcast(self, message):
-        """Queue a message for every peer."""
+    def broadcast_leaving(self, endpoint_id):
+        """Tell the neighbours that an endpoint takes no new work."""
         for queue in self.outbox.values():
             if not queue.full():
-                queue.put_nowait(message)
+                queue.put_nowait({'type': 'leaving', 'endpoint': endpoint_id})
 
-    def describe_config(self):
-        """Return the message that carries the tree in force."""
-        text = config_module.tree_to_yaml(self.config.tree)
-        return {'type': CONFIG, 'yaml': text}
-
-    def broadcast_config(self):
-        """Send the tree in force to every peer."""
-        self.broadcast(self.describe_config())
+    def heartbeat(self):
+        """Return this daemon's heartbeat."""
+        return {'type': 'heartbeat', 'version': self.config.tree.version}
 
     def receive(self, data):
-        """Act on one message from a peer."""
+        """Act on one message from a peer.
+
+        :returns: the answer to send back, or ``None``.
+        """
         message = cbor2.loads(data)
         match message.get('type'):
+            case 'heartbeat':
+                return self.answer_heartbeat(message)
             case 'leaving':
                 endpoint = message.get('endpoint')
                 if self.router.mark(endpoint, EndpointState.LEAVING):
                     logger.info(
                         'peer reports endpoint leaving', endpoint=endpoint
                     )
+                    self.broadcast_leaving(endpoint)
             case 'config':
                 self.config.receive(message.get('yaml'))
+        return None
+
+    def answer_heartbeat(self, message):
+        """Return the answer to a peer's heartbeat.
+
+        It is the team tree in force if the peer's is older.
+        """
+        if message.get('version', 0) < self.config.tree.version:
+            text = config_module.tree_to_yaml(self.config.tree)
+            return {'type': 'config', 'yaml': text}
+        return {'type': 'alive', 'version': self.config.tree.version}
 
     async def serve(self, websocket):
         """Handle one incoming peer connection until it closes."""
         async for data in websocket:
-            self.receive(data)
+            answer = self.receive(data)
+            if answer is not None:
+                await websocket.send(self.encode(answer))
 
     async def keep_link(self, url):
         """Keep one outgoing link up for the daemon's whole life."""
@@ -104,14 +132,13 @@
         while True:
             try:
                 async with websockets.connect(
-                    url, open_timeout=to_seconds(host.peer_timeout_ms)
+                    url,
+                    open_timeout=to_seconds(host.peer_timeout_ms),
+                    ping_interval=None,
+                    compression=None,
                 ) as websocket:
                     link.connected = True
                     link.last_seen_ms = self.clock.now()
-                    if self.config.tree.version > 0:
-                        await websocket.send(
-                            self.encode(self.describe_config())
-                        )
                     await self.talk(websocket, link)
             except (OSError, websockets.WebSocketException, TimeoutError):
                 pass
@@ -120,23 +147,39 @@
             await asyncio.sleep(to_seconds(host.heartbeat_ms))
 
     async def talk(self, websocket, link):
-        """Send heartbeats and queued messages; give up when silent."""
-        host = self.settings.host
-        queue = self.outbox[link.url]
-        while True:
-            try:
-                message = await asyncio.wait_for(
-                    queue.get(), to_seconds(host.heartbeat_ms)
-                )
-            except TimeoutError:
-                message = {'type': HEARTBEAT}
-            await asyncio.wait_for(
-                websocket.send(self.encode(message)),
-                to_seconds(host.peer_timeout_ms),
-            )
-            pong = await websocket.ping()
-            await asyncio.wait_for(pong, to_seconds(host.peer_timeout_ms))
+        """Send heartbeats and news; give up when the peer is silent.
+
+        :raises TimeoutError: nothing came for ``peer_timeout_ms``.
+        """
+        timeout_ms = self.settings.host.peer_timeout_ms
+        listener = asyncio.create_task(self.listen(websocket, link))
+        try:
+            while not listener.done():
+                message = await self.next_message(link)
+                await websocket.send(self.encode(message))
+                if self.clock.since(link.last_seen_ms) > timeout_ms:
+                    raise TimeoutError(f'{link.url} is silent')
+        finally:
+            listener.cancel()
+            with contextlib.suppress(
+                asyncio.CancelledError, websockets.WebSocketException
+            ):
+                await listener
+
+    async def next_message(self, link):
+        """Return the next news, or a heartbeat when it is time."""
+        pause_s = to_seconds(self.settings.host.heartbeat_ms)
+        try:
+            async with asyncio.timeout(pause_s):
+                return await self.outbox[link.url].get()
+        except TimeoutError:
+            return self.heartbeat()
+
+    async def listen(self, websocket, link):
+        """Read a peer's answers on an outgoing link."""
+        async for data in websocket:
             link.last_seen_ms = self.clock.now()
+            self.receive(data)
 
     def to_body(self):
         """Return the links' state, JSON-ready."""
--- a/pearrun/router.py
+++ b/pearrun/router.py
@@ -10,11 +10,13 @@
 """
 
 import dataclasses
-import hashlib
 import itertools
 
+import xxhash
+
 from pearrun import exceptions
 from pearrun.clock import Clock
+from pearrun.clock import Millis
 from pearrun.states import EndpointState
 from pearrun.states import RoutingKind
 from pearrun.structures import Endpoint
@@ -50,12 +52,19 @@
     """Each endpoint in turn."""
 
 
-def rendezvous_score(endpoint_id, key):
-    """Return the rendezvous-hash weight of an endpoint for a key."""
-    digest = hashlib.blake2b(
-        f'{endpoint_id}|{key}'.encode(), digest_size=8
-    ).digest()
-    return int.from_bytes(digest, 'big')
+def seed_of(key):
+    """Return the seed with which a key's scores are drawn."""
+    return xxhash.xxh3_64_intdigest(key.encode('utf-8', 'surrogatepass'))
+
+
+def rendezvous_score(name, key):
+    """Return the rendezvous-hash weight of a name for a key."""
+    return score(name, seed_of(key))
+
+
+def score(name, seed):
+    """Return the rendezvous-hash weight of a name for a key's seed."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed)
 
 
 def choose_by_affinity(pool, prompt, slack):
@@ -65,12 +74,10 @@
     the first one that is at most ``slack`` requests busier than the
     lightest is taken, so that a hot prefix spreads over few endpoints.
     """
-    key = prompt[:PREFIX_CHARS]
+    seed = seed_of(prompt[:PREFIX_CHARS])
     limit = min(e.load for e in pool) + slack
-    ranked = sorted(
-        pool, key=lambda e: rendezvous_score(e.id, key), reverse=True
-    )
-    return next(e for e in ranked if e.load <= limit)
+    near = [e for e in pool if e.load <= limit]
+    return max(near, key=lambda e: score(e.id, seed))
 
 
 def policy_of(service):
@@ -107,8 +114,9 @@
         self.max_load = max_load
         self.policy = policy or AffinityPolicy()
         self.turn = itertools.count()
+        self.pools = {}
         self.clock = Clock()
-        self.used_ms = self.clock.now()
+        self.used_ms = Millis(0)
 
     @classmethod
     def from_settings(cls, settings, policy=None):
@@ -129,16 +137,25 @@
             zone's, or all if it has none.
         :returns: a list of :class:`Endpoint`, sorted by id.
         """
-        live = [
-            e
-            for e in self.endpoints.values()
-            if service in e.services
-            and e.state == EndpointState.LIVE
-            and e.id not in exclude
-        ]
-        local = [e for e in live if e.zone == self.zone]
-        chosen = live if everywhere else local or live
-        return sorted(chosen, key=lambda e: e.id)
+        if service not in self.pools:
+            self.pools[service] = self.build_pool(service)
+        live, local = self.pools[service]
+        if exclude:
+            live = [e for e in live if e.id not in exclude]
+            local = [e for e in local if e.id not in exclude]
+        return live if everywhere else local or live
+
+    def build_pool(self, service):
+        """Return a service's live endpoints: of all zones, and its own."""
+        live = sorted(
+            (
+                e
+                for e in self.endpoints.values()
+                if service in e.services and e.state == EndpointState.LIVE
+            ),
+            key=lambda e: e.id,
+        )
+        return live, [e for e in live if e.zone == self.zone]
 
     def admit(self, service):
         """Check that a new request of a service can be taken on.
@@ -207,6 +224,7 @@
                 self.endpoints[endpoint_id] = Endpoint.from_settings(wanted)
             else:
                 known.services = frozenset(wanted.services)
+        self.pools.clear()
 
     def leaving(self):
         """Return the ids of endpoints that take no new work."""
@@ -230,4 +248,5 @@
         if STATE_ORDER[state] <= STATE_ORDER[endpoint.state]:
             return False
         endpoint.state = state
+        self.pools.clear()
         return True
--- a/pearrun/settings.py
+++ b/pearrun/settings.py
@@ -45,8 +45,8 @@
     zone: str = pydantic.Field(min_length=1)
     listen: Listen
     peers: list[str] = []
-    heartbeat_ms: int = pydantic.Field(default=500, ge=50)
-    peer_timeout_ms: int = pydantic.Field(default=2000, ge=100)
+    heartbeat_ms: int = pydantic.Field(default=1000, ge=50)
+    peer_timeout_ms: int = pydantic.Field(default=3000, ge=100)
     config_poll_ms: int = pydantic.Field(default=500, ge=20)
     hosts_poll_ms: int = pydantic.Field(default=500, ge=20)
     loads_poll_ms: int = pydantic.Field(default=250, ge=20)
@@ -74,6 +74,7 @@
     cloud_url: str | None = None
     config_stream: str = 'config'
     timeout_ms: int = pydantic.Field(default=2000, ge=10)
+    appends_per_s: int = pydantic.Field(default=400, ge=1)
     retention_ms: int = pydantic.Field(default=3_600_000, ge=1000)
 
 
@@ -228,11 +229,12 @@
         ) from exc
 
 
-def load(path):
-    """Read and check a daemon's settings file.
+def load_yaml(path, model):
+    """Read a YAML file and check it against a settings model.
 
-    :param path: path of the YAML file.
-    :returns: :class:`Settings`.
+    :param path: path of the file.
+    :param model: a pydantic model class such as :class:`Settings`.
+    :returns: an instance of ``model``.
     :raises SettingsError: the file cannot be read or is wrong.
     """
     try:
@@ -240,4 +242,14 @@
             text = handle.read()
     except OSError as exc:
         raise exceptions.SettingsError(f'{path}: {exc.strerror}') from exc
-    return parse_yaml(text, Settings, source=str(path))
+    return parse_yaml(text, model, source=str(path))
+
+
+def load(path):
+    """Read and check a daemon's settings file.
+
+    :param path: path of the YAML file.
+    :returns: :class:`Settings`.
+    :raises SettingsError: the file cannot be read or is wrong.
+    """
+    return load_yaml(path, Settings)
--- a/pearrun/structures.py
+++ b/pearrun/structures.py
@@ -14,6 +14,8 @@
 from pearrun.states import EndpointState
 from pearrun.states import RequestState
 
+GAP_WEIGHT = 0.2
+
 
 @dataclasses.dataclass
 class Endpoint:
@@ -106,6 +108,18 @@
         """Return the answer so far as text."""
         return ' '.join(self.tokens)
 
+    def labels(self):
+        """Return what every log line about the job carries."""
+        return {
+            'request_id': self.id,
+            'customer': self.customer,
+            'service': self.service,
+        }
+
+    def note_gap(self, gap_ms):
+        """Let the time between two tokens into the running mean."""
+        self.token_ms += GAP_WEIGHT * (gap_ms - self.token_ms)
+
     async def publish(self, **changes):
         """Update fields and wake everyone waiting on the job."""
         async with self.changed:
--- a/pearrun/workload.py
+++ b/pearrun/workload.py
@@ -23,7 +23,6 @@
 import aiohttp
 import pydantic
 
-from pearrun import exceptions
 from pearrun import settings as settings_module
 from pearrun.standins import text
 
@@ -68,12 +67,7 @@
 
     :raises SettingsError: the file is unreadable or wrong.
     """
-    try:
-        with open(path, encoding='utf-8') as handle:
-            source = handle.read()
-    except OSError as exc:
-        raise exceptions.SettingsError(f'{path}: {exc.strerror}') from exc
-    return settings_module.parse_yaml(source, Workload, source=str(path))
+    return settings_module.load_yaml(path, Workload)
 
 
 def expected_text(item):
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,90 @@
+"""A non-idempotent call's caller never waits for the log's sake."""
+
+import asyncio
+
+from pearrun import backends
+from pearrun import exceptions
+from pearrun.claims import KeyClaims
+from pearrun.journal import Journal
+from pearrun.metrics import MetricsTable
+from pearrun.router import Router
+from pearrun.runner import Runner
+from pearrun.states import BackendKind
+from pearrun.states import RequestState
+from pearrun.structures import Job
+from tests import builders
+
+
+def play(monkeypatch, scenario):
+    """Run ``scenario(log, runner, job, service)`` over a fake log."""
+
+    async def main():
+        log = builders.FakeLog()
+        settings = builders.settings()
+        router = Router(
+            [builders.endpoint(0, kind=BackendKind.SERVICE)], 'boa-viagem'
+        )
+        runner = Runner(
+            settings,
+            None,
+            router,
+            KeyClaims(log),
+            Journal(log, settings),
+            None,
+            MetricsTable(),
+        )
+        job = Job('h.1.a', 'c', 'alarme-svc', 'p', 1, 0, 0, 'alarme-svc/k')
+        service = builders.team_tree().find_service('alarme-svc')
+        running = asyncio.create_task(runner.run(job, service))
+        try:
+            return await scenario(log, job, running)
+        finally:
+            running.cancel()
+
+    return asyncio.run(main())
+
+
+def test_failed_call_is_told_at_once_while_the_log_is_down(monkeypatch):
+    """And its outcome is published when the log is back."""
+    logs = []
+
+    async def fail(session, endpoint, job, host):
+        logs[0].down = True
+        raise exceptions.BackendError('broke in the middle')
+
+    monkeypatch.setattr(backends, 'call_service', fail)
+
+    async def scenario(log, job, running):
+        logs.append(log)
+        async with asyncio.timeout(1):
+            await job.wait_beyond(0)
+        assert job.state == RequestState.FAILED
+        assert job.failure.code == 1502
+        log.down = False
+        async with asyncio.timeout(5):
+            await running
+        return [v for name in log.streams for v in log.values(name)]
+
+    values = play(monkeypatch, scenario)
+    assert [v['kind'] for v in values] == ['claimed', 'unknown']
+
+
+def test_call_that_took_no_connection_is_made_elsewhere(monkeypatch):
+    calls = []
+
+    async def answer_second(session, endpoint, job, host):
+        calls.append(endpoint.id)
+        if len(calls) == 1:
+            raise exceptions.EndpointUnreachableError('refused')
+        return 'acknowledged'
+
+    monkeypatch.setattr(backends, 'call_service', answer_second)
+
+    async def scenario(log, job, running):
+        async with asyncio.timeout(5):
+            await running
+        return job
+
+    job = play(monkeypatch, scenario)
+    assert job.state == RequestState.DONE
+    assert len(calls) == 2
