Tests: ports given out once; claims and partitions as failures of their own

Ruled out: a fault of the daemon (its log shows a clean start and the configuration in force); retrying the request (it would hide a daemon that never answers).

Change: ports come from below the kernel's own range, each only once a run, checked free; a test.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import os
 import socket
 
 from pearrun import entries
@@ -32,11 +33,31 @@
 SERVICES_OF = {'engine': ENGINE_SERVICES, 'service': PLAIN_SERVICES}
 
 
+# Below the range from which the kernel takes clients' own ports.
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+START = os.getpid() * 61 % (LAST_PORT - FIRST_PORT)
+PORTS = iter(
+    [
+        *range(FIRST_PORT + START, LAST_PORT),
+        *range(FIRST_PORT, FIRST_PORT + START),
+    ]
+)
+
+
 def free_port():
-    """Return a TCP port on 127.0.0.1 that is free right now."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Return a TCP port on 127.0.0.1 that is free, each one only once.
+
+    Asking the kernel for any free port gives the same one again while
+    nobody has bound it, and sanic lets two processes share a port.
+    """
+    for port in PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError('no port is left')
 
 
 def team_tree(version=0):
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -83,8 +83,9 @@
     :param engine_flags: extra flags of the engine stand-ins.
     :param host: ``host`` settings laid over :data:`FAST_HOST`.
     :param log_flags: extra flags of the log service stand-in.
-    :param links: whether daemons reach the log service, the cloud and
-        each other's peer ports through ``link-...`` stand-ins.
+    :param links: whether daemons reach the log service, the cloud,
+        their peers and other zones' endpoints through ``link-...``
+        stand-ins.
     :param platform: ``platform`` settings laid over the defaults.
     """
 
@@ -179,12 +180,15 @@
         self.wait_healthy(name)
 
     def start_links(self):
-        """Start each daemon's links to the platform and to its peers."""
+        """Start each daemon's links: platform, peers, other zones."""
         for name in self.names('daemon'):
             self.start_link(f'link-{name}-log', 'log')
             self.start_link(f'link-{name}-cloud', 'cloud')
             for peer in self.peers_of(name):
                 self.start_link(f'link-{name}-{peer}', peer)
+            for endpoint in [*self.names('engine'), *self.names('service')]:
+                if self.zone_of[endpoint] != self.zone_of[name]:
+                    self.start_link(f'link-{name}-{endpoint}', endpoint)
 
     def peers_of(self, name):
         """Return the other daemons of a daemon's zone."""
@@ -250,7 +254,7 @@
             {
                 'id': n,
                 'zone': self.zone_of[n],
-                'url': self.url(n),
+                'url': f'http://127.0.0.1:{self.port_to(name, n)}',
                 'kind': self.kinds[n],
                 'services': builders.SERVICES_OF[self.kinds[n]],
             }
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
 
@@ -10,6 +12,8 @@
 from pearrun import exceptions
 from tests import builders
 
+KEY = 'licence-records/k'
+
 
 @given(
     attempts=st.lists(
@@ -102,3 +106,90 @@
 
     with pytest.raises(exceptions.OutcomeUnknownError):
         asyncio.run(scenario())
+
+
+class AtMostOnce(stateful.RuleBasedStateMachine):
+    """Hosts make one key's call, freeze in the middle, and wake up.
+
+    Whatever the log loses and whoever is taken for dead, the service
+    runs the call at most once.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.log = builders.FakeLog()
+        self.claims = claims_module.KeyClaims(self.log)
+        self.executions = 0
+        self.thawed = [self.loop.create_future() for _ in range(3)]
+        for thawed in self.thawed:
+            thawed.set_result(None)
+        self.work = []
+
+    def settle(self):
+        self.loop.run_until_complete(asyncio.sleep(0.002))
+
+    def teardown(self):
+        self.log.down = False
+        for number in range(3):
+            self.freeze(number, False)
+        for task in self.work:
+            task.cancel()
+        self.settle()
+        self.loop.close()
+
+    async def handle(self, number):
+        """What a daemon does with a job, with pauses in between."""
+        holder = f'requests.h{number}.1'
+        try:
+            claim = await self.claims.claim(KEY, holder)
+            await asyncio.shield(self.thawed[number])
+            if claim.won:
+                self.executions += 1
+                await asyncio.shield(self.thawed[number])
+                await self.claims.publish(KEY, claims_module.ANSWERED, 'a')
+            else:
+                await self.claims.wait_outcome(KEY, 20, self.suspects)
+        except (exceptions.OutcomeUnknownError, exceptions.CapacityError):
+            return
+
+    def suspects(self, holder):
+        """A frozen holder looks dead to the others."""
+        number = int(holder.split('.')[1].removeprefix('h'))
+        return not self.thawed[number].done()
+
+    @stateful.rule(number=st.integers(0, 2))
+    def arrive(self, number):
+        self.work.append(self.loop.create_task(self.handle(number)))
+        self.settle()
+
+    @stateful.rule(number=st.integers(0, 2), frozen=st.booleans())
+    def freeze(self, number, frozen):
+        if frozen and self.thawed[number].done():
+            self.thawed[number] = self.loop.create_future()
+        elif not frozen and not self.thawed[number].done():
+            self.thawed[number].set_result(None)
+        self.settle()
+
+    @stateful.rule(
+        down=st.booleans(), answers=st.integers(0, 2), late=st.integers(0, 2)
+    )
+    def fault(self, down, answers, late):
+        self.log.down = down
+        self.log.lose_answers = answers
+        self.log.delay_appends = late
+        self.settle()
+
+    @stateful.rule()
+    def deliver_late_appends(self):
+        self.log.deliver()
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        assert self.executions <= 1
+
+
+AtMostOnce.TestCase.settings = hypothesis_settings(
+    max_examples=60, stateful_step_count=20, deadline=None, derandomize=True
+)
+TestAtMostOnce = AtMostOnce.TestCase
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,3 +54,8 @@
         table = handle.read()
     for error in exceptions.ALL_ERRORS:
         assert f'| {error.code} | {error.__name__} |' in table
+
+
+def test_test_processes_never_share_a_port():
+    ports = [builders.free_port() for _ in range(300)]
+    assert len(set(ports)) == 300
