--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -35,8 +35,8 @@
 
     def play(self):
         """Play every step; an assertion fails the scenario."""
-        self.cluster.begin()
         try:
+            self.cluster.begin()
             for step in self.scenario.steps:
                 [(kind, value)] = step.model_dump(exclude_none=True).items()
                 getattr(self, f'do_{kind}')(getattr(step, kind) or value)
