--- a/pearrun/dispatcher.py
+++ b/pearrun/dispatcher.py
@@ -240,19 +240,18 @@
 
         :returns: the future of the journal entry's landing.
         """
-        asyncio.get_running_loop().call_later(
-            to_seconds(self.settings.host.answer_keep_ms), self.forget, job
-        )
+        self.forget_later(job)
         return self.journal.enqueue(describe_end(job))
 
+    def forget_later(self, job):
+        """Drop a finished job when its answer has been kept a while."""
+        keep_s = to_seconds(self.settings.host.answer_keep_ms)
+        asyncio.get_running_loop().call_later(keep_s, self.forget, job)
+
     def forget(self, job):
         """Drop a finished job; its answer is on the log from here on."""
         if job.readers:
-            asyncio.get_running_loop().call_later(
-                to_seconds(self.settings.host.answer_keep_ms),
-                self.forget,
-                job,
-            )
+            self.forget_later(job)
             return
         self.jobs.pop(job.id, None)
         self.by_key.pop(job.idempotency_key, None)
--- a/pearrun/journal.py
+++ b/pearrun/journal.py
@@ -100,8 +100,8 @@
         self.wake = asyncio.Event()
         self.linger = None
         self.sending = []
-        self.lost = {}
-        self.open = {}
+        self.lost = set()
+        self.open = set()
         self.appends = 0
         self.failing = False
 
@@ -140,7 +140,7 @@
         future = loop.create_future()
         future.add_done_callback(_retrieve)
         if isinstance(entry, (entries.Finished, entries.Withdrawn)):
-            self.open.pop(entry.id, None)
+            self.open.discard(entry.id)
         give_up = self.clock.now() + self.settings.platform.timeout_ms
         self.waiting.append(Pending(entry, durable, give_up, future))
         if self.linger is None or self.linger.when() < loop.time():
@@ -200,9 +200,10 @@
             except exceptions.AmbiguousAppendError as exc:
                 ambiguous = True
                 failure = exc
-            except exceptions.JournalUnavailableError as exc:
-                failure = exc
-            except exceptions.RateLimitedError as exc:
+            except (
+                exceptions.JournalUnavailableError,
+                exceptions.RateLimitedError,
+            ) as exc:
                 failure = exc
             if not ambiguous and not isinstance(
                 failure, exceptions.RateLimitedError
@@ -210,7 +211,7 @@
                 return await self.refuse(batch, failure)
             if self.clock.now() >= min(p.give_up_ms for p in batch):
                 if ambiguous:
-                    self.lost[nonce] = self.undecided(batch)
+                    self.lost.add(nonce)
                     failure = exceptions.AmbiguousAppendError(
                         'the log service did not say whether the request '
                         'was recorded; this host will not run it',
@@ -223,32 +224,28 @@
         """Note a landed batch and wake its writers."""
         self.failing = False
         self.next_offset += 1
-        now = self.clock.now()
         for pending in batch:
             match pending.entry:
-                case entries.Accepted(id=request_id) as entry:
-                    self.open[request_id] = (entry, now)
-                case entries.Finished(id=request_id):
-                    self.open.pop(request_id, None)
-                case entries.Withdrawn(id=request_id):
-                    self.open.pop(request_id, None)
+                case entries.Accepted(id=request_id):
+                    self.open.add(request_id)
+                case (
+                    entries.Finished(id=request_id)
+                    | entries.Withdrawn(id=request_id)
+                ):
+                    self.open.discard(request_id)
             if not pending.landed.done():
                 pending.landed.set_result(None)
 
-    def undecided(self, batch):
-        """Return ids whose acceptance is given up without an answer."""
-        return [p.entry.id for p in batch if not p.durable]
-
     async def refuse(self, batch, failure):
         """Fail the batch's acceptances; keep its durable entries."""
         self.failing = True
-        for pending in batch:
-            if not pending.durable and not pending.landed.done():
-                pending.landed.set_exception(failure)
         kept = [p for p in batch if p.durable]
-        if isinstance(failure, exceptions.AmbiguousAppendError):
-            for request_id in self.undecided(batch):
-                self.enqueue(entries.Withdrawn(request_id))
+        refused = [p for p in batch if not p.durable]
+        for pending in refused:
+            if not pending.landed.done():
+                pending.landed.set_exception(failure)
+            if isinstance(failure, exceptions.AmbiguousAppendError):
+                self.enqueue(entries.Withdrawn(pending.entry.id))
         for pending in reversed(kept):
             pending.give_up_ms += self.settings.platform.timeout_ms
             self.waiting.appendleft(pending)
@@ -284,7 +281,7 @@
             self.landed(batch)
             return True
         if value['batch'] in self.lost:
-            self.lost.pop(value['batch'])
+            self.lost.remove(value['batch'])
             self.next_offset += 1
             return False
         self.reopen(
