Peers, shared quotas, the duties' lease, usage and scaling

Change: websocket+CBOR links carry reports (loads, admitted units, usage, time of day); a log on the store with conditional appends is the lease; the holder agrees usage windows in that log before it reports them, and orders endpoints: reclaimable ones so that the loss of any zone leaves enough, lasting ones for what one more loss would leave short.

--- a/pearrun/decisions/quota.py
+++ b/pearrun/decisions/quota.py
@@ -1,56 +1,131 @@
-"""A customer's quota, divided between hosts.
+"""A customer's quota, kept by all hosts together.
 
-Load pattern: one customer sends several times its limit, through hosts
-that see unequal parts of it.  Every host fills a bucket of its own at
-its part of the rate; parts follow the demand each host reports, so the
-sum of all parts stays one while hosts see the same reports.
+Load pattern: one customer sends several times its limit, in calls of
+very unequal size, through hosts that see unequal parts of it.  Dividing
+the limit between hosts refuses large calls below it; so each host keeps
+the whole bucket and takes from it what the others say they admitted.
+What they admitted since their last reports is covered by a reserve.  A
+host that is not heard is taken to go on as before, so that hosts cut
+off from each other do not use the limit twice.
 """
 
 import dataclasses
 
-# Part of the rate and burst that is handed out; the rest covers reports
-# that are up to a second old.
-USED_SHARE = 1.0
-# Part of a quota divided equally whatever the demand, so that a host
-# whose callers just arrived can serve them before its report is out.
-EQUAL_SHARE = 0.3
+# Age of a report as it is used: the report period, its way, and the
+# wait of the host that uses it.
+REPORT_LAG_S = 0.35
+# Largest part of the burst held back for what others have not reported.
+MOST_RESERVED = 0.7
+# Debt beyond this much of the rate is forgotten, in seconds: calls that
+# were admitted too many are made up for within a quota's window.
+MOST_DEBT_S = 4.0
+# Without a report for this long, a host is taken to go on as before.
+SILENT_MS = 600
+# Level at which a host starts, as a part of the burst: what was used
+# before its start is not known.
+FIRST_LEVEL = 0.5
+# Part of the tolerated excess that is used; the rest covers calls that
+# several hosts admit before they hear of each other's.
+TOLERANCE_USED = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class QuotaSettings:
+    """How a limit is judged: by the units of any span of some length.
+
+    In any span of ``window_s`` seconds a customer may use ``window_s``
+    times its rate plus its burst, a part ``over`` more, and ``slack``
+    units more.
+    """
+
+    window_s: float
+    over: float
+    slack: float
+
+
+def refill_rate(rate_per_s, burst, settings):
+    """Return the rate at which a bucket of one burst may be refilled.
+
+    A full bucket and the refill of one window together use the limit
+    of that window and no more.
+
+    :returns: units a second; at least ``rate_per_s``.
+    """
+    limit = rate_per_s * settings.window_s + burst
+    limit *= 1 + settings.over * TOLERANCE_USED
+    limit += settings.slack * TOLERANCE_USED
+    return max(rate_per_s, (limit - burst) / settings.window_s)
 
 
 @dataclasses.dataclass
-class Bucket:
-    """Units a host may still use for one customer."""
+class PeerUse:
+    """What another host said it admitted for one customer.
+
+    :param total: units since its start.
+    :param rate: units a second lately.
+    :param assumed: units taken as used since its last report.
+    """
+
+    total: float = 0.0
+    rate: float = 0.0
+    assumed: float = 0.0
+    reported_ms: int = 0
 
-    level: float
-    updated_ms: int
-    demand: float = 0.0
+
+class SharedBucket:
+    """One customer's bucket as one host sees it.
+
+    :param burst: most units it holds.
+    :param now_ms: monotonic time.
+    """
+
+    def __init__(self, burst, now_ms):
+        self.level = burst * FIRST_LEVEL
+        self.updated_ms = now_ms
+        self.peers = {}
 
     def refill(self, rate_per_s, burst, now_ms):
-        """Add what has accrued since the last call."""
+        """Add what has accrued, less what silent hosts are taken to use."""
         elapsed_s = max(0, now_ms - self.updated_ms) / 1000.0
-        self.level = min(burst, self.level + rate_per_s * elapsed_s)
         self.updated_ms = now_ms
+        self.level += rate_per_s * elapsed_s
+        for use in self.peers.values():
+            if now_ms - use.reported_ms > SILENT_MS:
+                units = use.rate * elapsed_s
+                use.assumed += units
+                self.level -= units
+        lowest = -rate_per_s * MOST_DEBT_S
+        self.level = max(lowest, min(burst, self.level))
 
-    def take(self, units):
-        """Use units if the bucket holds any.
+    def take_report(self, peer, total, rate, now_ms):
+        """Take what another host admitted.
 
-        A call larger than the whole bucket passes on a full one and
-        leaves a debt, so that it is not refused for ever.
+        :param peer: the host's run; a new run counts from zero.
+        :param total: units it admitted since its start.
         """
-        if self.level <= 0:
-            return False
-        self.level -= units
-        return True
+        use = self.peers.get(peer)
+        if use is None:
+            # What it admitted before this host knew it is past.
+            use = self.peers[peer] = PeerUse(total=total)
+        self.level -= (total - use.total) - use.assumed
+        use.total = total
+        use.rate = rate
+        use.assumed = 0.0
+        use.reported_ms = now_ms
 
+    def forget(self, peer):
+        """Drop a host that has ended."""
+        self.peers.pop(peer, None)
 
-def share_of(own_demand, other_demands):
-    """Return a host's part of a customer's quota, from 0 to 1.
+    def take(self, units, burst):
+        """Use units if the bucket may still be used.
 
-    :param own_demand: units its callers asked for lately.
-    :param other_demands: the same of each other host.
-    """
-    hosts = 1 + len(other_demands)
-    total = own_demand + sum(other_demands)
-    equal = 1.0 / hosts
-    if total <= 0:
-        return equal
-    return EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * own_demand / total
+        A call larger than what is left passes and leaves a debt, so
+        that calls of every size are served alike.
+        """
+        others = sum(use.rate for use in self.peers.values())
+        reserve = min(others * REPORT_LAG_S, burst * MOST_RESERVED)
+        if self.level <= reserve:
+            return False
+        self.level -= units
+        return True
--- /dev/null
+++ b/pearrun/decisions/scaling.py
@@ -0,0 +1,128 @@
+"""How many endpoints to order, where, and of which kind.
+
+Load pattern: waves of demand on endpoints paid by the second, while the
+platform reclaims all cheap endpoints of a zone at a few seconds'
+notice, often several zones in a row, and sells no more of them for a
+while.  A reclaimable endpoint costs under a fifth of another one, so
+each zone gets so many that the loss of any one zone leaves enough.
+Lasting endpoints fill exactly what the loss of one more zone would
+leave short, and are given back once reclaimable ones serve again.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class ScalingSettings:
+    """Limits of the orders.
+
+    :param fewest: endpoints of a service that always serve.
+    :param calls_each: calls an endpoint should have at once; at 6 a
+        model engine's step takes a fifth longer than alone.
+    :param spare: reclaimable endpoints ordered beyond what is needed,
+        in each zone: a boot takes seconds, a burst comes at once.
+    :param hold_ms: how long the highest need of the past still counts,
+        so that a wave's trough does not give endpoints away that its
+        next crest needs.
+    :param release_ms: how long fewer lasting endpoints must suffice
+        before any are given back.
+    """
+
+    fewest: int = 6
+    calls_each: int = 6
+    spare: int = 1
+    hold_ms: int = 30_000
+    release_ms: int = 3_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """That a zone should have a number of endpoints of a service.
+
+    :param reclaimable: counts the endpoints that may be reclaimed;
+        those that may not are ordered apart.
+    """
+
+    service: str
+    zone: str
+    reclaimable: bool
+    count: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ZoneCount:
+    """Endpoints of a service that serve in a zone now."""
+
+    reclaimable: int = 0
+    lasting: int = 0
+
+
+def plan_orders(service, limits, zones, needed, settings):
+    """Plan the orders of one service.
+
+    :param service: its name.
+    :param limits: its :class:`ScaleLimits`.
+    :param zones: :class:`ZoneCount` by zone.
+    :param needed: endpoints that the load needs in all zones.
+    :returns: a list of :class:`Order`, two a zone; those that add
+        lasting endpoints come first.
+    """
+    lasting = spread_lasting(limits, zones, count_lasting(zones, needed))
+    each = reclaimable_in_zone(limits, len(zones), needed, settings)
+    orders = [
+        Order(service, zone, False, count) for zone, count in lasting.items()
+    ]
+    for zone, count in lasting.items():
+        taken = max(count, zones[zone].lasting)
+        room = max(0, limits.largest - taken)
+        orders.append(Order(service, zone, True, min(each, room)))
+    return orders
+
+
+def count_lasting(zones, needed):
+    """Return how many lasting endpoints are needed in all zones.
+
+    They make up what the loss of the zone with most reclaimable
+    endpoints would leave short.
+    """
+    counts = [count.reclaimable for count in zones.values()]
+    safe = sum(counts) - max(counts, default=0)
+    return max(0, needed - safe)
+
+
+def spread_lasting(limits, zones, total):
+    """Spread lasting endpoints over the zones, cheapest zones first.
+
+    Each zone gets its part, so that one cut off can serve its callers.
+
+    :returns: counts by zone.
+    """
+    by_price = sorted(zones, key=lambda zone: price_of(limits, zone))
+    counts = dict.fromkeys(by_price, 0)
+    while total > 0:
+        open_zones = [z for z in by_price if counts[z] < limits.largest]
+        if not open_zones:
+            break
+        zone = min(open_zones, key=lambda name: counts[name])
+        counts[zone] += 1
+        total -= 1
+    return counts
+
+
+def reclaimable_in_zone(limits, zone_count, needed, settings):
+    """Return how many reclaimable endpoints each zone should have."""
+    if limits.reclaimable_price is None:
+        return 0
+    without_one = max(1, zone_count - 1)
+    wanted = -(-needed // without_one) + settings.spare
+    return max(limits.smallest, min(limits.largest, wanted))
+
+
+def price_of(limits, zone):
+    """Return what an endpoint's second costs in a zone."""
+    return limits.zone_prices.get(zone, 1.0)
+
+
+def count_needed(calls, settings):
+    """Return how many endpoints a number of calls at once needs."""
+    return max(settings.fewest, -(-calls // settings.calls_each))
--- a/pearrun/logs.py
+++ b/pearrun/logs.py
@@ -41,6 +41,8 @@
 LINES_PER_S = 400
 # Lines that may come at once, such as at a start.
 BURST_LINES = 800
+# Bytes kept while the descriptor does not take them.
+UNWRITTEN_BYTES = 64 * 1024
 
 
 class BoundedWriter:
@@ -55,6 +57,7 @@
         self.clock = clock
         self.dropped = 0
         self.dropped_total = 0
+        self._unwritten = b''
         self._allowance = float(BURST_LINES)
         self._updated = clock()
         os.set_blocking(descriptor, False)
@@ -69,14 +72,20 @@
             self._drop()
             return
         self._allowance -= 1
-        line = to_line(message.record, self.dropped)
+        if len(self._unwritten) > UNWRITTEN_BYTES:
+            self._drop()
+            return
+        self._unwritten += to_line(message.record, self.dropped)
+        self.dropped = 0
+        self._flush()
+
+    def _flush(self):
+        """Write what the descriptor takes now; keep the rest in order."""
         try:
-            written = os.write(self.descriptor, line)
+            written = os.write(self.descriptor, self._unwritten)
         except BlockingIOError:
-            self._drop()
             return
-        if written == len(line):
-            self.dropped = 0
+        self._unwritten = self._unwritten[written:]
 
     def _drop(self):
         self.dropped += 1
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -9,17 +9,28 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
+from pearrun.decisions.lease import LeaseView
 from pearrun.http1.server import Server
 from pearrun.http1.server import ServerLimits
 from pearrun.platform import settings as settings_module
 from pearrun.platform.codec import EndpointCodec
+from pearrun.platform.decoding import decode_configuration
+from pearrun.platform.dutycalls import DutyClient
 from pearrun.platform.following import ConfigFollower
 from pearrun.platform.following import EndpointFollower
 from pearrun.platform.front import Front
 from pearrun.platform.front import Readiness
+from pearrun.platform.leaselog import LeaseLog
+from pearrun.platform.membership import MemberFollower
 from pearrun.platform.store import StoreClient
 from pearrun.relay.relay import Relay
+from pearrun.shared import reports
+from pearrun.shared.duties import Duties
 from pearrun.shared.host import HostContext
+from pearrun.shared.members import Member
+from pearrun.shared.peerlinks import PeerLinks
+from pearrun.shared.reportboard import ReportBoard
+from pearrun.shared.scaler import Scaler
 
 METRICS_PORT = 9464
 # After the stop signal callers are still sent here until the platform
@@ -50,9 +61,46 @@
         self.front = Server(Front(self.host, self.relay).handle, self.limits)
         self.ready = Server(Readiness(self.host).handle)
         self.metrics = Server(self.serve_metrics)
+        self.started_ms = self.clock.wall()
+        self.reports = ReportBoard(
+            self.host, self.started_ms, decode_configuration
+        )
+        self.host.forget_host = self.reports.forget
+        self.members = MemberFollower(self.host, self.store, self.own_entry())
+        self.duties = self.make_duties()
         self.stop = asyncio.Event()
         self.tasks = []
 
+    def own_entry(self):
+        """Return this host's entry on the list of hosts."""
+        settings = self.settings
+        return Member(
+            name=settings.name,
+            address=f'{settings.ip}:{settings.first_port}',
+            zone=settings.zone,
+            started_ms=self.started_ms,
+        )
+
+    def make_duties(self):
+        """Return the :class:`Duties`; ``None`` where there are none."""
+        settings = self.settings
+        if settings.duties is None:
+            return None
+        view = LeaseView(f'{settings.name}/{self.started_ms}')
+        calls = DutyClient(settings.duties.address, settings.name)
+        scaler = Scaler(self.host, calls)
+        log = LeaseLog(self.store, view, self.clock)
+        duties = Duties(self.host, log, calls, self.reports, scaler)
+        self.reports.duty_notice = self.make_duty_notice
+        return duties
+
+    def make_duty_notice(self):
+        """Return what the others are told of the lease, if it is here."""
+        left_ms = self.duties.fencing_left_ms()
+        if not left_ms:
+            return None
+        return reports.DutyNotice(self.duties.view.fencing, left_ms)
+
     def limits(self):
         """Return the limits on callers that are in force."""
         config = self.host.config.current
@@ -74,11 +122,16 @@
 
     def parts(self):
         """Return the coroutines that run for the process's whole life."""
-        return [
+        parts = [
             ConfigFollower(self.host, self.store).run(),
             EndpointFollower(self.host, self.store).run(),
+            self.members.run(),
+            PeerLinks(self.host, self.reports).run(),
             self.watch_settings(),
         ]
+        if self.duties is not None:
+            parts.append(self.duties.run())
+        return parts
 
     async def leave(self):
         """Finish what was begun, refuse nothing, and end in time."""
@@ -139,6 +192,7 @@
             'endpoints': len(self.host.fleet.endpoints),
             'endpoint_list_age_ms': self.host.list_age_ms(now) or -1,
             'hosts': self.host.count_hosts(),
+            'lease_held': int(self.duties is not None and self.duties.held),
             'store_calls_total': self.store.calls,
             'store_failures_total': self.store.failures,
             'log_lines_dropped_total': self.log_writer.dropped_total,
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -17,7 +17,7 @@
 WAIT_MS = 2500
 # Pause between reads of the endpoints' heartbeats, which come many
 # times a second: a drain has to be acted on within 2 s.
-ENDPOINT_PAUSE_MS = 400
+ENDPOINT_PAUSE_MS = 150
 RETRY_BASE_MS = 50
 RETRY_CAP_MS = 500
 # Entries that lapsed while the store was away come back within 2 s of
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -5,6 +5,7 @@
 import tomllib
 
 from pearrun import exceptions
+from pearrun.decisions.quota import QuotaSettings
 from pearrun.ids import HostName
 from pearrun.ids import ZoneName
 
@@ -84,6 +85,7 @@
     duties: DutySettings | None
     retry: RetrySettings
     usage: UsageSettings
+    quota: QuotaSettings
     stop_ms: int
     config_ms: int
     drain_ms: int
@@ -139,6 +141,11 @@
             window_ms=int(bounds.get('window_s', 5) * 1000),
             due_ms=int(bounds.get('usage_late_s', 10) * 1000),
         ),
+        quota=QuotaSettings(
+            window_s=float(bounds.get('quota_window_s', 8)),
+            over=float(bounds.get('quota_over', 0)),
+            slack=float(bounds.get('quota_slack', 0)),
+        ),
         stop_ms=int(bounds.get('grace_s', 8) * 1000),
         config_ms=int(bounds.get('config_ms', 2000)),
         drain_ms=int(bounds.get('drain_ms', 2000)),
--- a/pearrun/relay/selection.py
+++ b/pearrun/relay/selection.py
@@ -34,6 +34,7 @@
         self.fleet = fleet
         self.loads = loads
         self.prefixes = PrefixIndex()
+        self._placed = []
         self.settings = placement.PlacementSettings()
 
     def choose(self, call, service, tried):
@@ -67,9 +68,19 @@
         """Count a call that is being sent to an endpoint."""
         selected.endpoint.calls += 1
         selected.endpoint.reading_tokens += selected.fresh_tokens
-        self.prefixes.note(
-            selected.endpoint.id, call.prompt.parts[:-1], self.clock.now()
-        )
+        shared = call.prompt.parts[:-1]
+        if shared:
+            self.prefixes.note(selected.endpoint.id, shared, self.clock.now())
+            part_ids = tuple(part.id for part in shared)
+            self._placed.append((selected.endpoint.id, part_ids))
+
+    def take_placed(self):
+        """Return the prompts sent since the last call, for other hosts.
+
+        :returns: pairs of an endpoint id and the shared parts' ids.
+        """
+        placed, self._placed = self._placed, []
+        return tuple(placed)
 
     def mark_read(self, selected):
         """Count a call's prompt as read: its first token has come."""
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -79,6 +79,8 @@
             total_ms=now_ms - self.begun_ms,
             left_ms=call.timeout_at_ms - now_ms,
             tokens=call.prompt.tokens,
+            units=round(call.units),
+            quota_left=host.quotas.level(call),
             config=host.config.version,
             list_age_ms=host.list_age_ms(now_ms),
         ).info('call')
--- a/pearrun/shared/confighistory.py
+++ b/pearrun/shared/confighistory.py
@@ -42,7 +42,13 @@
         previous = self.version
         self.current = config
         logger.bind(
-            version=config.version, previous=previous, source=source
+            version=config.version,
+            previous=previous,
+            source=source,
+            limits={
+                customer.name: (customer.rate_per_s, customer.burst)
+                for customer in config.customers.values()
+            },
         ).info('configuration in force')
         for listener in self.listeners:
             listener(config)
--- /dev/null
+++ b/pearrun/shared/duties.py
@@ -0,0 +1,171 @@
+"""The duties that one host performs for all: usage and scaling."""
+
+import asyncio
+
+from loguru import logger
+
+from pearrun import exceptions
+from pearrun.clock import to_seconds
+from pearrun.decisions.lease import LeaseRecord
+from pearrun.decisions.lease import RecordKind
+
+# How often the lease and the duties are looked at.
+TICK_MS = 250
+# Without news of a holder for this long, a host begins to watch the log.
+HOLDER_SILENT_MS = 1500
+# A watcher reads the log this often.
+WATCH_MS = 900
+# Time after a window's end at which all hosts' reports of it are in.
+SETTLE_MS = 1500
+# How long after its due time a report is still tried.
+LATE_MS = 4000
+
+
+class Duties:
+    """Holds the lease when it can, and performs the duties.
+
+    :param host: shared objects of this host.
+    :param lease_log: the :class:`LeaseLog`.
+    :param calls: the :class:`DutyClient`.
+    :param reports: the :class:`ReportBoard`, for news of the holder.
+    :param scaler: the :class:`Scaler`, or ``None``.
+    """
+
+    def __init__(self, host, lease_log, calls, reports, scaler):
+        self.host = host
+        self.log = lease_log
+        self.view = lease_log.view
+        self.clock = host.clock
+        self.calls = calls
+        self.reports = reports
+        self.scaler = scaler
+        self.delivered = set()
+        self.read_ms = None
+        self.held = False
+        self.started_ms = self.clock.now()
+
+    async def run(self):
+        """Look at the lease for the process's whole life."""
+        while True:
+            try:
+                await self._tick()
+            except exceptions.StoreConflictError:
+                await self._read_quietly()
+            except exceptions.PearrunError as exc:
+                logger.bind(code=exc.code).info(f'lease: {exc.message}')
+                await self._read_quietly()
+            await asyncio.sleep(to_seconds(TICK_MS))
+
+    def holds(self):
+        """Say whether this host may act now."""
+        return self.view.holds(self.clock.boot())
+
+    def fencing_left_ms(self):
+        """Return how long the lease still holds; 0 without it."""
+        if not self.holds():
+            return 0
+        return self.view.valid_until_ms - self.clock.boot()
+
+    async def _tick(self):
+        if self.host.stopping or self.host.config.current is None:
+            return
+        now = self.clock.boot()
+        if self.view.holder == self.view.run and self.view.valid_until_ms:
+            if self.view.should_renew(now):
+                await self.log.write(self._record(RecordKind.RENEW))
+            self._note_held()
+            if self.holds():
+                await self._perform()
+            return
+        self._note_held()
+        await self._watch()
+
+    async def _watch(self):
+        """Claim the lease once nobody else can hold it."""
+        heard_ms = self.reports.heard_duty_ms()
+        now = self.clock.now()
+        if heard_ms is not None and now - heard_ms < HOLDER_SILENT_MS:
+            self.view.still_since_ms = None
+            return
+        if self.read_ms is not None and now - self.read_ms < WATCH_MS:
+            return
+        self.read_ms = now
+        await self.log.read()
+        if self.view.may_claim(self.clock.boot()):
+            await self.log.write(self._record(RecordKind.CLAIM))
+            self._note_held()
+
+    async def _read_quietly(self):
+        try:
+            await self.log.read()
+        except exceptions.PearrunError as exc:
+            logger.bind(code=exc.code).info(f'lease log: {exc.message}')
+
+    def _record(self, kind, window=0, counts=None):
+        return LeaseRecord(kind, self.view.run, window, counts)
+
+    def _note_held(self):
+        holds = self.holds()
+        if holds != self.held:
+            self.held = holds
+            logger.bind(fencing=self.view.fencing, log_end=self.view.end).info(
+                'lease taken' if holds else 'lease lost'
+            )
+
+    async def _perform(self):
+        await self._agree_usage()
+        await self._deliver_usage()
+        if self.scaler is not None and self.holds():
+            await self.scaler.act(self.view.fencing, self.holds)
+
+    async def _agree_usage(self):
+        """Fix the counts of windows that have ended, in the log.
+
+        A successor finds them there and repeats exactly the same.
+        """
+        settings = self.host.settings.usage
+        wall = self.host.time.wall()
+        last = (wall - SETTLE_MS) // settings.window_ms - 1
+        board = self.host.board
+        oldest = last - (settings.due_ms + LATE_MS) // settings.window_ms
+        for window in range(oldest, last + 1):
+            if window in self.view.reported or not self._covers(window):
+                continue
+            counts = board.total(window)
+            for name in self.host.config.current.customers:
+                counts.setdefault(name, 0)
+            await self.log.write(
+                self._record(RecordKind.USAGE, window, counts)
+            )
+
+    def _covers(self, window):
+        """Say whether calls of a window can have been counted."""
+        windows = self.host.board.windows
+        return bool(windows) and window >= min(windows)
+
+    async def _deliver_usage(self):
+        settings = self.host.settings.usage
+        wall = self.host.time.wall()
+        for window, counts in sorted(self.view.reported.items()):
+            end_ms = (window + 1) * settings.window_ms
+            if wall > end_ms + settings.due_ms + LATE_MS:
+                self.delivered.discard(window)
+                continue
+            if window in self.delivered or not self.holds():
+                continue
+            try:
+                await self.calls.report_usage(
+                    self.view.fencing, window, counts
+                )
+            except exceptions.DutyCallError as exc:
+                logger.bind(
+                    code=exc.code, window=window, fencing=self.view.fencing
+                ).warning(f'usage report not taken: {exc.message}')
+                return
+            self.delivered.add(window)
+            logger.bind(
+                window=window,
+                counts=counts,
+                fencing=self.view.fencing,
+                after_ms=wall - end_ms,
+            ).info('usage reported')
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -12,6 +12,7 @@
 from pearrun.shared.members import Members
 from pearrun.shared.quotas import Quotas
 from pearrun.shared.usage import UsageCounts
+from pearrun.shared.usageboard import UsageBoard
 
 
 class HostContext:
@@ -35,9 +36,11 @@
         self.selection = Selection(
             clock, settings.zone, self.fleet, self.loads
         )
-        self.quotas = Quotas(clock, self.config, self.count_hosts)
+        self.quotas = Quotas(clock, self.config, settings.quota)
         self.time = CorrectedClock(clock)
         self.usage = UsageCounts(self.time.wall, settings.usage.window_ms)
+        self.board = UsageBoard()
+        self.forget_host = lambda name: None
 
     def count_hosts(self):
         """Return how many entry hosts there are, this one included."""
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -1,81 +1,110 @@
 """Customers' quotas as this host enforces them."""
 
+import dataclasses
+
 from pearrun.decisions import quota
 
-# Time over which demand is averaged when quotas are divided.
-DEMAND_MS = 1000
-# Demand halves in this time without calls.
-SMOOTHING = 0.5
-# A report of a host that is not heard counts for this long; after it
-# the platform's member list decides whether the host is still there.
-REPORT_VALID_MS = 3000
+# Time over which a rate is averaged.
+AVERAGE_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """Units that a host admitted for one customer.
+
+    :param total: since the host's start.
+    :param rate: a second, lately.
+    """
+
+    total: float
+    rate: float
 
 
 class Quotas:
-    """Admits calls within this host's share of each customer's quota.
+    """Admits calls within each customer's quota.
 
     :param config: the :class:`ConfigHistory`.
-    :param count_hosts: returns how many hosts share the quotas.
+    :param settings: the :class:`QuotaSettings`.
     """
 
-    def __init__(self, clock, config, count_hosts):
+    def __init__(self, clock, config, settings):
         self.clock = clock
+        self.settings = settings
         self.config = config
-        self.count_hosts = count_hosts
         self.buckets = {}
-        self.asked = {}
-        self.demands = {}
-        self.peer_demands = {}
+        self.totals = {}
+        self.rates = {}
+        self._averaged_totals = {}
         self._averaged_ms = clock.now()
 
     def admit(self, call):
         """Say whether a call is within its customer's quota; count it."""
         if call.customer is None:
             return True
-        customer = self.config.current.customers.get(call.customer.name)
+        name = call.customer.name
+        customer = self.config.current.customers.get(name)
         if customer is None or customer.rate_per_s <= 0:
             return True
         now = self.clock.now()
-        name = customer.name
-        self.asked[name] = self.asked.get(name, 0.0) + call.units
-        share = self.share(name)
-        rate = customer.rate_per_s * share * quota.USED_SHARE
-        burst = customer.burst * share
-        bucket = self.buckets.get(name)
-        if bucket is None:
-            bucket = self.buckets[name] = quota.Bucket(burst, now)
-        bucket.refill(rate, burst, now)
-        return bucket.take(call.units)
-
-    def share(self, name):
-        """Return this host's part of a customer's quota."""
-        others = [
-            demands.get(name, 0.0) for demands in self.peer_demands.values()
-        ]
-        missing = self.count_hosts() - 1 - len(others)
-        others.extend([0.0] * max(0, missing))
-        return quota.share_of(self.demands.get(name, 0.0), others)
-
-    def put_report(self, host, demands):
-        """Take another host's demand, in units a second by customer."""
-        self.peer_demands[host] = demands
+        bucket = self._refilled(customer, now)
+        if not bucket.take(call.units, customer.burst):
+            return False
+        self.totals[name] = self.totals.get(name, 0.0) + call.units
+        return True
 
-    def remove(self, host):
-        """Forget a host that has left."""
-        self.peer_demands.pop(host, None)
+    def level(self, call):
+        """Return the units left to a call's customer, for its log line."""
+        if call.customer is None:
+            return None
+        bucket = self.buckets.get(call.customer.name)
+        return None if bucket is None else round(bucket.level)
 
-    def average(self):
-        """Average the demand of the time since the last call.
+    def put_report(self, run, admitted):
+        """Take what another host admitted.
 
-        :returns: units a second by customer.
+        :param run: the host's name and start time.
+        :param admitted: :class:`Admitted` by customer.
         """
+        if self.config.current is None:
+            return
         now = self.clock.now()
-        elapsed_s = max(1, now - self._averaged_ms) / 1000.0
+        for name, use in admitted.items():
+            customer = self.config.current.customers.get(name)
+            if customer is not None and customer.rate_per_s > 0:
+                bucket = self._refilled(customer, now)
+                bucket.take_report(run, use.total, use.rate, now)
+
+    def remove(self, host):
+        """Forget all runs of a host that has ended."""
+        for bucket in self.buckets.values():
+            for run in [run for run in bucket.peers if run[0] == host]:
+                bucket.forget(run)
+
+    def report(self):
+        """Return what this host admitted: :class:`Admitted` by customer."""
+        now = self.clock.now()
+        elapsed_ms = max(1, now - self._averaged_ms)
         self._averaged_ms = now
-        keep = SMOOTHING ** (elapsed_s * 1000.0 / DEMAND_MS)
-        for name in {*self.demands, *self.asked}:
-            asked = self.asked.get(name, 0.0) / elapsed_s
-            old = self.demands.get(name, 0.0)
-            self.demands[name] = old * keep + asked * (1 - keep)
-        self.asked.clear()
-        return dict(self.demands)
+        keep = 0.5 ** (elapsed_ms / AVERAGE_MS)
+        for name, total in self.totals.items():
+            before = self._averaged_totals.get(name, 0.0)
+            rate = (total - before) * 1000.0 / elapsed_ms
+            old = self.rates.get(name, 0.0)
+            self.rates[name] = old * keep + rate * (1 - keep)
+        self._averaged_totals = dict(self.totals)
+        return {
+            name: Admitted(total, self.rates[name])
+            for name, total in self.totals.items()
+        }
+
+    def _refilled(self, customer, now):
+        """Return a customer's bucket, filled up to now."""
+        bucket = self.buckets.get(customer.name)
+        if bucket is None:
+            bucket = quota.SharedBucket(customer.burst, now)
+            self.buckets[customer.name] = bucket
+        rate = quota.refill_rate(
+            customer.rate_per_s, customer.burst, self.settings
+        )
+        bucket.refill(rate, customer.burst, now)
+        return bucket
--- /dev/null
+++ b/pearrun/shared/scaler.py
@@ -0,0 +1,128 @@
+"""Orders endpoints as the load needs them; acts for the lease's holder."""
+
+from loguru import logger
+
+from pearrun import exceptions
+from pearrun.decisions import scaling
+from pearrun.states import EndpointState
+
+# How often the plan is made anew.
+PLAN_MS = 1000
+# An order that is not in force is repeated after this long: endpoints
+# boot in some seconds.
+REPEAT_MS = 8000
+# An order that the platform refused is repeated after this long.
+REFUSED_MS = 3000
+
+
+class Scaler:
+    """Plans and sends orders.
+
+    :param host: shared objects of this host.
+    :param calls: the :class:`DutyClient`.
+    """
+
+    def __init__(self, host, calls):
+        self.host = host
+        self.clock = host.clock
+        self.calls = calls
+        self.settings = scaling.ScalingSettings()
+        self.ordered = {}
+        self.needs = {}
+        self.lower_since_ms = {}
+        self.planned_ms = None
+
+    async def act(self, fencing, may_act):
+        """Send the orders that are due.
+
+        :param fencing: the lease's fencing token.
+        :param may_act: says whether the lease still holds.
+        """
+        now = self.clock.now()
+        if self.planned_ms is not None and now - self.planned_ms < PLAN_MS:
+            return
+        self.planned_ms = now
+        for service in self.host.config.current.services.values():
+            if service.scale is None:
+                continue
+            for order in self._plan(service, now):
+                if not may_act():
+                    return
+                await self._send(order, fencing, now)
+
+    def _plan(self, service, now):
+        """Return the orders that are to be in force now."""
+        orders = scaling.plan_orders(
+            service.name,
+            service.scale,
+            self._count(service.name),
+            self._need(service.name, now),
+            self.settings,
+        )
+        return [order for order in orders if not self._waits(order, now)]
+
+    def _waits(self, order, now):
+        """Say whether an order gives endpoints back too soon."""
+        key = (order.service, order.zone, order.reclaimable)
+        count, _ = self.ordered.get(key, (order.count + 1, 0))
+        if order.count >= count:
+            self.lower_since_ms.pop(key, None)
+            return False
+        since_ms = self.lower_since_ms.setdefault(key, now)
+        return now - since_ms < self.settings.release_ms
+
+    def _count(self, service_name):
+        zones = dict.fromkeys(self.host.settings.zones, scaling.ZoneCount())
+        for endpoint in self.host.fleet.endpoints.values():
+            record = endpoint.record
+            if record.service != service_name:
+                continue
+            if record.state is not EndpointState.LIVE:
+                continue
+            known = zones.get(record.zone, scaling.ZoneCount())
+            zones[record.zone] = scaling.ZoneCount(
+                known.reclaimable + record.reclaimable,
+                known.lasting + (not record.reclaimable),
+            )
+        return zones
+
+    def _need(self, service_name, now):
+        """Return how many endpoints the load of the last time needs."""
+        calls = sum(
+            endpoint.calls + self.host.loads.get(endpoint.id).calls
+            for endpoint in self.host.fleet.endpoints.values()
+            if endpoint.record.service == service_name
+        )
+        needed = scaling.count_needed(calls, self.settings)
+        past = self.needs.setdefault(service_name, {})
+        past[now] = needed
+        for old in [at for at in past if now - at > self.settings.hold_ms]:
+            del past[old]
+        return max(past.values())
+
+    async def _send(self, order, fencing, now):
+        key = (order.service, order.zone, order.reclaimable)
+        count, sent_ms = self.ordered.get(key, (None, 0))
+        if count == order.count and now - sent_ms < REPEAT_MS:
+            return
+        try:
+            await self.calls.order(fencing, order)
+        except exceptions.DutyCallError as exc:
+            if exc.status == 409:
+                # None to be had: ask again, but not at every plan.
+                repeat_ms = now - REPEAT_MS + REFUSED_MS
+                self.ordered[key] = (order.count, repeat_ms)
+            logger.bind(order=order, fencing=fencing, code=exc.code).warning(
+                f'order not taken: {exc.message}'
+            )
+            return
+        self.ordered[key] = (order.count, now)
+        if count != order.count:
+            logger.bind(
+                service=order.service,
+                zone=order.zone,
+                reclaimable=order.reclaimable,
+                count=order.count,
+                before=count,
+                fencing=fencing,
+            ).info('endpoints ordered')
