--- a/pearrun/http1/server.py
+++ b/pearrun/http1/server.py
@@ -338,7 +338,11 @@
         return sum(connection.serving for connection in self.connections)
 
     def close(self):
-        """Stop accepting, and close connections without a request."""
+        """Stop accepting, and close connections without a request.
+
+        Requests being answered go on; their connections end with them.
+        """
+        self.closing = True
         self.listener.close()
         for connection in list(self.connections):
             if not connection.serving:
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -140,15 +140,14 @@
         self.front.closing = True
         logger.bind(requests=self.front.busy).info('stopping')
         last_ms = began_ms + self.settings.stop_ms - STOP_MARGIN_MS
-        while self.clock.now() < last_ms:
-            left = self.clock.since(began_ms) >= LEAVE_MS
-            if left and not self.front.busy:
-                break
+        await asyncio.sleep(to_seconds(LEAVE_MS))
+        # From here on no request is read that could not be finished.
+        self.front.close()
+        while self.front.busy and self.clock.now() < last_ms:
             await asyncio.sleep(to_seconds(STOP_POLL_MS))
         logger.bind(
             requests=self.front.busy, after_ms=self.clock.since(began_ms)
         ).info('stop')
-        self.front.close()
         for task in self.tasks:
             task.cancel()
 
