--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -11,28 +11,34 @@
 
 import dataclasses
 
+# Places of a zone that lasting endpoints never take.
+ROOM_TO_RETURN = 2
+
 
 @dataclasses.dataclass(frozen=True)
 class ScalingSettings:
     """Limits of the orders.
 
     :param fewest: endpoints of a service that always serve.
-    :param calls_each: calls an endpoint should have at once; at 6 a
-        model engine's step takes a fifth longer than alone.
+    :param calls_each: calls an endpoint should have at once; at 8 a
+        model engine's step takes a quarter longer than alone.
     :param spare: reclaimable endpoints ordered beyond what is needed,
         in each zone: a boot takes seconds, a burst comes at once.
-    :param hold_ms: how long the highest need of the past still counts,
-        so that a wave's trough does not give endpoints away that its
-        next crest needs.
+    :param hold_ms: how long the highest need of the past still counts
+        for reclaimable endpoints, so that a wave's trough does not give
+        those away that its next crest needs.
+    :param lasting_hold_ms: the same for lasting ones, which cost five
+        times as much and boot in a few seconds.
     :param release_ms: how long fewer lasting endpoints must suffice
         before any are given back.
     """
 
-    fewest: int = 6
-    calls_each: int = 6
+    fewest: int = 5
+    calls_each: int = 8
     spare: int = 1
     hold_ms: int = 30_000
-    release_ms: int = 3_000
+    lasting_hold_ms: int = 10_000
+    release_ms: int = 1_500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,19 +62,35 @@
     reclaimable: int = 0
     lasting: int = 0
 
+    def of_kind(self, reclaimable):
+        """Return the count of one kind."""
+        return self.reclaimable if reclaimable else self.lasting
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """Endpoints that the load needs in all zones together.
+
+    :param lasting: need by which lasting endpoints are ordered.
+    :param reclaimable: need by which reclaimable ones are.
+    """
+
+    lasting: int
+    reclaimable: int
 
-def plan_orders(service, limits, zones, needed, settings):
+
+def plan_orders(service, limits, zones, need, settings):
     """Plan the orders of one service.
 
     :param service: its name.
     :param limits: its :class:`ScaleLimits`.
     :param zones: :class:`ZoneCount` by zone.
-    :param needed: endpoints that the load needs in all zones.
+    :param need: the :class:`Need`.
     :returns: a list of :class:`Order`, two a zone; those that add
         lasting endpoints come first.
     """
-    lasting = spread_lasting(limits, zones, count_lasting(zones, needed))
-    each = reclaimable_in_zone(limits, len(zones), needed, settings)
+    lasting = spread_lasting(limits, zones, count_lasting(zones, need.lasting))
+    each = reclaimable_in_zone(limits, len(zones), need.reclaimable, settings)
     orders = [
         Order(service, zone, False, count) for zone, count in lasting.items()
     ]
@@ -99,8 +121,9 @@
     """
     by_price = sorted(zones, key=lambda zone: price_of(limits, zone))
     counts = dict.fromkeys(by_price, 0)
+    most = most_lasting(limits)
     while total > 0:
-        open_zones = [z for z in by_price if counts[z] < limits.largest]
+        open_zones = [zone for zone in by_price if counts[zone] < most]
         if not open_zones:
             break
         zone = min(open_zones, key=lambda name: counts[name])
@@ -109,6 +132,17 @@
     return counts
 
 
+def most_lasting(limits):
+    """Return the most lasting endpoints of a zone.
+
+    Room is left for a few reclaimable ones, which take their place one
+    after the other once they can be had again.
+    """
+    if limits.reclaimable_price is None:
+        return limits.largest
+    return max(1, limits.largest - ROOM_TO_RETURN)
+
+
 def reclaimable_in_zone(limits, zone_count, needed, settings):
     """Return how many reclaimable endpoints each zone should have."""
     if limits.reclaimable_price is None:
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -12,9 +12,12 @@
 CONFIG_TOPIC = 'op'
 CONFIG_KEY = 'config'
 ENDPOINT_TOPIC = 'servers'
-# Longest wait of one read.  It bounds how long the age of the newest
-# configuration stays unknown, at one call a host in this time.
-WAIT_MS = 2500
+# Longest wait of a read for endpoints.  A read that hangs because the
+# store fell silent is given up soon after; the first answer after that
+# ends the other followers' waits too, so these may be longer.
+ENDPOINT_WAIT_MS = 2500
+# Longest wait of the other reads: a call each in this time.
+WAIT_MS = 10_000
 # Pause between reads of the endpoints' heartbeats, which come many
 # times a second: a drain has to be acted on within 2 s.
 ENDPOINT_PAUSE_MS = 150
@@ -32,10 +35,12 @@
     :param host: shared objects of this host.
     :param store: the :class:`StoreClient`.
     :param topic: the topic's name.
+    :param wait_ms: longest wait of one read.
     :param pause_ms: pause between two reads.
     """
 
-    def __init__(self, host, store, topic, pause_ms=0):
+    def __init__(self, host, store, topic, wait_ms=WAIT_MS, pause_ms=0):
+        self.wait_ms = wait_ms
         self.host = host
         self.store = store
         self.topic = topic
@@ -70,7 +75,7 @@
             return
         position = self.position
         records, self.position = await self.store.follow(
-            self.topic, position, WAIT_MS
+            self.topic, position, self.wait_ms
         )
         self.take_changes(records, asked_ms)
 
@@ -130,7 +135,9 @@
     """Keeps the list of endpoints."""
 
     def __init__(self, host, store):
-        super().__init__(host, store, ENDPOINT_TOPIC, ENDPOINT_PAUSE_MS)
+        super().__init__(
+            host, store, ENDPOINT_TOPIC, ENDPOINT_WAIT_MS, ENDPOINT_PAUSE_MS
+        )
         self.removals = {}
 
     def take_all(self, records, asked_ms):
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -28,7 +28,7 @@
 # How long a short call may take; a slow store takes 50 times its 4 ms.
 CALL_MS = 1500
 # Added to a long poll's own time before it is given up.
-POLL_MARGIN_MS = 2000
+POLL_MARGIN_MS = 1000
 MAX_BODY_BYTES = 8 * 1024 * 1024
 LENGTH = struct.Struct('>I')
 BOUNDS = struct.Struct('>QQ')
@@ -67,6 +67,8 @@
         self.calls = 0
         self.failures = 0
         self.answered_ms = None
+        self.failing = False
+        self.waiting = set()
         self.pool = make_pool(settings.address)
 
     def use(self, settings):
@@ -175,16 +177,27 @@
                 response = await self._send(method, target, headers, body)
         except (exceptions.PearrunError, TimeoutError) as exc:
             self.failures += 1
+            self.failing = True
             raise exceptions.StoreUnavailableError(
                 f'{path}: {exc or "timed out"}'
             ) from exc
         if response.head.status < 500 and response.head.status != 429:
             self.answered_ms = self.clock.now()
+            self._note_answer()
         return response
 
+    def _note_answer(self):
+        """End reads that wait since before an outage: they may hang."""
+        if not self.failing:
+            return
+        self.failing = False
+        for connection in self.waiting:
+            connection.abort()
+
     async def _send(self, method, target, headers, body):
         pool = self.pool
         connection, _ = await pool.take()
+        self.waiting.add(connection)
         try:
             response = await connection.fetch(
                 method, target, headers, body, MAX_BODY_BYTES
@@ -192,6 +205,8 @@
         except BaseException:
             pool.discard(connection)
             raise
+        finally:
+            self.waiting.discard(connection)
         pool.give_back(connection, response.head)
         return response
 
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -53,6 +53,7 @@
             started_ms=self.started_ms,
             wall_ms=host.clock.wall(),
             config_version=host.config.version,
+            config_age_ms=host.config.age_ms(),
             loads=loads,
             admitted=host.quotas.report(),
             usage={window: host.usage.windows[window] for window in windows},
@@ -77,6 +78,8 @@
         host.board.put(report.host, report.started_ms, report.usage)
         self.versions[report.host] = report.config_version
         now = host.clock.now()
+        if report.config_version == host.config.version:
+            host.config.confirm(now - report.config_age_ms)
         if report.duty is not None:
             self.duty_heard[report.host] = (now, report.duty)
         for endpoint_id, part_ids in report.placed:
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -28,6 +28,8 @@
 
     :param started_ms: when it started; tells its runs apart.
     :param wall_ms: its own time of day.
+    :param config_age_ms: how long ago that version was confirmed as
+        the newest.
     :param loads: its :class:`Load` by endpoint id.
     :param admitted: :class:`Admitted` by customer.
     :param usage: counts by customer, by window number.
@@ -38,6 +40,7 @@
     started_ms: int
     wall_ms: int
     config_version: int
+    config_age_ms: int
     loads: dict[str, Load]
     admitted: dict[str, Admitted]
     usage: dict[int, dict[str, int]]
@@ -76,6 +79,7 @@
         report.started_ms,
         report.wall_ms,
         report.config_version,
+        report.config_age_ms,
         {
             endpoint_id: [load.calls, load.reading_tokens]
             for endpoint_id, load in report.loads.items()
@@ -110,12 +114,15 @@
 
 def decode_report(host, fields):
     """Decode the fields of a report."""
-    started, wall, version, loads, admitted, usage, placed, duty = fields
+    (started, wall, version, age, loads, admitted, usage, placed, duty) = (
+        fields
+    )
     return HostReport(
         host=host,
         started_ms=started,
         wall_ms=wall,
         config_version=version,
+        config_age_ms=age,
         loads={
             endpoint_id: Load(calls, tokens)
             for endpoint_id, (calls, tokens) in loads.items()
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -29,6 +29,7 @@
         self.settings = scaling.ScalingSettings()
         self.ordered = {}
         self.needs = {}
+        self.last_need = {}
         self.lower_since_ms = {}
         self.planned_ms = None
 
@@ -52,19 +53,20 @@
 
     def _plan(self, service, now):
         """Return the orders that are to be in force now."""
+        zones = self._count(service.name)
+        need = self._need(service.name, now)
         orders = scaling.plan_orders(
-            service.name,
-            service.scale,
-            self._count(service.name),
-            self._need(service.name, now),
-            self.settings,
+            service.name, service.scale, zones, need, self.settings
         )
-        return [order for order in orders if not self._waits(order, now)]
+        return [
+            order for order in orders if not self._waits(order, zones, now)
+        ]
 
-    def _waits(self, order, now):
+    def _waits(self, order, zones, now):
         """Say whether an order gives endpoints back too soon."""
         key = (order.service, order.zone, order.reclaimable)
-        count, _ = self.ordered.get(key, (order.count + 1, 0))
+        serving = zones[order.zone].of_kind(order.reclaimable)
+        count, _ = self.ordered.get(key, (serving, 0))
         if order.count >= count:
             self.lower_since_ms.pop(key, None)
             return False
@@ -93,12 +95,24 @@
             for endpoint in self.host.fleet.endpoints.values()
             if endpoint.record.service == service_name
         )
-        needed = scaling.count_needed(calls, self.settings)
         past = self.needs.setdefault(service_name, {})
-        past[now] = needed
+        past[now] = scaling.count_needed(calls, self.settings)
         for old in [at for at in past if now - at > self.settings.hold_ms]:
             del past[old]
-        return max(past.values())
+        need = scaling.Need(
+            lasting=max(
+                needed
+                for at, needed in past.items()
+                if now - at <= self.settings.lasting_hold_ms
+            ),
+            reclaimable=max(past.values()),
+        )
+        if self.last_need.get(service_name) != need:
+            self.last_need[service_name] = need
+            logger.bind(service=service_name, calls=calls, need=need).info(
+                'endpoints needed'
+            )
+        return need
 
     async def _send(self, order, fencing, now):
         key = (order.service, order.zone, order.reclaimable)
