One channel for both ends of a connection; the platform form on loopback

Cause: client and server each kept their own inbox and flow control, store and duty client their own send; the site builder existed only for tests. A settings file that stays bad is logged once, not each second.

--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -15,6 +15,7 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
+from pearrun.http1.channel import Channel
 from pearrun.http1.messages import Response
 from pearrun.http1.messages import ResponseHead
 
@@ -38,39 +39,25 @@
 CLOCK = Clock()
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(Channel):
     """A connection that carries one request at a time."""
 
     def __init__(self):
-        self.transport = None
+        super().__init__(READ_BUFFER_BYTES)
         self.broken = None
         self.ended = False
         self.idle_since_ms = CLOCK.now()
         self.idle_limit_ms = DEFAULT_IDLE_MS
         self.in_use = False
-        self._inbox = []
-        self._inbox_bytes = 0
-        self._waiter = None
-        self._paused = False
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._state = new_parser()
+        self.state = new_parser()
 
     # asyncio.Protocol
 
-    def connection_made(self, transport):
-        self.transport = transport
-
     def data_received(self, data):
-        self._inbox.append(data)
-        self._inbox_bytes += len(data)
+        super().data_received(data)
         if not self.in_use:
             # No request waits: these bytes belong to none.
             self.abort()
-        elif self._inbox_bytes > READ_BUFFER_BYTES:
-            self._paused = True
-            self.transport.pause_reading()
-        self._wake()
 
     def eof_received(self):
         self.ended = True
@@ -84,12 +71,6 @@
         self._writable.set()
         self._wake()
 
-    def pause_writing(self):
-        self._writable.clear()
-
-    def resume_writing(self):
-        self._writable.set()
-
     # requests
 
     def send(self, method, target, headers, body=b''):
@@ -103,10 +84,10 @@
             raise exceptions.EndpointUnreachableError('connection closed')
         self.in_use = True
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self._state.send(request)
+        data = self.state.send(request)
         if body:
-            data += self._state.send(h11.Data(data=body))
-        data += self._state.send(h11.EndOfMessage())
+            data += self.state.send(h11.Data(data=body))
+        data += self.state.send(h11.EndOfMessage())
         self.transport.write(data)
 
     async def read_head(self):
@@ -179,15 +160,15 @@
         An endpoint may deliver a stray response where the next one is
         expected; the awaited one follows on the same connection.
         """
-        rest, _ = self._state.trailing_data
-        self._state = new_parser()
+        rest, _ = self.state.trailing_data
+        self.state = new_parser()
         dummy = h11.Request(
             method='GET', target='/', headers=[('Host', 'parser')]
         )
-        self._state.send(dummy)
-        self._state.send(h11.EndOfMessage())
+        self.state.send(dummy)
+        self.state.send(h11.EndOfMessage())
         if rest:
-            self._state.receive_data(bytes(rest))
+            self.state.receive_data(bytes(rest))
 
     def finish(self, head):
         """End a request whose response was read whole.
@@ -200,16 +181,16 @@
         self.idle_limit_ms = parse_idle_limit(head.get(b'keep-alive'))
         reusable = (
             not self.ended
-            and not self._inbox
-            and not self._state.trailing_data[0]
-            and self._state.our_state is h11.DONE
-            and self._state.their_state is h11.DONE
+            and not self.has_unread
+            and not self.state.trailing_data[0]
+            and self.state.our_state is h11.DONE
+            and self.state.their_state is h11.DONE
             and self.transport.get_write_buffer_size() == 0
         )
         if not reusable:
             self.abort()
             return False
-        self._state.start_next_cycle()
+        self.state.start_next_cycle()
         return True
 
     def is_fresh(self):
@@ -226,9 +207,9 @@
 
     async def _next_event(self):
         while True:
-            self._feed()
+            self.feed()
             try:
-                event = self._state.next_event()
+                event = self.state.next_event()
             except h11.RemoteProtocolError as exc:
                 raise exceptions.ConnectionBrokenError(str(exc)) from exc
             if event is h11.NEED_DATA:
@@ -238,32 +219,14 @@
                 raise exceptions.ConnectionBrokenError('connection closed')
             return event
 
-    def _feed(self):
-        if self._inbox:
-            data = b''.join(self._inbox)
-            self._inbox.clear()
-            self._inbox_bytes = 0
-            self._state.receive_data(data)
-            if self._paused and not self.transport.is_closing():
-                self._paused = False
-                self.transport.resume_reading()
-
     async def _wait(self):
         if self.broken is not None:
             raise exceptions.ConnectionBrokenError(str(self.broken))
         if self.ended:
             # A clean close ends a body that has no length.
-            self._state.receive_data(b'')
+            self.state.receive_data(b'')
             return
-        self._waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-
-    def _wake(self):
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        await self.wait_for_bytes()
 
 
 def new_parser():
--- a/pearrun/http1/pool.py
+++ b/pearrun/http1/pool.py
@@ -28,6 +28,7 @@
         self.settings = settings
         self.idle = []
         self.open = 0
+        self.fetching = set()
 
     async def take(self):
         """Return an idle connection or a new one.
@@ -55,6 +56,28 @@
             raise
         return connection, False
 
+    async def fetch(self, method, target, headers, body, limit):
+        """Send a request on a connection of the pool.
+
+        :param limit: most bytes of body read.
+        :returns: the whole :class:`Response`.
+        :raises EndpointUnreachableError: no connection stands.
+        :raises ConnectionBrokenError: the response is not complete.
+        """
+        connection, _ = await self.take()
+        self.fetching.add(connection)
+        try:
+            response = await connection.fetch(
+                method, target, headers, body, limit
+            )
+        except BaseException:
+            self.discard(connection)
+            raise
+        finally:
+            self.fetching.discard(connection)
+        self.give_back(connection, response.head)
+        return response
+
     def give_back(self, connection, head):
         """Keep a connection whose response was read whole, if it may."""
         if connection.finish(head):
--- a/pearrun/http1/server.py
+++ b/pearrun/http1/server.py
@@ -8,14 +8,17 @@
 
 import asyncio
 import contextlib
-import dataclasses
 
 import h11
 from loguru import logger
 
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
+from pearrun.http1 import limits as limits_module
+from pearrun.http1.channel import Channel
 from pearrun.http1.client import detect_silence
+from pearrun.http1.limits import RejectedError
+from pearrun.http1.limits import ServerLimits
 from pearrun.http1.messages import Request
 
 # Unread bytes of a caller beyond which reading pauses.
@@ -30,66 +33,32 @@
 CLOCK = Clock()
 
 
-@dataclasses.dataclass(frozen=True)
-class ServerLimits:
-    """What a caller may send, and how long it may take."""
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: int = 3000
-    idle_timeout_ms: int = 15000
-
-
-class RejectedError(Exception):
-    """A request is answered with an error before it reaches a handler."""
-
-    def __init__(self, status, reason):
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(Channel):
     """One caller's connection.
 
     :param server: the :class:`Server` that accepted it.
     """
 
     def __init__(self, server):
+        super().__init__(READ_BUFFER_BYTES)
         self.server = server
-        self.transport = None
         self.task = None
         self.gone = False
         self.serving = False
         self.head_sent = False
-        self._inbox = []
-        self._inbox_bytes = 0
-        self._waiter = None
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._paused = False
-        self._state = None
 
     # asyncio.Protocol
 
     def connection_made(self, transport):
-        self.transport = transport
+        super().connection_made(transport)
         detect_silence(transport.get_extra_info('socket'), SILENCE_MS)
         limits = self.server.limits()
-        self._state = h11.Connection(
+        self.state = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self.server.connections.add(self)
         self.task = asyncio.get_running_loop().create_task(self._serve())
 
-    def data_received(self, data):
-        self._inbox.append(data)
-        self._inbox_bytes += len(data)
-        if self._inbox_bytes > READ_BUFFER_BYTES and not self._paused:
-            self._paused = True
-            self.transport.pause_reading()
-        self._wake()
-
     def eof_received(self):
         self._leave()
         return False
@@ -99,12 +68,6 @@
         self._writable.set()
         self._leave()
 
-    def pause_writing(self):
-        self._writable.clear()
-
-    def resume_writing(self):
-        self._writable.set()
-
     def _leave(self):
         if not self.gone:
             self.gone = True
@@ -126,16 +89,16 @@
             headers.append((b'Connection', b'close'))
         response = h11.Response(status_code=status, headers=headers)
         self.head_sent = True
-        self.transport.write(self._state.send(response))
+        self.transport.write(self.state.send(response))
 
     async def write(self, data):
         """Send some of a response's body; wait while the caller is slow."""
-        self.transport.write(self._state.send(h11.Data(data=data)))
-        await self._writable.wait()
+        self.transport.write(self.state.send(h11.Data(data=data)))
+        await self.wait_until_writable()
 
     def finish(self):
         """End a response whose body was sent whole."""
-        self.transport.write(self._state.send(h11.EndOfMessage()))
+        self.transport.write(self.state.send(h11.EndOfMessage()))
 
     async def reply(self, status, headers, body=b''):
         """Send a whole response."""
@@ -178,11 +141,11 @@
             await self.server.handle(request, self)
         finally:
             self.serving = False
-        if self._state.our_state is not h11.DONE or self.server.closing:
+        if self.state.our_state is not h11.DONE or self.server.closing:
             return False
-        if self._state.their_state is not h11.DONE:
+        if self.state.their_state is not h11.DONE:
             return False
-        self._state.start_next_cycle()
+        self.state.start_next_cycle()
         return True
 
     async def _read_request(self, limits):
@@ -195,11 +158,11 @@
         if head is None:
             return None
         received_ms = CLOCK.now()
-        check_size(head, limits)
-        check_framing(head, limits)
-        if self._state.they_are_waiting_for_100_continue:
+        limits_module.check_size(head, limits)
+        limits_module.check_framing(head, limits)
+        if self.state.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self.transport.write(self._state.send(go_on))
+            self.transport.write(self.state.send(go_on))
         body = await self._read_body(limits)
         headers = list(head.headers.raw_items())
         return Request(
@@ -207,7 +170,7 @@
             target=bytes(head.target),
             headers=headers,
             body=body,
-            has_body=bool(body) or has_framing(head),
+            has_body=bool(body) or limits_module.has_framing(head),
             received_ms=received_ms,
         )
 
@@ -215,7 +178,7 @@
         event = self._take_event()
         if event is h11.NEED_DATA and not self._has_partial():
             try:
-                await self._wait(limits.idle_timeout_ms)
+                await self.wait_for_bytes(limits.idle_timeout_ms)
             except TimeoutError:
                 return None
         try:
@@ -223,7 +186,7 @@
                 while event is h11.NEED_DATA:
                     event = self._take_event()
                     if event is h11.NEED_DATA:
-                        await self._wait(None)
+                        await self.wait_for_bytes()
         except TimeoutError as exc:
             raise RejectedError(408, 'head took too long') from exc
         return event if isinstance(event, h11.Request) else None
@@ -248,50 +211,26 @@
 
     async def _wait_for_body(self, limits):
         try:
-            await self._wait(limits.header_timeout_ms)
+            await self.wait_for_bytes(limits.header_timeout_ms)
         except TimeoutError as exc:
             raise RejectedError(408, 'body took too long') from exc
 
     def _has_partial(self):
-        data, _ = self._state.trailing_data
+        data, _ = self.state.trailing_data
         return bool(data)
 
     def _take_event(self):
-        if self._inbox:
-            data = b''.join(self._inbox)
-            self._inbox.clear()
-            self._inbox_bytes = 0
-            self._state.receive_data(data)
-            if self._paused and not self.transport.is_closing():
-                self._paused = False
-                self.transport.resume_reading()
+        self.feed()
         try:
-            return self._state.next_event()
+            return self.state.next_event()
         except h11.RemoteProtocolError as exc:
             raise RejectedError(exc.error_status_hint, str(exc)) from exc
 
-    async def _wait(self, timeout_ms):
-        if self._inbox:
-            return
-        self._waiter = asyncio.get_running_loop().create_future()
-        try:
-            if timeout_ms is None:
-                await self._waiter
-            else:
-                async with asyncio.timeout(to_seconds(timeout_ms)):
-                    await self._waiter
-        finally:
-            self._waiter = None
-
-    def _wake(self):
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     async def _reject(self, error):
         logger.info(
             'request rejected', status=error.status, reason=error.reason
         )
-        if self._state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.abort()
             return
         self.start(error.status, [(b'Connection', b'close')], 0)
@@ -299,12 +238,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(to_seconds(LINGER_MS)):
                 while True:
-                    self._inbox.clear()
-                    self._inbox_bytes = 0
-                    if self._paused:
-                        self._paused = False
-                        self.transport.resume_reading()
-                    await self._wait(None)
+                    self.drop_unread()
+                    await self.wait_for_bytes()
 
 
 class Server:
@@ -353,36 +288,3 @@
         """Break off every connection."""
         for connection in list(self.connections):
             connection.abort()
-
-
-def has_framing(head):
-    """Say whether a request declares a body."""
-    names = {name for name, _ in head.headers}
-    return b'content-length' in names or b'transfer-encoding' in names
-
-
-def check_size(head, limits):
-    """Refuse heads larger than allowed.
-
-    h11 limits only heads that arrive in several parts.
-
-    :raises RejectedError: the head is too large.
-    """
-    size = len(head.method) + len(head.target)
-    size += sum(len(name) + len(value) + 4 for name, value in head.headers)
-    if size > limits.max_header_bytes:
-        raise RejectedError(431, 'head too large')
-
-
-def check_framing(head, limits):
-    """Refuse requests whose end two readers could see differently.
-
-    :raises RejectedError: both framings are declared, or the body is
-        larger than allowed.
-    """
-    names = [name for name, _ in head.headers]
-    if b'content-length' in names and b'transfer-encoding' in names:
-        raise RejectedError(400, 'both length and chunked framing')
-    for name, value in head.headers:
-        if name == b'content-length' and int(value) > limits.max_body_bytes:
-            raise RejectedError(413, 'body too large')
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -10,8 +10,8 @@
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.decisions.lease import LeaseView
+from pearrun.http1.limits import ServerLimits
 from pearrun.http1.server import Server
-from pearrun.http1.server import ServerLimits
 from pearrun.platform import settings as settings_module
 from pearrun.platform.codec import EndpointCodec
 from pearrun.platform.decoding import decode_configuration
@@ -49,9 +49,14 @@
 
     :param settings: the host's whole :class:`HostSettings`.
     :param log_writer: counts the log lines that were dropped.
+    :param load_settings: reads the settings file again.
     """
 
-    def __init__(self, settings, log_writer):
+    def __init__(
+        self, settings, log_writer, load_settings=settings_module.load
+    ):
+        self.load_settings = load_settings
+        self.last_bad_settings = None
         self.settings = settings
         self.log_writer = log_writer
         self.clock = Clock()
@@ -166,12 +171,15 @@
     def reload(self):
         """Read the settings file again; keep the old ones if it is bad."""
         try:
-            settings = settings_module.load()
+            settings = self.load_settings()
         except exceptions.SettingsError as exc:
-            logger.bind(code=exc.code).error(
-                f'settings left aside: {exc.message}'
-            )
+            if exc.message != self.last_bad_settings:
+                self.last_bad_settings = exc.message
+                logger.bind(code=exc.code).error(
+                    f'settings left aside: {exc.message}'
+                )
             return
+        self.last_bad_settings = None
         if settings == self.settings:
             return
         self.settings = settings
--- a/pearrun/platform/decoding.py
+++ b/pearrun/platform/decoding.py
@@ -3,7 +3,7 @@
 import json
 
 from pearrun import exceptions
-from pearrun.http1.server import ServerLimits
+from pearrun.http1.limits import ServerLimits
 from pearrun.shared.configuration import CallKind
 from pearrun.shared.configuration import Configuration
 from pearrun.shared.configuration import Customer
--- a/pearrun/platform/dutycalls.py
+++ b/pearrun/platform/dutycalls.py
@@ -66,7 +66,9 @@
         ]
         try:
             async with asyncio.timeout(to_seconds(CALL_MS)):
-                response = await self._send(path, headers, data)
+                response = await self.pool.fetch(
+                    'POST', path, headers, data, MAX_BODY_BYTES
+                )
         except (exceptions.PearrunError, TimeoutError) as exc:
             raise exceptions.DutyCallError(
                 f'{path}: {exc or "timed out"}', 0
@@ -75,15 +77,3 @@
         if status != 200:
             text = response.body[:200].decode('utf-8', 'replace')
             raise exceptions.DutyCallError(f'{path}: {status} {text}', status)
-
-    async def _send(self, path, headers, data):
-        connection, _ = await self.pool.take()
-        try:
-            response = await connection.fetch(
-                'POST', path, headers, data, MAX_BODY_BYTES
-            )
-        except BaseException:
-            self.pool.discard(connection)
-            raise
-        self.pool.give_back(connection, response.head)
-        return response
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -68,7 +68,6 @@
         self.failures = 0
         self.answered_ms = None
         self.failing = False
-        self.waiting = set()
         self.pool = make_pool(settings.address)
 
     def use(self, settings):
@@ -174,7 +173,9 @@
             headers.append(('Content-Length', str(len(body))))
         try:
             async with asyncio.timeout(to_seconds(call_ms)):
-                response = await self._send(method, target, headers, body)
+                response = await self.pool.fetch(
+                    method, target, headers, body, MAX_BODY_BYTES
+                )
         except (exceptions.PearrunError, TimeoutError) as exc:
             self.failures += 1
             self.failing = True
@@ -191,25 +192,9 @@
         if not self.failing:
             return
         self.failing = False
-        for connection in self.waiting:
+        for connection in list(self.pool.fetching):
             connection.abort()
 
-    async def _send(self, method, target, headers, body):
-        pool = self.pool
-        connection, _ = await pool.take()
-        self.waiting.add(connection)
-        try:
-            response = await connection.fetch(
-                method, target, headers, body, MAX_BODY_BYTES
-            )
-        except BaseException:
-            pool.discard(connection)
-            raise
-        finally:
-            self.waiting.discard(connection)
-        pool.give_back(connection, response.head)
-        return response
-
 
 def make_pool(address):
     """Return a pool of connections to the store."""
--- a/pearrun/shared/configuration.py
+++ b/pearrun/shared/configuration.py
@@ -3,7 +3,6 @@
 import dataclasses
 import enum
 
-from pearrun.http1.server import ServerLimits
 from pearrun.ids import CustomerId
 from pearrun.ids import RouteName
 from pearrun.ids import ServiceName
@@ -146,6 +145,3 @@
     def find_customer(self, key):
         """Return the customer that holds a key, or ``None``."""
         return self._by_key.get(key)
-
-
-EMPTY_LIMITS = ServerLimits()
--- /dev/null
+++ b/pearrun/standins/platformsite.py
@@ -0,0 +1,218 @@
+"""A small site on the platform's wire: store, API and endpoints.
+
+``python3 -m pearrun.standins.platformsite --directory=DIR`` serves one on
+loopback and writes the settings files of its entry hosts into DIR; run
+``python3 -m pearrun.platform`` with each of them (``scripts/up-platform``
+does).
+"""
+
+import asyncio
+import pathlib
+
+from absl import app as absl_app
+from absl import flags
+
+from pearrun.standins.platformapi import PlatformApi
+from pearrun.standins.platformrunner import PlatformRunner
+from pearrun.standins.platformstore import PlatformStore
+
+FLAGS = flags.FLAGS
+
+STREAM_HOST = 'desk.example'
+KEY = 'key-of-anna'
+ENGINE = {'slots': 8, 'kv_capacity': 100_000}
+ZONES = ('zone-a', 'zone-b')
+FIRST_PORT = 8600
+HOSTS = 3
+
+
+def make_route(name, prefix, service, kind='non_idempotent', **fields):
+    """Return a route as the operator writes it."""
+    route = {
+        'name': name,
+        'host': STREAM_HOST,
+        'path_prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 3000,
+        'latency_target_ms': 500,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 1,
+        'public': False,
+        'sticky': False,
+    }
+    return {**route, **fields}
+
+
+def make_config(version=1, **fields):
+    """Return a configuration as the operator writes it."""
+    config = {
+        'version': version,
+        'routes': [
+            make_route('once', '/once/', 'plain'),
+            make_route(
+                'safe', '/safe/', 'plain', 'idempotent', max_attempts=2
+            ),
+            make_route(
+                'long',
+                '/long/',
+                'model',
+                'stream',
+                max_attempts=2,
+                resumable=True,
+            ),
+            make_route('short', '/short/', 'model', 'stream'),
+            make_route('open', '/open/', 'plain', public=True),
+        ],
+        'services': [
+            {'name': 'plain', 'health_path': '/healthz', 'max_conns': 100},
+            {
+                'name': 'model',
+                'health_path': '/healthz',
+                'max_conns': 100,
+                'engine': ENGINE,
+            },
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 100_000,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
+        },
+        'tenants': [
+            {
+                'name': 'anna',
+                'api_keys': [KEY],
+                'unit': 'tokens',
+                'plain_tokens': 200,
+                'rate_per_s': 0,
+                'burst': 0,
+            },
+        ],
+    }
+    return {**config, **fields}
+
+
+def make_settings_fields(name, zone, ip, site, ports, **bounds):
+    """Return the settings file of a host, as fields."""
+    return {
+        'node': name,
+        'zone': zone,
+        'zones': {'zone-a': 'r', 'zone-b': 'r'},
+        'ip': ip,
+        'port_range': [ports['peer'], ports['peer'] + 5],
+        'listen': {
+            'front': f'{ip}:{ports["front"]}',
+            'ready_addr': f'{ip}:{ports["ready"]}',
+        },
+        'limits': {'memory_mb': 300, 'max_fds': 4100},
+        'bounds': {'grace_s': 4, 'window_s': 1, 'usage_late_s': 3, **bounds},
+        'platform': {'addr': site.store_address},
+        'cloud': {'addr': site.api_address, 'duties': ['usage', 'autoscale']},
+    }
+
+
+class StandinSite:
+    """Store, API and endpoints on loopback.
+
+    :param store_address: ``IP:PORT`` of the store.
+    :param api_address: the same of the duties' API.
+    """
+
+    def __init__(self, store_address, api_address):
+        self.store_address = store_address
+        self.api_address = api_address
+        self.store = PlatformStore()
+        self.api = PlatformApi()
+        self.runners = {}
+
+    async def start(self):
+        """Start the store and the API."""
+        await self.store.listen(self.store_address)
+        await self.api.listen(self.api_address)
+
+    async def add_runner(self, name, service, address, zone='zone-a'):
+        """Start an endpoint; write its entry to the store."""
+        runner = PlatformRunner(name, service, zone)
+        await runner.listen(address)
+        self.runners[name] = runner
+        self.list_runner(runner)
+        return runner
+
+    def list_runner(self, runner):
+        """Write an endpoint's entry to the store."""
+        self.store.put('servers', runner.id, runner.entry())
+
+    def configure(self, config):
+        """Write a configuration to the store."""
+        self.store.put('op', 'config', config)
+
+    async def stop(self):
+        """Stop everything."""
+        servers = [self.store.server, self.api.server]
+        servers += [runner.server for runner in self.runners.values()]
+        for server in servers:
+            server.close()
+            server.abort()
+
+
+def render_settings(fields):
+    """Render a settings file's fields as TOML."""
+    lines = []
+    tables = []
+    for name, value in fields.items():
+        if isinstance(value, dict):
+            tables.append(f'[{name}]')
+            tables.extend(f'{key} = {quote(v)}' for key, v in value.items())
+        else:
+            lines.append(f'{name} = {quote(value)}')
+    return '\n'.join(lines + tables) + '\n'
+
+
+def quote(value):
+    """Render a string, a number or a list of these as TOML."""
+    if isinstance(value, list):
+        return '[' + ', '.join(quote(item) for item in value) + ']'
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
+async def serve(directory):
+    """Serve a site until stopped; write its hosts' settings files."""
+    site = StandinSite(
+        f'127.0.0.1:{FIRST_PORT}', f'127.0.0.1:{FIRST_PORT + 1}'
+    )
+    await site.start()
+    site.configure(make_config())
+    for number, zone in enumerate(ZONES * 2):
+        service = 'plain' if number < len(ZONES) else 'model'
+        address = f'127.0.0.1:{FIRST_PORT + 10 + number}'
+        await site.add_runner(f'{service}-{zone}', service, address, zone)
+    ports = {
+        'front': FIRST_PORT + 20,
+        'ready': FIRST_PORT + 21,
+        'peer': FIRST_PORT + 22,
+    }
+    for number in range(1, HOSTS + 1):
+        fields = make_settings_fields(
+            f'host-{number}',
+            ZONES[number % len(ZONES)],
+            f'127.0.{number}.1',
+            site,
+            ports,
+        )
+        path = pathlib.Path(directory) / f'host-{number}.toml'
+        path.write_text(render_settings(fields))
+    print(f'serving; settings files are in {directory}', flush=True)
+    await asyncio.Event().wait()
+
+
+def main(argv):
+    """Serve until stopped."""
+    del argv
+    asyncio.run(serve(FLAGS.directory))
+
+
+if __name__ == '__main__':
+    flags.DEFINE_string('directory', None, 'Where settings files go.')
+    flags.mark_flag_as_required('directory')
+    absl_app.run(main)
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -11,16 +11,12 @@
 from pearrun.http1 import client
 from pearrun.platform import settings as settings_module
 from pearrun.platform.daemon import Daemon
-from pearrun.standins.platformapi import PlatformApi
-from pearrun.standins.platformrunner import PlatformRunner
-from pearrun.standins.platformstore import PlatformStore
+from pearrun.standins.platformsite import KEY
+from pearrun.standins.platformsite import make_settings_fields
+from pearrun.standins.platformsite import StandinSite
+from pearrun.standins.platformsite import STREAM_HOST
 from tests.builders import free_port
 
-STREAM_HOST = 'desk.example'
-KEY = 'key-of-anna'
-ENGINE = {'slots': 8, 'kv_capacity': 100_000}
-ANSWER_BYTES = 1024 * 1024
-
 
 class NoLogWriter:
     """Stands where the bounded log writer counts its drops."""
@@ -28,93 +24,6 @@
     dropped_total = 0
 
 
-def make_route(name, prefix, service, kind='non_idempotent', **fields):
-    """Return a route as the operator writes it."""
-    route = {
-        'name': name,
-        'host': STREAM_HOST,
-        'path_prefix': prefix,
-        'kind': kind,
-        'timeout_ms': 3000,
-        'latency_target_ms': 500,
-        'priority': 1,
-        'service': service,
-        'max_attempts': 1,
-        'public': False,
-        'sticky': False,
-    }
-    return {**route, **fields}
-
-
-def make_config(version=1, **fields):
-    """Return a configuration as the operator writes it."""
-    config = {
-        'version': version,
-        'routes': [
-            make_route('once', '/once/', 'plain'),
-            make_route(
-                'safe', '/safe/', 'plain', 'idempotent', max_attempts=2
-            ),
-            make_route(
-                'long',
-                '/long/',
-                'model',
-                'stream',
-                max_attempts=2,
-                resumable=True,
-            ),
-            make_route('short', '/short/', 'model', 'stream'),
-            make_route('open', '/open/', 'plain', public=True),
-        ],
-        'services': [
-            {'name': 'plain', 'health_path': '/healthz', 'max_conns': 100},
-            {
-                'name': 'model',
-                'health_path': '/healthz',
-                'max_conns': 100,
-                'engine': ENGINE,
-            },
-        ],
-        'limits': {
-            'max_header_bytes': 16384,
-            'max_body_bytes': 100_000,
-            'header_timeout_ms': 3000,
-            'idle_timeout_ms': 15000,
-        },
-        'tenants': [
-            {
-                'name': 'anna',
-                'api_keys': [KEY],
-                'unit': 'tokens',
-                'plain_tokens': 200,
-                'rate_per_s': 0,
-                'burst': 0,
-            },
-        ],
-    }
-    return {**config, **fields}
-
-
-def make_settings(name, zone, ip, store, api, ports, **bounds):
-    """Return the settings file of a host, as fields."""
-    fields = {
-        'node': name,
-        'zone': zone,
-        'zones': {'zone-a': 'r', 'zone-b': 'r'},
-        'ip': ip,
-        'port_range': [ports['peer'], ports['peer'] + 5],
-        'listen': {
-            'front': f'{ip}:{ports["front"]}',
-            'ready_addr': f'{ip}:{ports["ready"]}',
-        },
-        'limits': {'memory_mb': 300, 'max_fds': 4100},
-        'bounds': {'grace_s': 4, 'window_s': 1, 'usage_late_s': 3, **bounds},
-        'platform': {'addr': store},
-        'cloud': {'addr': api, 'duties': ['usage', 'autoscale']},
-    }
-    return settings_module.decode(fields)
-
-
 @dataclasses.dataclass
 class Answer:
     """What a caller got; ``complete`` is false for a broken body."""
@@ -129,56 +38,37 @@
         return json.loads(self.body)
 
 
-class PlatformSite:
-    """Store, API, endpoints and entry hosts on loopback."""
+class PlatformSite(StandinSite):
+    """A site with entry hosts in this process."""
 
     def __init__(self):
-        self.store = PlatformStore()
-        self.api = PlatformApi()
-        self.runners = {}
+        super().__init__(
+            f'127.0.0.1:{free_port()}', f'127.0.0.1:{free_port()}'
+        )
         self.hosts = {}
-        self.store_address = f'127.0.0.1:{free_port()}'
-        self.api_address = f'127.0.0.1:{free_port()}'
         self.ports = {
             'front': free_port(),
             'ready': free_port(),
             'peer': free_port(),
         }
 
-    async def start(self):
-        """Start the store and the API."""
-        await self.store.listen(self.store_address)
-        await self.api.listen(self.api_address)
-
-    async def add_runner(self, name, service, zone='zone-a', listed=True):
-        """Start an endpoint; write its entry to the store."""
-        runner = PlatformRunner(name, service, zone)
-        await runner.listen(f'127.0.0.1:{free_port()}')
-        self.runners[name] = runner
-        if listed:
-            self.list_runner(runner)
-        return runner
-
-    def list_runner(self, runner):
-        """Write an endpoint's entry to the store."""
-        self.store.put('servers', runner.id, runner.entry())
-
-    def configure(self, config):
-        """Write a configuration to the store."""
-        self.store.put('op', 'config', config)
+    async def add_runner(self, name, service, address=None, zone='zone-a'):
+        """Start an endpoint on a free port."""
+        address = address or f'127.0.0.1:{free_port()}'
+        return await super().add_runner(name, service, address, zone)
 
     async def add_host(self, number=1, zone='zone-a', **bounds):
         """Start an entry host with a loopback address of its own."""
-        settings = make_settings(
+        fields = make_settings_fields(
             f'host-{number}',
             zone,
             f'127.0.{number}.1',
-            self.store_address,
-            self.api_address,
+            self,
             self.ports,
             **bounds,
         )
-        daemon = Daemon(settings, NoLogWriter())
+        settings = settings_module.decode(fields)
+        daemon = Daemon(settings, NoLogWriter(), lambda: settings)
         self.hosts[settings.name] = daemon
         await daemon.start()
         return daemon
@@ -187,11 +77,7 @@
         """Stop everything."""
         for daemon in self.hosts.values():
             await daemon.end()
-        servers = [self.store.server, self.api.server]
-        servers += [runner.server for runner in self.runners.values()]
-        for server in servers:
-            server.close()
-            server.abort()
+        await super().stop()
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from pearrun.http1.limits import ServerLimits
 from pearrun.http1.server import Server
-from pearrun.http1.server import ServerLimits
 from tests.builders import free_port
 
 LIMITS = ServerLimits(
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
+from pearrun.decisions.scaling import ScalingSettings
 from pearrun.http1.client import connect
 from pearrun.platform import dutycalls
+from pearrun.standins.platformsite import KEY
+from pearrun.standins.platformsite import make_config
 from tests.platformsite import call
-from tests.platformsite import KEY
-from tests.platformsite import make_config
 from tests.platformsite import make_prompt
 from tests.platformsite import run_site
 from tests.platformsite import wait_until
@@ -19,7 +20,7 @@
     config = make_config(**fields)
     config['services'][1]['autoscale'] = {
         'min': 1,
-        'max': 4,
+        'max': 6,
         'boot_s': 1,
         'spot_price': 0.2,
         'zone_prices': {'zone-a': 1.0, 'zone-b': 2.0},
@@ -91,10 +92,11 @@
             await wait_until(lambda: site.api.orders())
             await asyncio.sleep(0.5)
             orders = site.api.orders()
+            fewest = ScalingSettings().fewest
             spot = [order for order in orders if order.get('spot')]
             lasting = [order for order in orders if not order.get('spot')]
             assert {order['zone'] for order in spot} == {'zone-a', 'zone-b'}
-            assert sum(order['desired'] for order in lasting) == 6
+            assert sum(order['desired'] for order in lasting) == fewest
 
     asyncio.run(main())
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from pearrun.http1 import client
+from pearrun.standins.platformsite import make_config
 from tests.platformsite import call
-from tests.platformsite import make_config
 from tests.platformsite import make_headers
 from tests.platformsite import make_prompt
 from tests.platformsite import run_site
