--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -223,11 +223,25 @@
     code = 1504
 
 
+class EndpointSilentError(EndpointUnreachableError):
+    """Nothing answered an attempt to connect to the endpoint."""
+
+    code = 1507
+
+
 class ConnectionBrokenError(BackendError):
-    """A connection ended before the response on it was complete."""
+    """A connection ended before the response on it was complete.
+
+    :param silent: whether its other end stopped answering, as it does
+        behind a cut path; otherwise it was closed or reset.
+    """
 
     code = 1505
 
+    def __init__(self, message, silent=False):
+        super().__init__(message)
+        self.silent = silent
+
 
 class MismatchedAnswerError(BackendError):
     """An endpoint's answer is not one to this request."""
@@ -337,6 +351,7 @@
     OutcomeUnknownError,
     EndpointRefusedError,
     EndpointUnreachableError,
+    EndpointSilentError,
     ConnectionBrokenError,
     MismatchedAnswerError,
     StoreError,
--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -221,7 +221,9 @@
 
     async def _wait(self):
         if self.broken is not None:
-            raise exceptions.ConnectionBrokenError(str(self.broken))
+            raise exceptions.ConnectionBrokenError(
+                str(self.broken), isinstance(self.broken, TimeoutError)
+            )
         if self.ended:
             # A clean close ends a body that has no length.
             self.state.receive_data(b'')
@@ -263,10 +265,12 @@
             transport, connection = await loop.create_connection(
                 ClientConnection, host, int(port)
             )
-    except (OSError, TimeoutError) as exc:
-        raise exceptions.EndpointUnreachableError(
-            f'{address}: {exc or "connect timed out"}'
+    except TimeoutError as exc:
+        raise exceptions.EndpointSilentError(
+            f'{address}: connect timed out'
         ) from exc
+    except OSError as exc:
+        raise exceptions.EndpointUnreachableError(f'{address}: {exc}') from exc
     detect_silence(transport.get_extra_info('socket'), silence_ms)
     return connection
 
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -6,9 +6,9 @@
 from pearrun.http1.messages import drop_hop_by_hop
 from pearrun.platform import headers as names
 from pearrun.relay.call import Call
-from pearrun.relay.call import Prompt
-from pearrun.relay.call import PromptPart
 from pearrun.relay.verdicts import Verdict
+from pearrun.shared.prompts import Prompt
+from pearrun.shared.prompts import PromptPart
 
 KEY_SCHEME = 'token '
 # Least urgent value an endpoint knows.
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -200,7 +200,7 @@
         if not self._store_just_returned():
             self.host.drop_endpoint(endpoint, 'entry removed')
             return
-        endpoint.avoid_until_ms = self.host.clock.now() + RETURN_MS
+        endpoint.pause.until_ms = self.host.clock.now() + RETURN_MS
         loop = asyncio.get_running_loop()
         self.removals[endpoint_id] = loop.call_later(
             to_seconds(RETURN_MS), self._remove_late, endpoint_id
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -53,7 +53,8 @@
         except exceptions.OverloadedError as exc:
             return NotRun(exc.message, arrived=False)
         except exceptions.EndpointUnreachableError as exc:
-            self._note_failure(refused=True)
+            silent = isinstance(exc, exceptions.EndpointSilentError)
+            self._note_failure(refused=True, silent=silent)
             return NotRun(exc.message, arrived=False)
         self.connection = connection
         head = None
@@ -90,13 +91,14 @@
         try:
             head, verdict = await self._read_own_head()
         except exceptions.BackendError as exc:
-            self._note_failure(refused=False)
+            self._note_broken(exc)
             return Unknown(exc.message), None
+        self.host.selection.note_answer(self.selected.endpoint)
         match verdict:
             case Verdict.NOT_RUN | Verdict.WRONG_ENDPOINT:
                 return await self._take_refusal(head, verdict)
             case Verdict.UNSEALED:
-                self._note_failure(refused=False)
+                self._note_failure()
                 return Unknown(f'unsealed answer {head.status}'), None
         self.host.usage.count(self.call)
         if self.call.route.kind is CallKind.STREAM and head.status < 300:
@@ -135,7 +137,7 @@
                 WHOLE_ANSWER_BYTES
             )
         except exceptions.ConnectionBrokenError as exc:
-            self._note_failure(refused=False)
+            self._note_broken(exc)
             return Unknown(exc.message), None
         if head.status >= 500 and complete:
             return FailedAnswer(head, body), head
@@ -177,7 +179,7 @@
             if cutter.rest:
                 raise exceptions.ConnectionBrokenError('torn event')
         except exceptions.ConnectionBrokenError as exc:
-            self._note_failure(refused=False)
+            self._note_broken(exc)
             if passed or self.caller.head_sent:
                 return Cut(resume.last_event_id, exc.message), None
             return Unknown(exc.message), None
@@ -200,8 +202,11 @@
     def _note_first(self):
         self.trace.note_first(self.host.clock.now())
 
-    def _note_failure(self, refused):
+    def _note_broken(self, exc):
+        self._note_failure(silent=getattr(exc, 'silent', False))
+
+    def _note_failure(self, refused=False, silent=False):
         endpoint = self.selected.endpoint
-        pause_ms = self.host.selection.note_failure(endpoint, refused)
+        pause_ms = self.host.selection.note_failure(endpoint, refused, silent)
         if pause_ms:
             self.host.log_avoided(endpoint, pause_ms)
--- a/pearrun/shared/fleet.py
+++ b/pearrun/shared/fleet.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from pearrun.decisions.avoidance import Pause
 from pearrun.ids import EndpointId
 from pearrun.ids import ServiceName
 from pearrun.ids import ZoneName
@@ -37,8 +38,7 @@
     calls: int = 0
     reading_tokens: int = 0
     failures: int = 0
-    avoid_until_ms: int = 0
-    avoid_ms: int = 0
+    pause: Pause = dataclasses.field(default_factory=Pause)
 
     @property
     def id(self):
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -2,15 +2,15 @@
 
 from loguru import logger
 
-from pearrun.relay.pools import EndpointPools
-from pearrun.relay.selection import Selection
 from pearrun.shared.clocksync import CorrectedClock
 from pearrun.shared.confighistory import ConfigHistory
 from pearrun.shared.counters import Counters
 from pearrun.shared.fleet import Fleet
 from pearrun.shared.loads import Loads
 from pearrun.shared.members import Members
+from pearrun.shared.pools import EndpointPools
 from pearrun.shared.quotas import Quotas
+from pearrun.shared.selection import Selection
 from pearrun.shared.usage import UsageCounts
 from pearrun.shared.usageboard import UsageBoard
 
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -3,9 +3,9 @@
 from loguru import logger
 
 from pearrun import exceptions
-from pearrun.relay.call import PromptPart
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
+from pearrun.shared.prompts import PromptPart
 
 # Windows of usage in each report; the last ones may still change.
 REPORTED_WINDOWS = 3
--- a/pearrun/relay/selection.py
+++ b/pearrun/shared/selection.py
@@ -35,6 +35,7 @@
         self.loads = loads
         self.prefixes = PrefixIndex()
         self._placed = []
+        self.zones = {}
         self.settings = placement.PlacementSettings()
 
     def choose(self, call, service, tried):
@@ -49,7 +50,7 @@
             for endpoint in self.fleet.of_service(service.name)
             if endpoint.id not in tried
         ]
-        endpoints = avoidance.filter_usable(endpoints, now)
+        endpoints = self._filter_usable(endpoints, now)
         by_id = {endpoint.id: endpoint for endpoint in endpoints}
         parts = call.prompt.parts
         shared = parts[:-1]
@@ -61,16 +62,20 @@
         best, expected_ms = placement.choose(candidates, demand, self.settings)
         if best is None:
             return None
+        endpoint = by_id[best.id]
+        endpoint.pause.note_try(now)
+        self._zone(endpoint).pause.note_try(now)
         fresh = max(0, call.prompt.tokens - best.cached_tokens)
-        return Selected(by_id[best.id], expected_ms, fresh)
+        return Selected(endpoint, expected_ms, fresh)
 
     def begin(self, selected, call):
         """Count a call that is being sent to an endpoint."""
+        now = self.clock.now()
         selected.endpoint.calls += 1
         selected.endpoint.reading_tokens += selected.fresh_tokens
         shared = call.prompt.parts[:-1]
         if shared:
-            self.prefixes.note(selected.endpoint.id, shared, self.clock.now())
+            self.prefixes.note(selected.endpoint.id, shared, now)
             part_ids = tuple(part.id for part in shared)
             self._placed.append((selected.endpoint.id, part_ids))
 
@@ -90,24 +95,43 @@
         """Count a call as ended."""
         selected.endpoint.calls -= 1
 
+    def note_answer(self, endpoint):
+        """Note that an endpoint answered, whatever it answered."""
+        self._zone(endpoint).note_answer()
+
     def note_success(self, endpoint):
         """Note that an endpoint answered as it should."""
         endpoint.failures = 0
-        endpoint.avoid_ms = 0
-        endpoint.avoid_until_ms = 0
+        endpoint.pause.clear()
 
-    def note_failure(self, endpoint, refused):
+    def note_failure(self, endpoint, refused=False, silent=False):
         """Note a failed send.
 
         :param refused: whether no connection stood.
+        :param silent: whether nothing answered at all.
         :returns: milliseconds for which the endpoint is left alone; 0.
         """
+        now = self.clock.now()
         endpoint.failures += 1
-        if not avoidance.should_avoid(endpoint.failures, refused):
+        if silent:
+            self._zone(endpoint).note_silence(endpoint.id, now)
+        if not avoidance.should_avoid(endpoint.failures, refused or silent):
             return 0
-        endpoint.avoid_ms = avoidance.next_pause_ms(endpoint.avoid_ms)
-        endpoint.avoid_until_ms = self.clock.now() + endpoint.avoid_ms
-        return endpoint.avoid_ms
+        endpoint.pause.begin(now)
+        return endpoint.pause.length_ms
+
+    def _zone(self, endpoint):
+        zone = endpoint.record.zone
+        return self.zones.setdefault(zone, avoidance.ZoneHealth())
+
+    def _filter_usable(self, endpoints, now):
+        """Leave out endpoints and zones that are left alone now."""
+        endpoints = avoidance.filter_usable(
+            endpoints, lambda item: self._zone(item).pause.holds(now)
+        )
+        return avoidance.filter_usable(
+            endpoints, lambda item: item.pause.holds(now)
+        )
 
     def _describe(self, endpoint, shared, now):
         others = self.loads.get(endpoint.id)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,8 +13,8 @@
 from pearrun.decisions.prefixes import KEPT_MS
 from pearrun.decisions.prefixes import PrefixIndex
 from pearrun.platform.settings import RetrySettings
-from pearrun.relay.call import PromptPart
 from pearrun.shared.configuration import ScaleLimits
+from pearrun.shared.prompts import PromptPart
 
 PLACEMENT = placement.PlacementSettings()
 SCALING = scaling.ScalingSettings()
@@ -145,6 +145,47 @@
     assert avoidance.should_avoid(avoidance.FAILURES_IN_A_ROW, refused=False)
 
 
+def test_a_zone_is_left_alone_after_two_of_its_endpoints_fall_silent():
+    health = avoidance.ZoneHealth()
+    health.note_silence('x', 0)
+    health.note_silence('x', 0)
+    assert not health.pause.holds(1)
+    health.note_silence('y', 0)
+    assert health.pause.holds(1)
+    health.note_answer()
+    assert not health.pause.holds(1)
+
+
+def test_one_call_tries_after_a_pause_and_others_wait():
+    pause = avoidance.Pause()
+    pause.begin(0)
+    assert not pause.holds(avoidance.FIRST_PAUSE_MS)
+    pause.note_try(avoidance.FIRST_PAUSE_MS)
+    assert pause.holds(avoidance.FIRST_PAUSE_MS + 1)
+    pause.clear()
+    pause.note_try(0)
+    assert not pause.holds(0)
+
+
+def test_a_cut_zone_costs_few_calls():
+    """Six endpoints of a zone go silent under ten calls a second."""
+    health = avoidance.ZoneHealth()
+    pauses = {name: avoidance.Pause() for name in 'pqrstu'}
+    tried = 0
+    for now in range(0, 6000, 100):
+        usable = [
+            name
+            for name, pause in pauses.items()
+            if not pause.holds(now) and not health.pause.holds(now)
+        ]
+        if usable:
+            tried += 1
+            name = usable[now // 100 % len(usable)]
+            pauses[name].begin(now)
+            health.note_silence(name, now)
+    assert tried <= 8
+
+
 def test_prefixes_count_only_unbroken_beginnings_and_age():
     index = PrefixIndex()
     parts = (PromptPart('a', 100), PromptPart('b', 50))
