--- a/pearrun/decisions/quota.py
+++ b/pearrun/decisions/quota.py
@@ -23,7 +23,7 @@
 SILENT_MS = 600
 # Level at which a host starts, as a part of its share of the burst: what
 # was used before its start is not known.
-FIRST_LEVEL = 0.25
+FIRST_LEVEL = 0.1
 # After its start a host uses the limit's part of the hosts it has heard,
 # times this.  With the whole limit for each, nine hosts killed at once
 # under six times the limit used 1.33 times what a window may hold, in
@@ -36,7 +36,7 @@
 UNLISTED_SHARE = 0.1
 # Part of the tolerated excess that is used; the rest covers calls that
 # several hosts admit before they hear of each other's.
-TOLERANCE_USED = 0.5
+TOLERANCE_USED = 0.3
 # Half-life of the average rate that others assume while they do not hear
 # a host: calls differ a hundredfold in size, and an average over one
 # second, taken at a bad moment, let two halves of a cut use the limit
@@ -175,9 +175,16 @@
         A call larger than what is left passes and leaves a debt, so
         that calls of every size are served alike.
         """
-        others = sum(use.rate for use in self.peers.values())
-        reserve = min(others * REPORT_LAG_S, burst * MOST_RESERVED)
-        if self.level <= reserve:
+        if self.missing(burst) >= 0:
             return False
         self.level -= units
         return True
+
+    def missing(self, burst):
+        """Return the units that must accrue before a call passes.
+
+        :returns: less than 0 if one passes now.
+        """
+        others = sum(use.rate for use in self.peers.values())
+        reserve = min(others * REPORT_LAG_S, burst * MOST_RESERVED)
+        return reserve - self.level
--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -33,7 +33,7 @@
         before any are given back.
     """
 
-    fewest: int = 5
+    fewest: int = 4
     calls_each: int = 8
     spare: int = 1
     hold_ms: int = 30_000
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -23,6 +23,9 @@
 # How soon callers may come back when no endpoint is known: endpoints are
 # listed again within about 2 s, so a part of that.
 NO_ENDPOINT_RETURN_MS = 500
+# Times the wait for the next call to pass that a customer over its quota
+# is told to stay away: some calls wait for the same units.
+QUOTA_SPREAD = 3.0
 
 
 class Relay:
@@ -170,8 +173,14 @@
         return admission.admits(selected.expected_ms, left_ms, self.admission)
 
     def _quota_return(self, call):
+        """Return when a caller over its quota had best come back.
+
+        Its own calls refused meanwhile come back too, so the time until
+        the first of them passes is drawn out.
+        """
         left_ms = call.timeout_at_ms - self.clock.now()
-        return admission.return_after_ms(left_ms, left_ms, self.admission)
+        wait_ms = QUOTA_SPREAD * self.host.quotas.wait_ms(call)
+        return admission.return_after_ms(wait_ms, left_ms, self.admission)
 
     # endings
 
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -52,6 +52,16 @@
         self.totals[name] = self.totals.get(name, 0.0) + call.units
         return True
 
+    def wait_ms(self, call):
+        """Return when a call that was refused may pass."""
+        customer = self.config.current.customers.get(call.customer.name)
+        if customer is None or not customer.rate_per_s:
+            return 0
+        missing = self._refilled(customer, self.clock.now()).missing(
+            customer.burst
+        )
+        return max(0.0, missing) * 1000.0 / customer.rate_per_s
+
     def level(self, call):
         """Return the units left to a call's customer, for its log line."""
         if call.customer is None:
