--- a/pearrun/platform/leaselog.py
+++ b/pearrun/platform/leaselog.py
@@ -5,6 +5,7 @@
 from pearrun import exceptions
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import RecordKind
+from pearrun.shared import cbor
 
 TOPIC = 'duties'
 
@@ -63,7 +64,7 @@
     :raises WireFormatError: it is none.
     """
     try:
-        kind, run, window, counts = cbor2.loads(data)
+        kind, run, window, counts = cbor.load(data, 'lease record')
         return LeaseRecord(RecordKind(kind), run, window, counts)
     except (ValueError, TypeError) as exc:
         raise exceptions.WireFormatError(f'lease record: {exc}') from exc
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -10,6 +10,7 @@
 from pearrun.platform.following import Follower
 from pearrun.platform.following import RETRY_BASE_MS
 from pearrun.platform.following import RETRY_CAP_MS
+from pearrun.shared import cbor
 from pearrun.shared.members import Member
 
 TOPIC = 'hosts'
@@ -91,7 +92,7 @@
     :raises WireFormatError: it is none.
     """
     try:
-        address, zone, started_ms = cbor2.loads(data)
+        address, zone, started_ms = cbor.load(data, f'host {name}')
         return Member(name, address, zone, started_ms)
     except (ValueError, TypeError) as exc:
         raise exceptions.WireFormatError(f'host {name}: {exc}') from exc
--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -25,7 +25,7 @@
 # since a silent connection may never come back while a new one works.
 PING_MS = 1000
 SILENCE_MS = 1500
-REDIAL_MS = 400
+REDIAL_MS = 200
 # A report larger than this is no report.
 MAX_MESSAGE_BYTES = 1024 * 1024
 # How often a peer with an older configuration is sent ours.
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -6,6 +6,7 @@
 
 from pearrun import exceptions
 from pearrun.ids import HostName
+from pearrun.shared import cbor
 from pearrun.shared.loads import Load
 from pearrun.shared.quotas import Admitted
 
@@ -101,7 +102,7 @@
     :raises WireFormatError: it is neither.
     """
     try:
-        kind, host, *fields = cbor2.loads(data)
+        kind, host, *fields = cbor.load(data, 'peer')
         match kind:
             case 'report':
                 return decode_report(host, fields)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,306 @@
+"""Settings, decoding and messages at the edge of the platform."""
+
+import asyncio
+import json
+import os
+
+import pytest
+
+from pearrun import exceptions
+from pearrun.http1.messages import Request
+from pearrun.ids import HostName
+from pearrun.logs import BoundedWriter
+from pearrun.platform import codec
+from pearrun.platform import decoding
+from pearrun.platform import settings as settings_module
+from pearrun.platform.store import split_key
+from pearrun.platform.store import split_records
+from pearrun.platform.store import StoreClient
+from pearrun.relay.events import EventCutter
+from pearrun.shared import reports
+from pearrun.shared.clocksync import CorrectedClock
+from pearrun.shared.configuration import CallKind
+from pearrun.shared.loads import Load
+from pearrun.shared.quotas import Admitted
+from pearrun.shared.usageboard import UsageBoard
+from pearrun.standins.platformsite import make_config
+from pearrun.standins.platformsite import make_settings_fields
+from pearrun.standins.platformsite import render_settings
+from pearrun.standins.platformsite import StandinSite
+from pearrun.standins.platformsite import STREAM_HOST
+from pearrun.standins.platformstore import join_records
+from pearrun.states import EndpointState
+from tests.builders import free_port
+
+PORTS = {'front': 8360, 'ready': 8365, 'peer': 7500}
+
+
+def make_fields(**bounds):
+    """Return the fields of a settings file."""
+    site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
+    return make_settings_fields(
+        'h', 'zone-a', '10.1.0.1', site, PORTS, **bounds
+    )
+
+
+def test_settings_are_decoded_once_into_milliseconds(tmp_path):
+    path = tmp_path / 'boot.toml'
+    path.write_text(render_settings(make_fields(grace_s=8, budget_slack=58)))
+    settings = settings_module.load(path)
+    assert settings.stop_ms == 8000
+    assert settings.retry.slack == 58
+    assert settings.zones == ('zone-a', 'zone-b')
+    assert settings.duties.names == {'usage', 'autoscale'}
+
+
+@pytest.mark.parametrize(
+    ('text', 'error'),
+    [
+        ('node = ', exceptions.SettingsSyntaxError),
+        ('node = "h"', exceptions.SettingsValueError),
+        ('port_range = [1]', exceptions.SettingsValueError),
+    ],
+)
+def test_bad_settings_are_coded_errors(tmp_path, text, error):
+    path = tmp_path / 'boot.toml'
+    path.write_text(text)
+    with pytest.raises(error):
+        settings_module.load(path)
+    with pytest.raises(exceptions.SettingsSyntaxError):
+        settings_module.load(tmp_path / 'absent.toml')
+
+
+def test_unknown_settings_are_ignored(tmp_path):
+    fields = {**make_fields(), 'new_field': 7}
+    path = tmp_path / 'boot.toml'
+    path.write_text(render_settings(fields))
+    assert settings_module.load(path).name == 'h'
+
+
+def decode_config(**fields):
+    """Decode a configuration made by the stand-in site."""
+    raw = json.dumps(make_config(**fields)).encode()
+    return decoding.decode_configuration(raw)
+
+
+def test_configuration_finds_the_longest_prefix_and_the_key():
+    config = decode_config()
+    config.routes.append(config.routes[0])
+    assert config.find_route(STREAM_HOST.upper(), '/long/x').name == 'long'
+    assert config.find_route('other.example', '/long/x') is None
+    assert config.find_route(STREAM_HOST, '/long') is None
+    assert config.find_customer('nobody') is None
+
+
+def test_only_repeatable_routes_are_repeatable():
+    routes = {route.name: route for route in decode_config().routes}
+    assert routes['safe'].repeatable
+    assert routes['long'].repeatable
+    assert not routes['once'].repeatable
+    assert not routes['short'].repeatable
+    raw = make_config()['routes'][0]
+    unknown = decoding.decode_route({**raw, 'kind': 'something new'})
+    assert unknown.kind is CallKind.NON_IDEMPOTENT
+
+
+@pytest.mark.parametrize('raw', [b'', b'[]', b'{"version": "x"}', b'\xff'])
+def test_malformed_records_are_coded_errors(raw):
+    with pytest.raises(exceptions.WireFormatError):
+        decoding.decode_configuration(raw)
+    with pytest.raises(exceptions.WireFormatError):
+        decoding.decode_endpoint('e', raw)
+
+
+def test_endpoint_entries():
+    raw = {'service': 's', 'addr': 'a:1', 'zone': 'z', 'state': 'draining'}
+    entry = decoding.decode_endpoint(
+        'e', json.dumps({**raw, 'spot': True, 'leaves_ms': 2500}).encode()
+    )
+    assert entry.state is EndpointState.LEAVING
+    assert entry.reclaimable
+    assert entry.leaves_ms == 2500
+
+
+def make_request(**headers):
+    """Return a request for the route ``long``."""
+    fields = {'Host': f'{STREAM_HOST}:80', 'Pearrun-Attempt-Id': 'a'}
+    fields['Authorization'] = 'Token key-of-anna'
+    for name, value in headers.items():
+        fields[name.replace('_', '-')] = value
+    pairs = [(k.encode(), v.encode()) for k, v in fields.items()]
+    return Request(b'GET', b'/long/x?y=/z', pairs, received_ms=1000)
+
+
+def test_a_call_has_the_earlier_of_deadline_and_timeout():
+    config = decode_config()
+    call = codec.decode_call(make_request(Pearrun_Deadline_Ms='700'), config)
+    assert call.timeout_at_ms == 1700
+    call = codec.decode_call(make_request(Pearrun_Deadline_Ms='9000'), config)
+    assert call.timeout_at_ms == 4000
+    assert call.deadline_ms == 10_000
+
+
+def test_units_are_tokens_or_the_plain_count():
+    config = decode_config()
+    headers = {
+        'Pearrun_Token_Count': '1460,80',
+        'Pearrun_Prompt_Prefix': '5c:800,91:410,e4:250',
+    }
+    call = codec.decode_call(make_request(**headers), config)
+    assert call.units == 1540
+    assert [part.tokens for part in call.prompt.parts] == [800, 410, 250]
+    assert codec.decode_call(make_request(), config).units == 200
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {'Pearrun_Token_Count': 'many'},
+        {'Pearrun_Token_Count': '1,2', 'Pearrun_Prompt_Prefix': 'a:b'},
+        {'Pearrun_Deadline_Ms': 'soon'},
+    ],
+)
+def test_malformed_headers_are_bad_requests(headers):
+    with pytest.raises(exceptions.BadRequestError):
+        codec.decode_call(make_request(**headers), decode_config())
+
+
+def test_records_are_split_as_they_were_joined():
+    records = [b'', b'a', b'b' * 300]
+    assert split_records(join_records(records)) == records
+    assert split_key(b'\x03keyvalue').value == b'value'
+    assert split_key(b'\x03key').value is None
+
+
+def test_events_are_cut_whole_wherever_the_bytes_are_split():
+    stream = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
+    for size in range(1, 12):
+        cutter = EventCutter()
+        whole = b''.join(
+            cutter.feed(stream[at : at + size])
+            for at in range(0, len(stream), size)
+        )
+        assert whole.endswith(b'data: b\n\n')
+        assert cutter.last_id == '2'
+        assert cutter.rest == b'id: 3\nda'
+
+
+def test_reports_survive_the_wire():
+    report = reports.HostReport(
+        host=HostName('h'),
+        started_ms=5,
+        wall_ms=7,
+        config_version=3,
+        config_age_ms=12,
+        loads={'e': Load(2, 900)},
+        admitted={'anna': Admitted(10, 2)},
+        usage={4: {'anna': 3}},
+        placed=(('e', ('p', 'q')),),
+        duty=reports.DutyNotice(9, 1500),
+    )
+    assert reports.decode(reports.encode(report)) == report
+    copy = reports.ConfigCopy(HostName('h'), b'raw')
+    assert reports.decode(reports.encode(copy)) == copy
+    for data in (b'', b'\x01', b'\x82\x61x\x61y'):
+        with pytest.raises(exceptions.WireFormatError):
+            reports.decode(data)
+
+
+class StepClock:
+    """A clock whose time of day can be stepped."""
+
+    def __init__(self):
+        self.step_ms = 0
+
+    def now(self):
+        return 1000
+
+    def wall(self):
+        return 1_000_000 + self.step_ms
+
+
+def test_a_stepped_clock_follows_the_median_of_all_hosts():
+    clock = StepClock()
+    time = CorrectedClock(clock)
+    for host in 'abcd':
+        time.put_report(host, 1_000_010)
+    assert time.wall() == 1_000_000
+    clock.step_ms = 2400
+    assert time.wall() == 1_000_010
+    clock.step_ms = 0
+    time.put_report('a', 1_002_400)
+    assert time.wall() == 1_000_000
+
+
+def test_usage_of_a_killed_run_stays_and_the_next_run_adds_to_it():
+    board = UsageBoard()
+    board.put('h', 1, {5: {'anna': 3}})
+    board.put('h', 1, {5: {'anna': 4}})
+    board.put('h', 2, {5: {'anna': 1}})
+    board.put('i', 1, {5: {'anna': 1, 'ben': 2}})
+    assert board.total(5) == {'anna': 6, 'ben': 2}
+    assert board.total(6) == {}
+
+
+class FakeMessage:
+    """What loguru hands to a sink, as far as it is used."""
+
+    def __init__(self, text):
+        moment = type('Moment', (), {'timestamp': lambda self: 1.0})()
+        level = type('Level', (), {'name': 'INFO'})()
+        self.record = {
+            'time': moment,
+            'level': level,
+            'message': text,
+            'extra': {},
+            'exception': None,
+        }
+
+
+def test_log_lines_beyond_the_rate_are_counted_not_written():
+    reader, writer = os.pipe()
+    now = [0.0]
+    log = BoundedWriter(writer, clock=lambda: now[0])
+    for number in range(2000):
+        log.write(FakeMessage(f'line {number}'))
+    now[0] += 1.0
+    log.write(FakeMessage('last'))
+    lines = os.read(reader, 1 << 20).decode().splitlines()
+    assert json.loads(lines[-1])['dropped_lines'] == 2000 - (len(lines) - 1)
+    assert log.dropped_total == 2000 - (len(lines) - 1)
+
+
+def test_a_reader_that_stalls_never_blocks_the_log():
+    reader, writer = os.pipe()
+    log = BoundedWriter(writer, clock=lambda: 0.0)
+    log._allowance = 1e9
+    for _ in range(5000):
+        log.write(FakeMessage('x' * 200))
+    assert log.dropped_total > 0
+    os.set_blocking(reader, False)
+    text = os.read(reader, 1 << 20).decode()
+    for line in text.splitlines()[:-1]:
+        json.loads(line)
+
+
+def test_a_silent_store_ends_a_call_and_an_answer_ends_waiting_reads():
+    async def main():
+        site = StandinSite(
+            f'127.0.0.1:{free_port()}', f'127.0.0.1:{free_port()}'
+        )
+        await site.start()
+        fields = make_fields()
+        fields['platform'] = {'addr': site.store_address}
+        store = StoreClient(settings_module.decode(fields).store)
+        waiting = asyncio.create_task(store.read('t', 0, 30_000))
+        await asyncio.sleep(0.1)
+        site.store.faults.silent = True
+        with pytest.raises(exceptions.StoreUnavailableError):
+            await store.append('t', [b'x'], call_ms=100)
+        site.store.faults.silent = False
+        assert await store.newest('u') == ([], 0)
+        with pytest.raises(exceptions.StoreUnavailableError):
+            await waiting
+        await site.stop()
+
+    asyncio.run(main())
