Large prompts are told to the other hosts at once; reports reach all links

Also: each link made its own report, so prompts just placed, said once, reached only some hosts. Change: one task makes reports and all links send the same one; a prompt with 4,000 tokens to read makes the next report due now.

--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -71,6 +71,7 @@
             self.host, self.started_ms, decode_configuration
         )
         self.host.forget_host = self.reports.forget
+        self.host.selection.tell_others = self.reports.tell_at_once
         self.members = MemberFollower(self.host, self.store, self.own_entry())
         self.duties = self.make_duties()
         self.stop = asyncio.Event()
@@ -135,6 +136,7 @@
             ConfigFollower(self.host, self.store).run(),
             EndpointFollower(self.host, self.store).run(),
             self.members.run(),
+            self.reports.run(),
             PeerLinks(self.host, self.reports).run(),
             self.watch_settings(),
         ]
--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -16,10 +16,8 @@
 from pearrun.clock import to_seconds
 from pearrun.shared import reports
 
-# Reports a second: placement by a load that is older than this sends
-# several calls to one endpoint; at five a second a host spends about
-# 1% of a core on nine hosts' reports.
-REPORT_MS = 200
+# How often the list of hosts is compared with the links.
+MATCH_MS = 200
 CONNECT_MS = 800
 # A link whose other end answers no ping for this long is dialled again,
 # since a silent connection may never come back while a new one works.
@@ -60,7 +58,7 @@
             try:
                 while True:
                     self._match_members()
-                    await asyncio.sleep(to_seconds(REPORT_MS))
+                    await asyncio.sleep(to_seconds(MATCH_MS))
             finally:
                 for link in self.links.values():
                     link.cancel()
@@ -103,13 +101,12 @@
 
     async def _send_reports(self, link, member):
         while True:
-            await link.send(self.board.encoded_report())
+            await link.send(await self.board.next_report())
             if self._needs_config(member):
                 copy = reports.ConfigCopy(
                     self.host.settings.name, self.host.config.current.raw
                 )
                 await link.send(reports.encode(copy))
-            await asyncio.sleep(to_seconds(REPORT_MS))
 
     def _needs_config(self, member):
         """Say whether a peer's configuration is older than ours.
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -1,16 +1,21 @@
 """Where hosts' reports come together."""
 
+import asyncio
+
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun.clock import to_seconds
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
 from pearrun.shared.prompts import PromptPart
 
 # Windows of usage in each report; the last ones may still change.
 REPORTED_WINDOWS = 3
-# A report made for one peer serves the others for this long.
-FRESH_MS = 100
+# Time between reports without news: placement by a load that is older
+# than this sends several calls to one endpoint; at five a second a host
+# spends about 2% of a core on nine hosts' reports.
+REPORT_MS = 200
 
 
 class ReportBoard:
@@ -29,16 +34,38 @@
         self.duty_notice = lambda: None
         self.duty_heard = {}
         self._encoded = b''
-        self._encoded_ms = None
+        self._made = asyncio.Event()
+        self._news = asyncio.Event()
+
+    async def run(self):
+        """Make reports for the process's whole life.
 
-    def encoded_report(self):
-        """Return this host's report, encoded; made anew when old."""
-        now = self.host.clock.now()
-        if self._encoded_ms is None or now - self._encoded_ms >= FRESH_MS:
-            self._encoded_ms = now
+        Each report goes to all links, so that what is said only once,
+        such as prompts just placed, reaches every host.
+        """
+        while True:
+            await self._wait_for_news()
+            self._news.clear()
             self._encoded = reports.encode(self._make())
+            self._made.set()
+            self._made = asyncio.Event()
+
+    def tell_at_once(self):
+        """Have the next report made now."""
+        self._news.set()
+
+    async def next_report(self):
+        """Return the next report, encoded, once it is made."""
+        await self._made.wait()
         return self._encoded
 
+    async def _wait_for_news(self):
+        try:
+            async with asyncio.timeout(to_seconds(REPORT_MS)):
+                await self._news.wait()
+        except TimeoutError:
+            return
+
     def _make(self):
         host = self.host
         host.board.put(host.settings.name, self.started_ms, host.usage.windows)
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -7,6 +7,11 @@
 from pearrun.decisions.prefixes import PrefixIndex
 from pearrun.shared.fleet import Endpoint
 
+# Prompts from this size on are told to the other hosts at once: reading
+# 4,000 tokens takes 70 ms, and within a report period of 200 ms the
+# others would send two short calls behind each of them.
+LARGE_TOKENS = 4000
+
 
 @dataclasses.dataclass(frozen=True)
 class Selected:
@@ -36,6 +41,7 @@
         self.prefixes = PrefixIndex()
         self._placed = []
         self.zones = {}
+        self.tell_others = lambda: None
         self.settings = placement.PlacementSettings()
 
     def choose(self, call, service, tried):
@@ -79,6 +85,9 @@
             part_ids = tuple(part.id for part in shared)
             self._placed.append((selected.endpoint.id, part_ids))
 
+        if selected.fresh_tokens >= LARGE_TOKENS:
+            self.tell_others()
+
     def take_placed(self):
         """Return the prompts sent since the last call, for other hosts.
 
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -121,6 +121,56 @@
     asyncio.run(main())
 
 
+def test_every_host_learns_where_a_beginning_was_placed():
+    async def main():
+        runners = [('m1', 'model')]
+        async with run_site(make_config(), runners, hosts=3) as site:
+            one, *others = site.hosts.values()
+            await wait_until(
+                lambda: all(len(o.reports.versions) == 2 for o in others)
+            )
+            parts = 'aa:100,bb:50,cc:50'
+            await call(one, '/long/', 'a', 'POST', **make_prompt(parts))
+            await asyncio.sleep(0.5)
+            for other in others:
+                prefixes = other.host.selection.prefixes
+                known = {part for _, part in prefixes._used}
+                assert known == {'aa', 'bb'}
+
+    asyncio.run(main())
+
+
+def test_a_large_prompt_is_told_to_the_other_hosts_at_once():
+    """Well before the next report is due."""
+
+    async def main():
+        runners = [('m1', 'model')]
+        async with run_site(make_config(), runners, hosts=2) as site:
+            one, two = site.hosts.values()
+            site.runners['m1'].event_ms = 500
+            await wait_until(lambda: len(two.reports.versions) == 1)
+            waits = []
+            for number in range(3):
+                task = asyncio.create_task(
+                    call(
+                        one,
+                        '/long/',
+                        f'a{number}',
+                        'POST',
+                        **make_prompt(tokens=9000),
+                    )
+                )
+                await wait_until(lambda: one.host.fleet.endpoints['m1'].calls)
+                began = two.clock.now()
+                await wait_until(lambda: two.host.loads.get('m1').calls)
+                waits.append(two.clock.since(began))
+                await task
+                await wait_until(lambda: not two.host.loads.get('m1').calls)
+            assert max(waits) < 100
+
+    asyncio.run(main())
+
+
 def test_a_host_without_the_store_gets_the_configuration_from_a_peer():
     async def main():
         async with run_site(make_config(), PLAIN, hosts=2) as site:
