Unused settings dropped; the lease's wait follows the platform's bound

Cause, found by reading the change again: fields were decoded and never used, and two constants stood where the settings say more: the lease's wait (3,800 ms) would have been too short on a deployment with a longer lease_ms, the time for which a removed endpoint is kept (1,500 ms) on one with a shorter drain_ms. An event without end was kept without limit.

--- a/pearrun/decisions/lease.py
+++ b/pearrun/decisions/lease.py
@@ -20,6 +20,8 @@
 # than the lease, so that a call sent at its end has arrived, and longer
 # than the span in which duties must not alternate between hosts.
 QUIET_MS = 3800
+# Added to that span: a call sent in the last moment of a lease arrives.
+QUIET_MARGIN_MS = 800
 
 
 class RecordKind(enum.Enum):
@@ -48,12 +50,14 @@
     """What a host knows of the lease.
 
     :param run: the host's own name and start time.
+    :param quiet_ms: how long the log must stand still before a claim.
 
     Times are milliseconds of a clock that counts suspended time.
     """
 
-    def __init__(self, run):
+    def __init__(self, run, quiet_ms=QUIET_MS):
         self.run = run
+        self.quiet_ms = quiet_ms
         self.end = None
         self.holder = None
         self.fencing = 0
@@ -91,7 +95,7 @@
             return False
         if self.end == 0:
             return True
-        return now_ms - self.still_since_ms >= QUIET_MS
+        return now_ms - self.still_since_ms >= self.quiet_ms
 
     def note_written(self, offset, record, sent_ms):
         """Note that a record of ours was appended and acknowledged."""
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -10,6 +10,8 @@
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.decisions.lease import LeaseView
+from pearrun.decisions.lease import QUIET_MARGIN_MS
+from pearrun.decisions.lease import QUIET_MS
 from pearrun.http1.limits import ServerLimits
 from pearrun.http1.server import Server
 from pearrun.platform import settings as settings_module
@@ -92,7 +94,8 @@
         settings = self.settings
         if settings.duties is None:
             return None
-        view = LeaseView(f'{settings.name}/{self.started_ms}')
+        quiet_ms = max(QUIET_MS, settings.lease_ms + QUIET_MARGIN_MS)
+        view = LeaseView(f'{settings.name}/{self.started_ms}', quiet_ms)
         calls = DutyClient(settings.duties.address, settings.name)
         scaler = Scaler(self.host, calls)
         log = LeaseLog(self.store, view, self.clock)
@@ -102,7 +105,7 @@
 
     def make_duty_notice(self):
         """Return what the others are told of the lease, if it is here."""
-        left_ms = self.duties.fencing_left_ms()
+        left_ms = self.duties.left_ms()
         if not left_ms:
             return None
         return reports.DutyNotice(self.duties.view.fencing, left_ms)
--- a/pearrun/platform/decoding.py
+++ b/pearrun/platform/decoding.py
@@ -17,8 +17,6 @@
 
 # Fields whose name on the wire says little:
 # - 'split': services that share a route, in place of 'service';
-# - 'kv_capacity': tokens of prompts and answers an engine can hold;
-# - 'cold_left_ms': how much longer an endpoint stays slow;
 # - 'stage', 'call_seq': of engines' orders, not used here.
 
 
@@ -66,7 +64,6 @@
         targets=decode_targets(item),
         max_attempts=max(1, int(item.get('max_attempts') or 1)),
         public=bool(item.get('public')),
-        sticky=bool(item.get('sticky')),
         resumable=bool(item.get('resumable')),
     )
 
@@ -90,7 +87,6 @@
         max_connections=int(item.get('max_conns') or 100),
         engine=EngineProfile(
             slots=int(engine['slots']),
-            cache_tokens=int(engine['kv_capacity']),
         )
         if engine
         else None,
@@ -161,7 +157,6 @@
             state=EndpointState.LIVE
             if item['state'] == 'ready'
             else EndpointState.LEAVING,
-            cold_ms=int(item.get('cold_left_ms') or 0),
             reclaimable=bool(item.get('spot')),
             leaves_ms=int(leaves_ms) if leaves_ms is not None else None,
         )
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -24,9 +24,10 @@
 RETRY_BASE_MS = 50
 RETRY_CAP_MS = 500
 # Entries that lapsed while the store was away come back within 2 s of
-# its return; so long an endpoint that was removed then may be used if
-# there is no other.
-RETURN_MS = 1500
+# its return; until then an endpoint that was removed may be used if there
+# is no other, but for this part of the time in which a leaving endpoint
+# must stop getting work at the most.
+RETURN_SHARE = 0.75
 
 
 class Follower:
@@ -148,6 +149,7 @@
             host, store, ENDPOINT_TOPIC, ENDPOINT_WAIT_MS, ENDPOINT_PAUSE_MS
         )
         self.removals = {}
+        self.return_ms = int(host.settings.drain_ms * RETURN_SHARE)
 
     def take_all(self, records, asked_ms):
         """See :class:`Follower`."""
@@ -200,10 +202,10 @@
         if not self._store_just_returned():
             self.host.drop_endpoint(endpoint, 'entry removed')
             return
-        endpoint.pause.until_ms = self.host.clock.now() + RETURN_MS
+        endpoint.pause.until_ms = self.host.clock.now() + self.return_ms
         loop = asyncio.get_running_loop()
         self.removals[endpoint_id] = loop.call_later(
-            to_seconds(RETURN_MS), self._remove_late, endpoint_id
+            to_seconds(self.return_ms), self._remove_late, endpoint_id
         )
 
     def _remove_late(self, endpoint_id):
@@ -218,4 +220,4 @@
         returned_ms = self.regained_ms
         if returned_ms is None:
             return False
-        return self.host.clock.since(returned_ms) < RETURN_MS
+        return self.host.clock.since(returned_ms) < self.return_ms
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -14,15 +14,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoreSettings:
-    """Where the platform's store is, and what it allows all hosts.
-
-    :param history_s: seconds for which it keeps records of a log.
-    """
+    """Where the platform's store is."""
 
     address: str
-    writes_per_s: float
-    reads_per_s: float
-    history_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,7 +28,6 @@
 
     address: str
     names: frozenset[str]
-    calls_per_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,7 +58,6 @@
     """Everything one entry host is told at its start.
 
     :param stop_ms: milliseconds from the stop signal to the kill.
-    :param config_ms: milliseconds in which a change must be in force.
     :param drain_ms: milliseconds a leaving endpoint still serves.
     :param lease_ms: milliseconds in which duties must not alternate
         between two holders.
@@ -79,15 +71,12 @@
     ready_address: str
     first_port: int
     last_port: int
-    memory_mb: int
-    max_files: int
     store: StoreSettings
     duties: DutySettings | None
     retry: RetrySettings
     usage: UsageSettings
     quota: QuotaSettings
     stop_ms: int
-    config_ms: int
     drain_ms: int
     lease_ms: int
 
@@ -128,8 +117,6 @@
         ready_address=str(listen['ready_addr']),
         first_port=int(first_port),
         last_port=int(last_port),
-        memory_mb=int(fields['limits']['memory_mb']),
-        max_files=int(fields['limits']['max_fds']),
         store=decode_store(fields['platform']),
         duties=decode_duties(fields.get('cloud')),
         retry=RetrySettings(
@@ -147,7 +134,6 @@
             slack=float(bounds.get('quota_slack', 0)),
         ),
         stop_ms=int(bounds.get('grace_s', 8) * 1000),
-        config_ms=int(bounds.get('config_ms', 2000)),
         drain_ms=int(bounds.get('drain_ms', 2000)),
         lease_ms=int(bounds.get('lease_ms', 3000)),
     )
@@ -155,12 +141,7 @@
 
 def decode_store(fields):
     """Decode the section on the platform's store."""
-    return StoreSettings(
-        address=str(fields['addr']),
-        writes_per_s=float(fields.get('writes_per_s', 100)),
-        reads_per_s=float(fields.get('reads_per_s', 500)),
-        history_s=float(fields.get('keep_s', 20)),
-    )
+    return StoreSettings(address=str(fields['addr']))
 
 
 def decode_duties(fields):
@@ -170,5 +151,4 @@
     return DutySettings(
         address=str(fields['addr']),
         names=frozenset(fields.get('duties', ())),
-        calls_per_s=float(fields.get('duty_per_s', 10)),
     )
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -11,7 +11,6 @@
 import urllib.parse
 
 from pearrun import exceptions
-from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.http1.pool import Pool
 from pearrun.http1.pool import PoolSettings
@@ -63,10 +62,8 @@
 
     def __init__(self, settings):
         self.settings = settings
-        self.clock = Clock()
         self.calls = 0
         self.failures = 0
-        self.answered_ms = None
         self.failing = False
         self.pool = make_pool(settings.address)
 
@@ -183,7 +180,6 @@
                 f'{path}: {exc or "timed out"}'
             ) from exc
         if response.head.status < 500 and response.head.status != 429:
-            self.answered_ms = self.clock.now()
             self._note_answer()
         return response
 
--- a/pearrun/relay/events.py
+++ b/pearrun/relay/events.py
@@ -1,5 +1,7 @@
 """Server-sent events: cutting a byte stream into whole events."""
 
+from pearrun import exceptions
+
 # Largest event kept while its end is awaited.
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -18,8 +20,11 @@
         """Take bytes; return all events that are complete now.
 
         :returns: the events' bytes, unchanged; may be empty.
+        :raises ConnectionBrokenError: an event is too large.
         """
         self._rest += data
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise exceptions.ConnectionBrokenError('event too large')
         end = self._rest.rfind(b'\n\n')
         if end < 0:
             return b''
--- a/pearrun/shared/configuration.py
+++ b/pearrun/shared/configuration.py
@@ -38,7 +38,6 @@
     targets: tuple[WeightedService, ...]
     max_attempts: int = 1
     public: bool = False
-    sticky: bool = False
     resumable: bool = False
 
     @property
@@ -54,7 +53,6 @@
     """What the model engines of a service can hold at once."""
 
     slots: int
-    cache_tokens: int
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -60,7 +60,7 @@
         """Say whether this host may act now."""
         return self.view.holds(self.clock.boot())
 
-    def fencing_left_ms(self):
+    def left_ms(self):
         """Return how long the lease still holds; 0 without it."""
         if not self.holds():
             return 0
--- a/pearrun/shared/fleet.py
+++ b/pearrun/shared/fleet.py
@@ -13,7 +13,6 @@
 class EndpointRecord:
     """What the platform says of one endpoint.
 
-    :param cold_ms: milliseconds for which it stays slow after a start.
     :param reclaimable: whether the platform may take it away.
     :param leaves_ms: milliseconds until a reclaim; ``None`` if unknown.
     """
@@ -24,7 +23,6 @@
     zone: ZoneName
     slots: int
     state: EndpointState
-    cold_ms: int = 0
     reclaimable: bool = False
     leaves_ms: int | None = None
 
@@ -34,7 +32,6 @@
     """One endpoint and this host's own work on it."""
 
     record: EndpointRecord
-    seen_ms: int
     calls: int = 0
     reading_tokens: int = 0
     failures: int = 0
@@ -53,8 +50,7 @@
     was last known to be complete.
     """
 
-    def __init__(self, clock):
-        self.clock = clock
+    def __init__(self):
         self.endpoints = {}
         self.version = 0
         self.listed_ms = None
@@ -64,15 +60,13 @@
 
         :returns: whether its state changed.
         """
-        now = self.clock.now()
         known = self.endpoints.get(record.id)
         self.version += 1
         if known is None:
-            self.endpoints[record.id] = Endpoint(record, now)
+            self.endpoints[record.id] = Endpoint(record)
             return True
         changed = known.record.state is not record.state
         known.record = record
-        known.seen_ms = now
         return changed
 
     def remove(self, endpoint_id):
@@ -91,10 +85,3 @@
             if endpoint.record.service == service
             and endpoint.record.state is EndpointState.LIVE
         ]
-
-    def is_current(self, endpoint):
-        """Say whether an endpoint is still listed and takes work."""
-        known = self.endpoints.get(endpoint.id)
-        return known is endpoint and (
-            endpoint.record.state is EndpointState.LIVE
-        )
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -29,7 +29,7 @@
         self.stopping = False
         self.counters = Counters()
         self.config = ConfigHistory(clock)
-        self.fleet = Fleet(clock)
+        self.fleet = Fleet()
         self.loads = Loads(clock)
         self.members = Members(clock, settings.name)
         self.pools = EndpointPools(self.count_hosts)
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -27,7 +27,6 @@
     :param unsealed: leave the signature out.
     :param extra: send a second answer after a complete one.
     :param stray_first: send an answer to another request first.
-    :param early: answer with this status before the body is read.
     """
 
     full: bool = False
