Hosts leave the list of hosts; a call that was never sent is told so

Cause: a host that ended stayed on the list for good (its `leave` was never called), was dialled by all others and counted in the shares of budgets and connections; one whose removal the store did late, or that was removed in history the reader missed, was wrong the other way. A call that timed out while no connection stood was answered 504, though nothing had been sent: its caller could not know it may repeat.

Change: the entry is removed at the end of a stop (400 ms at the most); a host that finds its entry gone or old writes it again; the lease's holder removes hosts nobody heard for ten minutes while it hears half of the others. 503 with `not_run` where no send was written.

Tests (each failed before): timeout before anything was sent; host that ends, that is removed while it runs, that is silent, that was removed in expired history. Tests of two runs on one machine no longer share the port of the metrics.

--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -265,12 +265,12 @@
 class StoreConflictError(StoreError):
     """A conditional append found another end of the log.
 
-    :param end: the offset at which the partition ends.
+    :param end: the offset at which the partition ends, where known.
     """
 
     code = 1802
 
-    def __init__(self, message, end):
+    def __init__(self, message, end=None):
         super().__init__(message)
         self.end = end
 
@@ -284,7 +284,7 @@
     code = 1810
     http_status = 503
 
-    def __init__(self, message, status):
+    def __init__(self, message, status=0):
         super().__init__(message)
         self.status = status
 
@@ -375,10 +375,7 @@
     :returns: a :class:`PearrunError` of the class with that code.
     """
     fields = body['error']
-    kind = BY_CODE.get(fields['code'], PearrunError)
-    if kind in (StoreConflictError, DutyCallError):
-        # These stay inside one process and take arguments of their own.
-        kind = PearrunError
-    error = kind(fields['message'], retry_after_s=fields['retry_after_s'])
+    error = BY_CODE.get(fields['code'], PearrunError)(fields['message'])
+    error.retry_after_s = fields['retry_after_s']
     error.not_run = fields['not_run']
     return error
--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -105,7 +105,6 @@
                     return ResponseHead(
                         event.status_code,
                         list(event.headers.raw_items()),
-                        bytes(event.reason),
                     )
             raise exceptions.ConnectionBrokenError('no response')
 
--- a/pearrun/http1/messages.py
+++ b/pearrun/http1/messages.py
@@ -54,7 +54,6 @@
 
     status: int
     headers: Headers
-    reason: bytes = b''
 
     def get(self, name):
         """Return a header's value; see :meth:`Request.get`."""
--- a/pearrun/http1/pool.py
+++ b/pearrun/http1/pool.py
@@ -33,13 +33,13 @@
     async def take(self):
         """Return an idle connection or a new one.
 
-        :returns: ``(connection, reused)``.
+        :returns: a :class:`ClientConnection`.
         :raises EndpointUnreachableError: none could be opened.
         :raises OverloadedError: the limit of connections is reached.
         """
         connection = self._take_idle()
         if connection is not None:
-            return connection, True
+            return connection
         if self.open >= self.settings.max_connections:
             raise exceptions.OverloadedError(
                 f'{self.address}: {self.open} connections in use'
@@ -54,7 +54,7 @@
         except BaseException:
             self.open -= 1
             raise
-        return connection, False
+        return connection
 
     async def fetch(self, method, target, headers, body, limit):
         """Send a request on a connection of the pool.
@@ -64,7 +64,7 @@
         :raises EndpointUnreachableError: no connection stands.
         :raises ConnectionBrokenError: the response is not complete.
         """
-        connection, _ = await self.take()
+        connection = await self.take()
         self.fetching.add(connection)
         try:
             response = await connection.fetch(
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -74,8 +74,10 @@
         )
         self.host.forget_host = self.reports.forget
         self.host.selection.tell_others = self.reports.tell_at_once
-        self.members = MemberFollower(self.host, self.store, self.own_entry())
         self.duties = self.make_duties()
+        self.members = MemberFollower(
+            self.host, self.store, self.own_entry(), self.holds_lease
+        )
         self.stop = asyncio.Event()
         self.tasks = []
 
@@ -110,6 +112,10 @@
             return None
         return reports.DutyNotice(self.duties.view.fencing, left_ms)
 
+    def holds_lease(self):
+        """Say whether this host performs the duties now."""
+        return self.duties is not None and self.duties.holds()
+
     def limits(self):
         """Return the limits on callers that are in force."""
         config = self.host.config.current
@@ -162,6 +168,7 @@
         logger.bind(
             requests=self.front.busy, after_ms=self.clock.since(began_ms)
         ).info('stop')
+        await self.members.leave()
         await self.end()
 
     async def end(self):
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -89,6 +89,21 @@
         """Take records written since the last read."""
         raise NotImplementedError
 
+    def decode(self, decoder, *args):
+        """Decode a record; one that is malformed is logged and left aside.
+
+        :param decoder: called with ``args``; raises
+            :class:`WireFormatError`.
+        :returns: what the decoder returns, or ``None``.
+        """
+        try:
+            return decoder(*args)
+        except exceptions.WireFormatError as exc:
+            logger.bind(topic=self.topic, code=exc.code).error(
+                f'record left aside: {exc.message}'
+            )
+            return None
+
     def _note_reachable(self):
         if not self.reachable:
             self.reachable = True
@@ -125,21 +140,15 @@
         """See :class:`Follower`."""
         for record in records:
             if record.key == CONFIG_KEY and record.value is not None:
-                self._take(record.value)
+                config = self.decode(
+                    decoding.decode_configuration, record.value
+                )
+                if config is not None:
+                    self.host.config.offer(config, 'store')
         # A read that waited says that nothing came up to its end.
         newest_ms = asked_ms if records else self.host.clock.now()
         self.host.config.confirm(newest_ms)
 
-    def _take(self, raw):
-        try:
-            config = decoding.decode_configuration(raw)
-        except exceptions.WireFormatError as exc:
-            logger.bind(code=exc.code).error(
-                f'configuration left aside: {exc.message}'
-            )
-            return
-        self.host.config.offer(config, 'store')
-
 
 class EndpointFollower(Follower):
     """Keeps the list of endpoints."""
@@ -174,12 +183,8 @@
         self.host.config.confirm_alive(self.host.clock.now())
 
     def _put(self, record):
-        try:
-            entry = decoding.decode_endpoint(record.key, record.value)
-        except exceptions.WireFormatError as exc:
-            logger.bind(code=exc.code).error(
-                f'endpoint left aside: {exc.message}'
-            )
+        entry = self.decode(decoding.decode_endpoint, record.key, record.value)
+        if entry is None:
             return
         timer = self.removals.pop(entry.id, None)
         if timer is not None:
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -1,58 +1,70 @@
 """The list of entry hosts on the platform's store."""
 
-import asyncio
-
 import cbor2
 from loguru import logger
 
 from pearrun import exceptions
-from pearrun.backoff import Backoff
 from pearrun.platform.following import Follower
-from pearrun.platform.following import RETRY_BASE_MS
-from pearrun.platform.following import RETRY_CAP_MS
 from pearrun.shared import cbor
 from pearrun.shared.members import Member
 
 TOPIC = 'hosts'
+# How long a host that ends waits for the removal of its entry: less than
+# the time it keeps free before the kill.
+LEAVE_MS = 400
+# A host that nobody has heard for this long is taken off the list, so
+# that it is dialled and counted no more.  Longer than the cuts that hosts
+# go on serving in: a cut-off host's use of the quotas is remembered only
+# while it is listed.  One that still lives lists itself again.
+SILENT_MS = 600_000
 
 
 class MemberFollower(Follower):
     """Keeps the list of hosts, and this host on it.
 
     :param own: this host's :class:`Member`.
+    :param may_tidy: says whether this host removes others' old entries.
     """
 
-    def __init__(self, host, store, own):
+    def __init__(self, host, store, own, may_tidy):
         super().__init__(host, store, TOPIC)
         self.own = own
-
-    async def run(self):
-        """See :class:`Follower`."""
-        await self._announce()
-        await super().run()
-
-    async def _announce(self):
-        """Write this host's entry; tried until the store takes it."""
-        backoff = Backoff(RETRY_BASE_MS, RETRY_CAP_MS)
-        while True:
-            try:
-                await self.store.put(TOPIC, self.own.name, encode(self.own))
-                return
-            except exceptions.PearrunError as exc:
-                logger.bind(code=exc.code).info(
-                    f'own entry not written: {exc.message}'
-                )
-                await backoff.pause()
+        self.may_tidy = may_tidy
+        self.announced = False
+        self.leaving = False
 
     async def leave(self):
         """Remove this host's entry; once, since it is about to end."""
+        self.leaving = True
         try:
-            await self.store.put(TOPIC, self.own.name, None)
-        except (exceptions.PearrunError, asyncio.CancelledError) as exc:
-            logger.info(f'own entry not removed: {exc!r}')
+            await self.store.put(TOPIC, self.own.name, None, LEAVE_MS)
+        except exceptions.PearrunError as exc:
+            logger.bind(code=exc.code).info(
+                f'own entry not removed: {exc.message}'
+            )
+
+    async def _read_once(self):
+        if not self.announced and not self.leaving:
+            await self.store.put(TOPIC, self.own.name, encode(self.own))
+            self.announced = True
+        if self.may_tidy():
+            await self._remove_silent()
+        await super()._read_once()
+
+    async def _remove_silent(self):
+        """Take hosts off the list that ended without doing so."""
+        for name in self.host.members.list_silent(SILENT_MS):
+            logger.bind(host=name, silent_ms=SILENT_MS).warning(
+                'silent host taken off the list'
+            )
+            await self.store.put(TOPIC, name, None)
 
     def take_all(self, records, asked_ms):
         """See :class:`Follower`."""
+        self.announced = False
+        listed = {record.key for record in records}
+        for name in set(self.host.members.members) - listed:
+            self._remove(name)
         self.take_changes(records, asked_ms)
         self.host.members.listed = True
 
@@ -65,17 +77,20 @@
                 self._put(record)
 
     def _put(self, record):
-        try:
-            member = decode(record.key, record.value)
-        except exceptions.WireFormatError as exc:
-            logger.bind(code=exc.code).error(exc.message)
+        member = self.decode(decode, record.key, record.value)
+        if member is None:
             return
+        if member.name == self.own.name:
+            # The store may do a write of this host's last run late.
+            self.announced = member == self.own
         self.host.members.put(member)
         logger.bind(
             host=member.name, address=member.address, zone=member.zone
         ).info('host listed')
 
     def _remove(self, name):
+        if name == self.own.name:
+            self.announced = False
         if self.host.members.remove(name) is not None:
             self.host.forget_host(name)
             logger.bind(host=name).info('host left')
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -148,11 +148,13 @@
                 return records, end
             query['after'] = items[-1]['key']
 
-    async def put(self, topic, key, value):
+    async def put(self, topic, key, value, call_ms=CALL_MS):
         """Write a key of a keyed topic; ``None`` removes it."""
         name = key.encode()
         record = bytes([len(name)]) + name + (value or b'')
-        return await self.append(KEYED_PREFIX + topic, [record])
+        return await self.append(
+            KEYED_PREFIX + topic, [record], call_ms=call_ms
+        )
 
     async def follow(self, topic, start, wait_ms):
         """Read changes of a keyed topic.
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -49,7 +49,7 @@
         endpoint = selected.endpoint
         pool = self.host.pools.get(endpoint.record, self.service)
         try:
-            connection, _ = await pool.take()
+            connection = await pool.take()
         except exceptions.OverloadedError as exc:
             return NotRun(exc.message, arrived=False)
         except exceptions.EndpointUnreachableError as exc:
@@ -88,6 +88,7 @@
             )
         except exceptions.EndpointUnreachableError as exc:
             return NotRun(exc.message, arrived=False), None
+        self.trace.note_written()
         try:
             head, verdict = await self._read_own_head()
         except exceptions.BackendError as exc:
@@ -157,7 +158,7 @@
             while (chunk := await self.connection.read_chunk()) is not None:
                 await self.caller.write(chunk)
         except exceptions.ConnectionBrokenError as exc:
-            return Cut(None, exc.message), None
+            return Cut(exc.message), None
         self.caller.finish()
         return Answered(head.status), head
 
@@ -181,7 +182,7 @@
         except exceptions.ConnectionBrokenError as exc:
             self._note_broken(exc)
             if passed or self.caller.head_sent:
-                return Cut(resume.last_event_id, exc.message), None
+                return Cut(exc.message), None
             return Unknown(exc.message), None
         self.host.selection.note_success(self.selected.endpoint)
         self._start_stream(head)
--- a/pearrun/relay/outcomes.py
+++ b/pearrun/relay/outcomes.py
@@ -44,5 +44,4 @@
 class Cut:
     """A stream broke off after some of it was passed on."""
 
-    last_event_id: str | None
     reason: str
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -86,7 +86,7 @@
                 await self._give_up(call, caller, trace, 'no endpoint')
                 return
             trace.expected_ms = selected.expected_ms
-            if not trace.sends and not self._admits(call, selected):
+            if not trace.endpoint_ids and not self._admits(call, selected):
                 trace.reason = 'overload'
                 left_ms = call.timeout_at_ms - self.clock.now()
                 return_ms = admission.return_after_ms(
@@ -94,7 +94,7 @@
                 )
                 await self._refuse(call, caller, trace, 503, return_ms)
                 return
-            trace.note_send(selected, self.clock.now())
+            trace.note_send(selected)
             exchange = Exchange(self.host, call, service, caller, trace)
             outcome = await exchange.run(selected, resume)
             tried.add(selected.endpoint.id)
@@ -111,31 +111,21 @@
                 trace.end(Ending.ANSWERED, status)
                 return False
             case NotRun(reason, arrived):
-                trace.reason = reason
-                offered = len(trace.sends) >= MOST_OFFERS
+                trace.note_not_run(reason)
+                offered = len(trace.endpoint_ids) >= MOST_OFFERS
                 if not offered and (not arrived or self._may_repeat(service)):
                     return True
-            case Unknown(reason):
-                trace.may_have_run = True
-                trace.runs += 1
-                trace.reason = reason
+            case Unknown(reason) | Cut(reason):
+                trace.note_run(reason)
                 if self._may_run_again(call, service, trace):
                     return True
             case FailedAnswer(head):
-                trace.may_have_run = True
-                trace.runs += 1
-                trace.reason = f'endpoint answered {head.status}'
+                trace.note_run(f'endpoint answered {head.status}')
                 if self._may_run_again(call, service, trace):
                     trace.failed_answer = outcome
                     return True
                 await self._pass_failure(caller, trace, outcome)
                 return False
-            case Cut(_, reason):
-                trace.may_have_run = True
-                trace.runs += 1
-                trace.reason = reason
-                if self._may_run_again(call, service, trace):
-                    return True
         await self._give_up(call, caller, trace, trace.reason)
         return False
 
@@ -143,7 +133,7 @@
         return (
             call.route.repeatable
             and trace.runs < call.route.max_attempts
-            and len(trace.sends) < MOST_OFFERS
+            and len(trace.endpoint_ids) < MOST_OFFERS
             and self._may_repeat(service)
         )
 
@@ -206,6 +196,9 @@
             trace.end(Ending.BROKEN_OFF, 0)
             caller.abort()
             return
+        if not trace.may_have_run:
+            await self._refuse(call, caller, trace, 503, NO_ENDPOINT_RETURN_MS)
+            return
         trace.end(Ending.TIMED_OUT, 504)
         error = exceptions.OutcomeUnknownError('no answer in time')
         await self._reply_error(caller, error, 504)
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -1,6 +1,5 @@
 """What happened to one call, for its log line and the metrics."""
 
-import dataclasses
 import enum
 
 from loguru import logger
@@ -17,15 +16,6 @@
     CALLER_LEFT = 'caller_left'
 
 
-@dataclasses.dataclass
-class Send:
-    """One send of a call to an endpoint."""
-
-    endpoint_id: str
-    at_ms: int
-    expected_ms: float
-
-
 class CallTrace:
     """Collects the decisions on one call.
 
@@ -36,9 +26,9 @@
     def __init__(self, call, begun_ms):
         self.call = call
         self.begun_ms = begun_ms
-        self.sends = []
+        self.endpoint_ids = []
         self.runs = 0
-        self.may_have_run = False
+        self.unanswered = False
         self.failed_answer = None
         self.first_event_ms = None
         self.expected_ms = 0.0
@@ -46,11 +36,29 @@
         self.ending = None
         self.status = 0
 
-    def note_send(self, selected, now_ms):
+    @property
+    def may_have_run(self):
+        """Whether an endpoint has run the call, or may have."""
+        return self.runs > 0 or self.unanswered
+
+    def note_send(self, selected):
         """Note that the call is sent to an endpoint."""
-        self.sends.append(
-            Send(selected.endpoint.id, now_ms, selected.expected_ms)
-        )
+        self.endpoint_ids.append(selected.endpoint.id)
+
+    def note_written(self):
+        """Note that an endpoint may have the call from now on."""
+        self.unanswered = True
+
+    def note_not_run(self, reason):
+        """Note that the endpoint has not run the call, and why."""
+        self.unanswered = False
+        self.reason = reason
+
+    def note_run(self, reason):
+        """Note that the call ran, or may have, and why it has no answer."""
+        self.runs += 1
+        self.unanswered = False
+        self.reason = reason
 
     def note_first(self, now_ms):
         """Note the first byte of an answer."""
@@ -73,7 +81,7 @@
             ending=ending,
             status=self.status,
             reason=self.reason,
-            endpoints=','.join(send.endpoint_id for send in self.sends),
+            endpoints=','.join(self.endpoint_ids),
             expected_ms=round(self.expected_ms),
             first_ms=self.first_event_ms,
             total_ms=now_ms - self.begun_ms,
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -42,7 +42,6 @@
         self.delivered = set()
         self.read_ms = None
         self.held = False
-        self.started_ms = self.clock.now()
 
     async def run(self):
         """Look at the lease for the process's whole life."""
--- a/pearrun/shared/members.py
+++ b/pearrun/shared/members.py
@@ -23,7 +23,8 @@
     """All entry hosts, as listed on the store.
 
     ``listed`` says whether the list was read; ``heard`` holds the names
-    of hosts that reported since their links were up.
+    of hosts that reported since their links were up.  ``last_heard_ms``
+    says when a host last reported, or was listed.
     """
 
     def __init__(self, clock, own_name):
@@ -32,14 +33,37 @@
         self.members = {}
         self.listed = False
         self.heard = set()
+        self.last_heard_ms = {}
 
     def put(self, member):
         """Add a host or take its newest entry."""
         self.members[member.name] = member
+        self.last_heard_ms[member.name] = self.clock.now()
+
+    def note_heard(self, name):
+        """Note that a host has reported."""
+        self.heard.add(name)
+        self.last_heard_ms[name] = self.clock.now()
+
+    def list_silent(self, silent_ms):
+        """Return the other hosts that have not reported for a time.
+
+        :returns: names; none while less than half of the others are
+            heard, since then it is this host that is cut off.
+        """
+        silent = [
+            member.name
+            for member in self.others()
+            if self.clock.since(self.last_heard_ms[member.name]) > silent_ms
+        ]
+        if len(silent) * 2 > len(self.others()):
+            return []
+        return silent
 
     def remove(self, name):
         """Forget a host that has left."""
         self.heard.discard(name)
+        self.last_heard_ms.pop(name, None)
         return self.members.pop(name, None)
 
     def others(self):
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -98,7 +98,7 @@
 
     def _take_report(self, report):
         host = self.host
-        host.members.heard.add(report.host)
+        host.members.note_heard(report.host)
         host.loads.put(report.host, report.loads)
         run = (report.host, report.started_ms)
         host.quotas.put_report(run, report.admitted)
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 
 from pearrun.http1 import client
 from pearrun.platform import settings as settings_module
@@ -46,6 +47,9 @@
             f'127.0.0.1:{free_port()}', f'127.0.0.1:{free_port()}'
         )
         self.hosts = {}
+        # Apart from those of another test run on this machine, since the
+        # port of the metrics is fixed.
+        self.subnet = 1 + os.getpid() % 250
         self.ports = {
             'front': free_port(),
             'ready': free_port(),
@@ -62,7 +66,7 @@
         fields = make_settings_fields(
             f'host-{number}',
             zone,
-            f'127.0.{number}.1',
+            f'127.{self.subnet}.{number}.1',
             self,
             self.ports,
             **bounds,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -4,7 +4,10 @@
 
 from pearrun.decisions.budget import RetryBudget
 from pearrun.http1 import client
+from pearrun.platform import membership
+from pearrun.platform.daemon import Daemon
 from pearrun.platform.settings import RetrySettings
+from pearrun.shared.members import Member
 from pearrun.standins.platformsite import make_config
 from tests.platformsite import call
 from tests.platformsite import make_headers
@@ -321,6 +324,24 @@
     play(scenario, runners=PLAIN)
 
 
+class SilentPool:
+    """Pool of an endpoint behind a cut path: no connection ever stands."""
+
+    async def take(self):
+        await asyncio.Event().wait()
+
+
+def test_timeout_before_anything_was_sent_promises_that_it_has_not_run():
+    async def scenario(site, host):
+        host.host.pools.get = lambda record, service: SilentPool()
+        answer = await call(host, '/once/', 'a1', deadline_ms=200)
+        assert answer.status == 503
+        assert answer.json()['error']['not_run'] is True
+        assert float(answer.head.get(b'retry-after')) >= 0
+
+    play(scenario, runners=PLAIN)
+
+
 def test_caller_that_leaves_stops_the_endpoints_work():
     async def scenario(site, host):
         site.runners['p1'].work_ms = 3000
@@ -335,6 +356,51 @@
     play(scenario, runners=PLAIN)
 
 
+def test_host_that_ends_is_taken_off_the_list_of_hosts():
+    async def scenario(site, host):
+        second = site.hosts['host-2']
+        await wait_until(lambda: len(host.host.members.others()) == 1)
+        await second.leave()
+        await wait_until(lambda: not host.host.members.others())
+
+    play(scenario, hosts=2)
+
+
+def test_host_taken_off_the_list_while_it_runs_comes_back():
+    """A removal that the store does late may hit the next run."""
+
+    async def scenario(site, host):
+        listed = host.host.members.members
+        await wait_until(lambda: 'host-2' in listed)
+        before = listed['host-2']
+        site.store.put('hosts', 'host-2', None)
+        await wait_until(lambda: listed.get('host-2') is not before)
+        await wait_until(lambda: 'host-2' in listed)
+        assert listed['host-2'] == before
+
+    play(scenario, hosts=2)
+
+
+def test_host_that_is_silent_for_long_is_taken_off_the_list(monkeypatch):
+    """One that lost its power cannot do so itself."""
+
+    async def scenario(site, host):
+        hosts = list(site.hosts.values())
+        members = host.host.members
+        await wait_until(lambda: any(map(Daemon.holds_lease, hosts)))
+        monkeypatch.setattr(membership, 'SILENT_MS', 1000)
+        member = Member('gone', '127.0.9.9:1', 'zone-a', 1)
+        await host.store.put('hosts', 'gone', membership.encode(member))
+        await wait_until(lambda: 'gone' in members.members)
+        await asyncio.sleep(1.2)
+        # Any change ends the wait of the read before the next look.
+        await host.store.put('hosts', 'host-0', membership.encode(member))
+        await wait_until(lambda: 'gone' not in members.members)
+        assert {'host-1', 'host-2', 'host-3'} <= set(members.members)
+
+    play(scenario, hosts=3)
+
+
 def test_draining_and_removed_endpoints_get_no_new_calls():
     async def scenario(site, host):
         first = site.runners['p1']
@@ -364,6 +430,19 @@
     play(scenario, runners=PLAIN_TWO)
 
 
+def test_host_removed_in_expired_history_is_forgotten():
+    async def scenario(site, host):
+        members = host.host.members
+        member = Member('gone', '127.0.9.9:1', 'zone-a', 1)
+        await host.store.put('hosts', 'gone', membership.encode(member))
+        await wait_until(lambda: 'gone' in members.members)
+        site.store.put('hosts', 'gone', None)
+        site.store.forget_history('keyed.hosts')
+        await wait_until(lambda: 'gone' not in members.members)
+
+    play(scenario, runners=PLAIN_TWO)
+
+
 def test_store_outage_stops_nothing():
     async def scenario(site, host):
         site.store.faults.status = 503
