--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -10,8 +10,15 @@
 """
 
 import dataclasses
+import functools
 import hashlib
 
+# Hashes of endpoint ids and prompt parts kept, at some 150 bytes each:
+# more than the endpoints and the subjects in use at once.
+KEPT_HASHES = 8192
+HASH_BYTES = 8
+HASH_MASK = (1 << (8 * HASH_BYTES)) - 1
+
 
 @dataclasses.dataclass(frozen=True)
 class PlacementSettings:
@@ -36,10 +43,13 @@
     full_ms: float = 100.0
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(slots=True)
 class Candidate:
     """An endpoint a call could go to.
 
+    Not frozen: one is made for each endpoint and call, and a frozen
+    class takes three times as long to make.
+
     :param calls: calls of all hosts running or waiting there.
     :param reading_tokens: prompt tokens of all hosts not read yet.
     :param cached_tokens: the call's own tokens that are cached there.
@@ -107,10 +117,22 @@
     """Return the id of the endpoint that all hosts prefer for a key."""
     if affinity is None or not candidates:
         return None
-    return max(candidates, key=lambda item: weigh(item.id, affinity)).id
+    key = hash_name(affinity)
+    favourite = None
+    highest = -1
+    for candidate in candidates:
+        weight = (key * hash_name(candidate.id)) & HASH_MASK
+        if weight > highest:
+            favourite, highest = candidate.id, weight
+    return favourite
+
 
+@functools.lru_cache(KEPT_HASHES)
+def hash_name(name):
+    """Return a name's hash, odd, the same on every host.
 
-def weigh(endpoint_id, affinity):
-    """Return an endpoint's weight for a key, the same on every host."""
-    name = f'{endpoint_id}/{affinity}'.encode()
-    return hashlib.blake2b(name, digest_size=8).digest()
+    The product of two of them, cut to their size, ranks endpoints for a
+    key as well as a hash of both names would, without hashing anew.
+    """
+    digest = hashlib.blake2b(name.encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest) | 1
--- a/pearrun/decisions/prefixes.py
+++ b/pearrun/decisions/prefixes.py
@@ -18,22 +18,46 @@
 
     def __init__(self):
         self._used = collections.OrderedDict()
+        self._by_part = {}
 
     def note(self, endpoint_id, parts, now_ms):
         """Note that an endpoint has read a prompt's shared parts."""
         for part in parts:
-            key = (endpoint_id, part.id)
-            self._used.pop(key, None)
+            key = (part.id, endpoint_id)
             self._used[key] = now_ms
+            self._used.move_to_end(key)
+            self._by_part.setdefault(part.id, {})[endpoint_id] = now_ms
         while len(self._used) > MAX_ENTRIES:
-            self._used.popitem(last=False)
+            self._forget_oldest()
 
-    def cached_tokens(self, endpoint_id, parts, now_ms):
-        """Return how many leading tokens an endpoint should have."""
-        total = 0
+    def find_cached(self, parts, now_ms):
+        """Return how many leading tokens each endpoint should have.
+
+        :returns: tokens by endpoint id; endpoints without any are left
+            out.
+        """
+        cached = {}
+        known = None
         for part in parts:
-            used_ms = self._used.get((endpoint_id, part.id))
-            if used_ms is None or now_ms - used_ms > KEPT_MS:
-                break
-            total += part.tokens
-        return total
+            holders = {
+                endpoint_id
+                for endpoint_id, used_ms in self._by_part.get(
+                    part.id, {}
+                ).items()
+                if now_ms - used_ms <= KEPT_MS
+            }
+            known = holders if known is None else known & holders
+            for endpoint_id in known:
+                cached[endpoint_id] = cached.get(endpoint_id, 0) + part.tokens
+        return cached
+
+    def holds(self, endpoint_id, part_id):
+        """Say whether an endpoint was noted to have read a part."""
+        return (part_id, endpoint_id) in self._used
+
+    def _forget_oldest(self):
+        (part_id, endpoint_id), _ = self._used.popitem(last=False)
+        holders = self._by_part[part_id]
+        del holders[endpoint_id]
+        if not holders:
+            del self._by_part[part_id]
--- a/pearrun/shared/fleet.py
+++ b/pearrun/shared/fleet.py
@@ -46,27 +46,28 @@
 class Fleet:
     """All endpoints, by service.
 
-    ``version`` grows with every change; ``listed_ms`` is when the list
-    was last known to be complete.
+    ``listed_ms`` is when the list was last known to be complete.
     """
 
     def __init__(self):
         self.endpoints = {}
-        self.version = 0
         self.listed_ms = None
+        self._live = {}
 
     def put(self, record):
         """Add an endpoint or update what is known of it.
 
         :returns: whether its state changed.
         """
-        known = self.endpoints.get(record.id)
-        self.version += 1
-        if known is None:
-            self.endpoints[record.id] = Endpoint(record)
+        endpoint = self.endpoints.get(record.id)
+        if endpoint is None:
+            endpoint = self.endpoints[record.id] = Endpoint(record)
+            self._index(endpoint)
             return True
-        changed = known.record.state is not record.state
-        known.record = record
+        self._drop(endpoint)
+        changed = endpoint.record.state is not record.state
+        endpoint.record = record
+        self._index(endpoint)
         return changed
 
     def remove(self, endpoint_id):
@@ -74,14 +75,20 @@
 
         :returns: its :class:`Endpoint`, or ``None`` if it was unknown.
         """
-        self.version += 1
-        return self.endpoints.pop(endpoint_id, None)
+        endpoint = self.endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
+            self._drop(endpoint)
+        return endpoint
 
     def of_service(self, service):
         """Return a service's endpoints that take new work."""
-        return [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if endpoint.record.service == service
-            and endpoint.record.state is EndpointState.LIVE
-        ]
+        return list(self._live.get(service, {}).values())
+
+    def _index(self, endpoint):
+        record = endpoint.record
+        if record.state is EndpointState.LIVE:
+            self._live.setdefault(record.service, {})[record.id] = endpoint
+
+    def _drop(self, endpoint):
+        record = endpoint.record
+        self._live.get(record.service, {}).pop(record.id, None)
--- a/pearrun/shared/loads.py
+++ b/pearrun/shared/loads.py
@@ -42,11 +42,18 @@
 
     def get(self, endpoint_id):
         """Return the other hosts' :class:`Load` on an endpoint."""
+        return self.sums().get(endpoint_id, NO_LOAD)
+
+    def sums(self):
+        """Return the other hosts' :class:`Load` by endpoint id.
+
+        Endpoints without work of theirs are left out.
+        """
         now = self.clock.now()
         if self._sums is None or now - self._summed_ms > REPORT_VALID_MS:
             self._sums = self._sum(now)
             self._summed_ms = now
-        return self._sums.get(endpoint_id, NO_LOAD)
+        return self._sums
 
     def _sum(self, now):
         sums = {}
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -6,6 +6,7 @@
 from pearrun.decisions import placement
 from pearrun.decisions.prefixes import PrefixIndex
 from pearrun.shared.fleet import Endpoint
+from pearrun.shared.loads import NO_LOAD
 
 # Prompts from this size on are told to the other hosts at once: reading
 # 4,000 tokens takes 70 ms, and within a report period of 200 ms the
@@ -57,18 +58,14 @@
             if endpoint.id not in tried
         ]
         endpoints = self._filter_usable(endpoints, now)
-        by_id = {endpoint.id: endpoint for endpoint in endpoints}
-        parts = call.prompt.parts
-        shared = parts[:-1]
-        candidates = [
-            self._describe(endpoint, shared, now) for endpoint in endpoints
-        ]
+        shared = call.prompt.parts[:-1]
+        candidates = self._describe(endpoints, shared, now)
         affinity = shared[-1].id if shared else None
         demand = placement.Demand(call.prompt.tokens, affinity)
         best, expected_ms = placement.choose(candidates, demand, self.settings)
         if best is None:
             return None
-        endpoint = by_id[best.id]
+        endpoint = self.fleet.endpoints[best.id]
         endpoint.pause.note_try(now)
         self._zone(endpoint).pause.note_try(now)
         fresh = max(0, call.prompt.tokens - best.cached_tokens)
@@ -135,22 +132,33 @@
 
     def _filter_usable(self, endpoints, now):
         """Leave out endpoints and zones that are left alone now."""
-        endpoints = avoidance.filter_usable(
-            endpoints, lambda item: self._zone(item).pause.holds(now)
-        )
+        paused = {
+            name for name, zone in self.zones.items() if zone.pause.holds(now)
+        }
+        if paused:
+            endpoints = avoidance.filter_usable(
+                endpoints, lambda item: item.record.zone in paused
+            )
         return avoidance.filter_usable(
-            endpoints, lambda item: item.pause.holds(now)
+            endpoints, lambda item: item.pause.until_ms > now
         )
 
-    def _describe(self, endpoint, shared, now):
-        others = self.loads.get(endpoint.id)
-        return placement.Candidate(
-            id=endpoint.id,
-            same_zone=endpoint.record.zone == self.zone,
-            slots=endpoint.record.slots,
-            calls=endpoint.calls + others.calls,
-            reading_tokens=endpoint.reading_tokens + others.reading_tokens,
-            cached_tokens=self.prefixes.cached_tokens(
-                endpoint.id, shared, now
-            ),
-        )
+    def _describe(self, endpoints, shared, now):
+        """Return a :class:`Candidate` for each endpoint."""
+        cached = self.prefixes.find_cached(shared, now)
+        loads = self.loads.sums()
+        candidates = []
+        for endpoint in endpoints:
+            record = endpoint.record
+            others = loads.get(record.id, NO_LOAD)
+            candidates.append(
+                placement.Candidate(
+                    record.id,
+                    record.zone == self.zone,
+                    record.slots,
+                    endpoint.calls + others.calls,
+                    endpoint.reading_tokens + others.reading_tokens,
+                    cached.get(record.id, 0),
+                )
+            )
+        return candidates
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from pearrun.decisions import scaling
 from pearrun.decisions.budget import RetryBudget
 from pearrun.decisions.prefixes import KEPT_MS
+from pearrun.decisions.prefixes import MAX_ENTRIES
 from pearrun.decisions.prefixes import PrefixIndex
 from pearrun.platform.settings import RetrySettings
 from pearrun.shared.configuration import ScaleLimits
@@ -190,11 +191,24 @@
     index = PrefixIndex()
     parts = (PromptPart('a', 100), PromptPart('b', 50))
     index.note('x', parts[1:], 0)
-    assert index.cached_tokens('x', parts, 0) == 0
+    assert index.find_cached(parts, 0) == {}
     index.note('x', parts, 0)
-    assert index.cached_tokens('x', parts, 0) == 150
-    assert index.cached_tokens('y', parts, 0) == 0
-    assert index.cached_tokens('x', parts, KEPT_MS + 1) == 0
+    assert index.find_cached(parts, 0) == {'x': 150}
+    index.note('y', parts[:1], 1)
+    assert index.find_cached(parts, 1) == {'x': 150, 'y': 100}
+    assert index.find_cached(parts, KEPT_MS + 1) == {'y': 100}
+
+
+def test_prefixes_forget_the_parts_used_least_recently():
+    index = PrefixIndex()
+    parts = [PromptPart(f'p{number}', 1) for number in range(MAX_ENTRIES)]
+    index.note('x', parts, 0)
+    index.note('x', parts[:1], 1)
+    index.note('y', parts[:1], 2)
+    assert index.holds('x', 'p0')
+    assert index.holds('y', 'p0')
+    assert not index.holds('x', 'p1')
+    assert index.find_cached(parts[1:2], 2) == {}
 
 
 def make_zones(reclaimable, lasting):
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -134,8 +134,12 @@
             await asyncio.sleep(0.5)
             for other in others:
                 prefixes = other.host.selection.prefixes
-                known = {part for _, part in prefixes._used}
-                assert known == {'aa', 'bb'}
+                known = [
+                    part
+                    for part in ('aa', 'bb', 'cc')
+                    if prefixes.holds('m1', part)
+                ]
+                assert known == ['aa', 'bb']
 
     asyncio.run(main())
 
