--- a/pearrun/standins/link.py
+++ b/pearrun/standins/link.py
@@ -6,7 +6,9 @@
 - ``open``: bytes pass;
 - ``cut``: new connections are refused and open ones are reset;
 - ``silent``: connections that are open now never pass another byte,
-  as when something in between has forgotten them; new ones work.
+  as when something in between has forgotten them; new ones work;
+- ``one_way``: bytes reach the target, nothing comes back;
+- ``slow``: bytes pass late.
 """
 
 import asyncio
@@ -17,6 +19,9 @@
 from sanic import Sanic
 
 CHUNK = 65_536
+# How late bytes pass on a slow link: several times the few ms that
+# connections within a region take.
+SLOW_S = 0.06
 
 
 class LinkMode(enum.Enum):
@@ -25,6 +30,8 @@
     OPEN = 'open'
     CUT = 'cut'
     SILENT = 'silent'
+    ONE_WAY = 'one_way'
+    SLOW = 'slow'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,16 +45,27 @@
 class Connection:
     """One connection through the link."""
 
-    def __init__(self, near, far):
+    def __init__(self, link, near, far):
+        self.link = link
         self.near = near
         self.far = far
         self.silent = False
 
+    def holds_back(self, writer):
+        """Say whether bytes to an end are dropped now."""
+        one_way = self.link.mode is LinkMode.ONE_WAY
+        return self.silent or (one_way and writer is self.near)
+
     async def pump(self, reader, writer):
         """Pass bytes one way until an end closes."""
         try:
             while data := await reader.read(CHUNK):
-                if self.silent:
+                if self.link.mode is LinkMode.SLOW:
+                    await asyncio.sleep(SLOW_S)
+                if self.holds_back(writer):
+                    # What is lost once never comes: later bytes would
+                    # not follow on from what arrived.
+                    self.silent = True
                     continue
                 writer.write(data)
                 await writer.drain()
@@ -85,7 +103,7 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = Connection(writer, far_writer)
+        connection = Connection(self, writer, far_writer)
         self.connections.add(connection)
         await asyncio.gather(
             connection.pump(reader, far_writer),
@@ -93,6 +111,12 @@
         )
         self.connections.discard(connection)
 
+    def close(self):
+        """Stop listening and break every connection."""
+        self.server.close()
+        for connection in list(self.connections):
+            connection.reset()
+
     async def set_mode(self, mode):
         """Change what happens to connections."""
         if mode == LinkMode.CUT and self.mode != LinkMode.CUT:
--- a/pearrun/standins/platformapi.py
+++ b/pearrun/standins/platformapi.py
@@ -10,8 +10,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class DutyCall:
-    """One call, as it arrived."""
+    """One call, as it arrived.
 
+    :param at_ms: monotonic time.
+    """
+
+    at_ms: int
     path: str
     holder: str
     fencing: int
@@ -46,6 +50,7 @@
         if self.status == 200:
             self.calls.append(
                 DutyCall(
+                    at_ms=request.received_ms,
                     path=request.path.decode(),
                     holder=request.get(b'pearrun-duty-holder'),
                     fencing=int(request.get(b'pearrun-fence-token')),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,9 @@
 import asyncio
 import json
 import os
+import signal
+import subprocess
+import sys
 
 import pytest
 
@@ -304,3 +307,24 @@
         await site.stop()
 
     asyncio.run(main())
+
+
+def test_a_settings_signal_during_the_start_does_not_end_the_process(
+    tmp_path,
+):
+    """The imports take a third of a second; the handler comes after."""
+    settings = tmp_path / 'boot.toml'
+    settings.write_text('node = 1')
+    process = subprocess.Popen(
+        [sys.executable, '-X', 'importtime', '-m', 'pearrun.platform'],
+        env={**os.environ, 'PEARRUN_BOOT': str(settings)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    for line in process.stderr:
+        if line.endswith(' h11\n'):
+            process.send_signal(signal.SIGHUP)
+            break
+    rest = process.stderr.read()
+    assert process.wait() == 1
+    assert 'error 1102' in rest
