--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -19,7 +19,7 @@
 from tests.soak.traffic import KINDS
 from tests.soak.traffic import Traffic
 
-HOSTS = ('host-1', 'host-2', 'host-3', 'host-4')
+HOSTS = 4
 PLACES = (
     ('plain-a', 'plain', 'zone-a'),
     ('plain-b', 'plain', 'zone-b'),
@@ -101,17 +101,19 @@
                 site.change_routes()
 
 
-async def play_seed(seed, length_ms, directory=None):
+async def play_seed(seed, length_ms, directory=None, hosts=HOSTS):
     """Play one seed.
 
     :param length_ms: how long calls are sent.
+    :param hosts: how many entry hosts; above 12 they use hubs.
     :param directory: where logs go; by default a new folder.
     :returns: ``(findings, evidence)``.
     """
     directory = pathlib.Path(directory or tempfile.mkdtemp(prefix='soak-'))
     places = [Place(*place) for place in PLACES]
-    site = SoakSite(directory, HOSTS, places)
-    plan = draw_plan(seed, length_ms, HOSTS, tuple(site.places))
+    names = tuple(f'host-{number}' for number in range(1, hosts + 1))
+    site = SoakSite(directory, names, places)
+    plan = draw_plan(seed, length_ms, names, tuple(site.places))
     player = Player(site)
     traffic = Traffic(site, seed)
     try:
@@ -140,7 +142,7 @@
 
 def is_up(site):
     """Say whether every host has announced itself."""
-    return len(site.store.topic('keyed.hosts').newest) == len(HOSTS)
+    return len(site.store.topic('keyed.hosts').newest) == len(site.host_names)
 
 
 async def make_last_calls(site, traffic):
