--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,93 @@
+"""The list of endpoints, read by some hosts and passed on to others."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from pearrun.platform.store import KeyedRecord
+from pearrun.shared.feed import Feed
+
+KEYS = st.sampled_from(['e1', 'e2', 'e3'])
+READERS = st.integers(0, 1)
+
+
+def apply_changes(state, changes):
+    """Apply pairs of a key and a value to a state."""
+    for key, value in changes:
+        if value is None:
+            state.pop(key, None)
+        else:
+            state[key] = value
+
+
+class FeedMachine(RuleBasedStateMachine):
+    """Two hosts read a log and pass on what they read, with losses.
+
+    A third one follows them, and reads the log itself after a gap or
+    without news.  What it knows is always what the log held at its
+    position, however batches are lost, late or doubled.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.log = []
+        self.positions = [0, 0]
+        self.feeds = [Feed(), Feed()]
+        self.on_the_way = []
+        self.feed = Feed()
+        self.position = 0
+        self.state = {}
+
+    def teardown(self):
+        self.loop.close()
+
+    @rule(key=KEYS, value=st.none() | st.binary(min_size=1, max_size=2))
+    def write(self, key, value):
+        self.log.append((key, value))
+
+    @rule(reader=READERS)
+    def read(self, reader):
+        start = self.positions[reader]
+        records = [KeyedRecord(*item) for item in self.log[start:]]
+        self.positions[reader] = len(self.log)
+        self.feeds[reader].publish(start, records, len(self.log))
+
+    @rule(reader=READERS, lost=st.booleans())
+    def make_round(self, reader, lost):
+        batches = self.feeds[reader].take_unsent()
+        if not lost:
+            self.on_the_way.extend(batches)
+
+    @rule(data=st.data())
+    def deliver(self, data):
+        if self.on_the_way:
+            index = data.draw(st.integers(0, len(self.on_the_way) - 1))
+            self.feed.offer(self.on_the_way[index])
+
+    @rule()
+    def follow(self):
+        batch = self.loop.run_until_complete(self.feed.wait(self.position, 1))
+        if batch is None:
+            apply_changes(self.state, self.log[self.position :])
+            self.position = len(self.log)
+            return
+        assert batch.next >= self.position
+        apply_changes(self.state, batch.records)
+        self.position = batch.next
+
+    @invariant()
+    def knows_the_log_at_its_position(self):
+        expected = {}
+        apply_changes(expected, self.log[: self.position])
+        assert self.state == expected
+
+
+TestFeed = FeedMachine.TestCase
+TestFeed.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
