pearrun's own interface has a room of its own, pearrun/api/

Cause: 30 modules of the own interface lay flat beside the rooms of the platform form, and a newcomer could not tell which of two `placement` or `members` modules served what.

No behaviour changes; the platform form imports none of the moved modules.

`workload` uses the stand-ins and went to `pearrun/bench/`.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -21,9 +21,9 @@
 from hdrh.histogram import HdrHistogram
 
 from benchmarks.slopes import PRODUCTION_HOST
-from pearrun import config
-from pearrun import settings as settings_module
-from pearrun.logservice import LogClient
+from pearrun.api import config
+from pearrun.api import settings as settings_module
+from pearrun.api.logservice import LogClient
 from pearrun.standins import text
 from tests import builders
 from tests.cluster import Cluster
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -28,8 +28,8 @@
 
 from benchmarks.processes import read_cpu_ms
 from benchmarks.processes import read_rss_kb
-from pearrun.members import Member
-from pearrun.router import Router
+from pearrun.api.members import Member
+from pearrun.api.router import Router
 from pearrun.states import MemberState
 from tests import builders
 from tests.cluster import BIN
--- a/pearrun/__init__.py
+++ b/pearrun/__init__.py
@@ -34,4 +34,4 @@
 def __getattr__(name):
     if name not in LAZY:
         raise AttributeError(f'module {__name__!r} has no {name!r}')
-    return getattr(importlib.import_module('pearrun.settings'), LAZY[name])
+    return getattr(importlib.import_module('pearrun.api.settings'), LAZY[name])
--- a/pearrun/backends.py
+++ b/pearrun/api/backends.py
@@ -7,8 +7,8 @@
 import orjson
 
 from pearrun import exceptions
+from pearrun.api.watchdog import Watchdog
 from pearrun.clock import to_seconds
-from pearrun.watchdog import Watchdog
 
 CONNECT_S = 2
 STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
--- a/pearrun/calls.py
+++ b/pearrun/api/calls.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from pearrun import backends
-from pearrun import claims as claims_module
 from pearrun import exceptions
+from pearrun.api import backends
+from pearrun.api import claims as claims_module
 from pearrun.backoff import Backoff
 
 
--- a/pearrun/config.py
+++ b/pearrun/api/config.py
@@ -17,7 +17,7 @@
 import yaml
 
 from pearrun import exceptions
-from pearrun import settings as settings_module
+from pearrun.api import settings as settings_module
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 
--- a/pearrun/daemon.py
+++ b/pearrun/api/daemon.py
@@ -15,28 +15,28 @@
 from sanic import Sanic
 
 from pearrun import exceptions
-from pearrun import intake
 from pearrun import logs
-from pearrun import settings as settings_module
-from pearrun import web
-from pearrun.claims import KeyClaims
+from pearrun.api import intake
+from pearrun.api import settings as settings_module
+from pearrun.api import web
+from pearrun.api.claims import KeyClaims
+from pearrun.api.config import ConfigFollower
+from pearrun.api.departure import Departure
+from pearrun.api.dispatcher import Dispatcher
+from pearrun.api.hosts import HostWatcher
+from pearrun.api.journal import Journal
+from pearrun.api.logservice import LogClient
+from pearrun.api.lookup import Lookup
+from pearrun.api.members import Member
+from pearrun.api.members import Membership
+from pearrun.api.orders import OrderKeeper
+from pearrun.api.pace import Pace
+from pearrun.api.peers import Peers
+from pearrun.api.recovery import Recovery
+from pearrun.api.router import Router
+from pearrun.api.runner import Runner
 from pearrun.clock import to_seconds
-from pearrun.config import ConfigFollower
-from pearrun.departure import Departure
-from pearrun.dispatcher import Dispatcher
-from pearrun.hosts import HostWatcher
-from pearrun.journal import Journal
-from pearrun.logservice import LogClient
-from pearrun.lookup import Lookup
-from pearrun.members import Member
-from pearrun.members import Membership
 from pearrun.metrics import MetricsTable
-from pearrun.orders import OrderKeeper
-from pearrun.pace import Pace
-from pearrun.peers import Peers
-from pearrun.recovery import Recovery
-from pearrun.router import Router
-from pearrun.runner import Runner
 from pearrun.states import EndpointState
 
 FLAGS = flags.FLAGS
--- a/pearrun/dispatcher.py
+++ b/pearrun/api/dispatcher.py
@@ -5,17 +5,17 @@
 from loguru import logger
 
 from pearrun import exceptions
-from pearrun import journal as journal_module
+from pearrun.api import journal as journal_module
+from pearrun.api.saving import describe_acceptance
+from pearrun.api.saving import describe_end
+from pearrun.api.saving import Saver
+from pearrun.api.structures import Job
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.ids import CustomerId
 from pearrun.ids import IdempotencyKey
 from pearrun.ids import ServiceName
-from pearrun.saving import describe_acceptance
-from pearrun.saving import describe_end
-from pearrun.saving import Saver
 from pearrun.states import RequestState
-from pearrun.structures import Job
 
 DEFAULT_CUSTOMER = 'default'
 
--- a/pearrun/hosts.py
+++ b/pearrun/api/hosts.py
@@ -6,7 +6,7 @@
 import aiohttp
 from loguru import logger
 
-from pearrun import backends
+from pearrun.api import backends
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.states import BackendKind
--- a/pearrun/intake.py
+++ b/pearrun/api/intake.py
@@ -27,9 +27,9 @@
 from sanic import response
 
 from pearrun import exceptions
-from pearrun import lookup
-from pearrun import models
-from pearrun import web
+from pearrun.api import lookup
+from pearrun.api import models
+from pearrun.api import web
 
 REQUEST_ID = 'X-Request-Id'
 DURABLE = 'X-Pearrun-Durable'
--- a/pearrun/journal.py
+++ b/pearrun/api/journal.py
@@ -24,8 +24,8 @@
 
 from loguru import logger
 
-from pearrun import entries
 from pearrun import exceptions
+from pearrun.api import entries
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 
--- a/pearrun/ledger.py
+++ b/pearrun/api/ledger.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from pearrun import entries
+from pearrun.api import entries
 
 
 @dataclasses.dataclass
--- a/pearrun/lookup.py
+++ b/pearrun/api/lookup.py
@@ -14,14 +14,14 @@
 import orjson
 
 from pearrun import exceptions
-from pearrun.backends import read_lines
+from pearrun.api.backends import read_lines
+from pearrun.api.entries import Finished
+from pearrun.api.journal import PREFIX
+from pearrun.api.journal import stream_of
+from pearrun.api.ledger import read_ledger
+from pearrun.api.members import Member
+from pearrun.api.structures import Job
 from pearrun.backoff import Backoff
-from pearrun.entries import Finished
-from pearrun.journal import PREFIX
-from pearrun.journal import stream_of
-from pearrun.ledger import read_ledger
-from pearrun.members import Member
-from pearrun.structures import Job
 
 MAX_CHAIN = 16
 FOLLOW_TIMEOUT_S = 60
--- a/pearrun/orders.py
+++ b/pearrun/api/orders.py
@@ -25,9 +25,9 @@
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun.api.router import rendezvous_score
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
-from pearrun.router import rendezvous_score
 from pearrun.states import BackendKind
 from pearrun.states import EndpointState
 
--- a/pearrun/peers.py
+++ b/pearrun/api/peers.py
@@ -24,7 +24,7 @@
 from loguru import logger
 import websockets
 
-from pearrun import config as config_module
+from pearrun.api import config as config_module
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.states import EndpointState
--- a/pearrun/placement.py
+++ b/pearrun/api/placement.py
@@ -3,8 +3,8 @@
 import contextlib
 
 from pearrun import exceptions
+from pearrun.api.router import policy_of
 from pearrun.clock import Clock
-from pearrun.router import policy_of
 from pearrun.states import BackendKind
 from pearrun.states import EndpointState
 
--- a/pearrun/recovery.py
+++ b/pearrun/api/recovery.py
@@ -22,11 +22,11 @@
 
 from loguru import logger
 
-from pearrun import entries
 from pearrun import exceptions
+from pearrun.api import entries
+from pearrun.api.ledger import read_ledger
+from pearrun.api.router import rendezvous_score
 from pearrun.clock import to_seconds
-from pearrun.ledger import read_ledger
-from pearrun.router import rendezvous_score
 
 MAX_TRIES = 5
 
--- a/pearrun/router.py
+++ b/pearrun/api/router.py
@@ -15,11 +15,11 @@
 import xxhash
 
 from pearrun import exceptions
+from pearrun.api.structures import Endpoint
 from pearrun.clock import Clock
 from pearrun.clock import Millis
 from pearrun.states import EndpointState
 from pearrun.states import RoutingKind
-from pearrun.structures import Endpoint
 
 PREFIX_CHARS = 256
 STATE_ORDER = {
--- a/pearrun/runner.py
+++ b/pearrun/api/runner.py
@@ -3,21 +3,21 @@
 An accepted request is never given up: when no endpoint can serve it,
 or one fails in the middle, the job pauses and goes on elsewhere, from
 the last token it has.  A non-idempotent call is the exception: once
-it may have run, it is not made again (see :mod:`pearrun.calls`).
+it may have run, it is not made again (see :mod:`pearrun.api.calls`).
 """
 
 import contextlib
 
 from loguru import logger
 
-from pearrun import backends
 from pearrun import exceptions
 from pearrun import metrics as metrics_module
+from pearrun.api import backends
+from pearrun.api.calls import OnceCaller
+from pearrun.api.handoff import move_cache
+from pearrun.api.placement import Placement
 from pearrun.backoff import Backoff
-from pearrun.calls import OnceCaller
 from pearrun.clock import Clock
-from pearrun.handoff import move_cache
-from pearrun.placement import Placement
 from pearrun.states import BackendKind
 from pearrun.states import RequestState
 
--- a/pearrun/saving.py
+++ b/pearrun/api/saving.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pearrun import entries
+from pearrun.api import entries
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 
--- a/pearrun/bench/experiment.py
+++ b/pearrun/bench/experiment.py
@@ -6,14 +6,14 @@
 import aiohttp
 from loguru import logger
 
-from pearrun import config
-from pearrun import settings as settings_module
+from pearrun.api import config
+from pearrun.api import settings as settings_module
+from pearrun.api.logservice import LogClient
 from pearrun.bench import faults
 from pearrun.bench.arrivals import draw_round
 from pearrun.bench.caller import Caller
 from pearrun.bench.meter import Meter
 from pearrun.bench.report import Round
-from pearrun.logservice import LogClient
 
 IN_FORCE_S = 20
 POLL_S = 0.05
--- a/pearrun/bench/plan.py
+++ b/pearrun/bench/plan.py
@@ -5,8 +5,8 @@
 
 import pydantic
 
-from pearrun import settings as settings_module
-from pearrun.settings import RoutingKind
+from pearrun.api import settings as settings_module
+from pearrun.api.settings import RoutingKind
 
 MAX_REQUESTS = 20_000
 MAX_SECONDS = 900
--- a/pearrun/workload.py
+++ b/pearrun/bench/workload.py
@@ -23,7 +23,7 @@
 import aiohttp
 import pydantic
 
-from pearrun import settings as settings_module
+from pearrun.api import settings as settings_module
 from pearrun.standins import text
 
 
--- a/pearrun/cli.py
+++ b/pearrun/cli.py
@@ -26,16 +26,16 @@
 import uvloop
 
 from pearrun import burn
-from pearrun import config
 from pearrun import exceptions
 from pearrun import explain
-from pearrun import settings as settings_module
-from pearrun import workload
+from pearrun.api import config
+from pearrun.api import settings as settings_module
+from pearrun.api.logservice import LogClient
 from pearrun.bench import experiment
 from pearrun.bench import plan
 from pearrun.bench import plots
 from pearrun.bench import report
-from pearrun.logservice import LogClient
+from pearrun.bench import workload
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list(
--- a/pearrun/standins/main.py
+++ b/pearrun/standins/main.py
@@ -4,7 +4,7 @@
 from absl import flags
 
 from pearrun import logs
-from pearrun import web
+from pearrun.api import web
 from pearrun.standins import cloud
 from pearrun.standins import engine
 from pearrun.standins import link
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,14 +5,14 @@
 import os
 import socket
 
-from pearrun import entries
 from pearrun import exceptions
-from pearrun import settings as settings_module
+from pearrun.api import entries
+from pearrun.api import settings as settings_module
+from pearrun.api.logservice import LogClient
+from pearrun.api.logservice import Record
+from pearrun.api.structures import Endpoint
 from pearrun.ids import Offset
-from pearrun.logservice import LogClient
-from pearrun.logservice import Record
 from pearrun.states import BackendKind
-from pearrun.structures import Endpoint
 
 TEAM_TREE_YAML = """
 teams:
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -10,7 +10,7 @@
 import yaml
 
 from pearrun import exceptions
-from pearrun import settings as settings_module
+from pearrun.api import settings as settings_module
 from pearrun.bench import arrivals
 from pearrun.bench import caller
 from pearrun.bench import plan as plan_module
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,16 +2,16 @@
 
 import asyncio
 
-from pearrun import backends
 from pearrun import exceptions
-from pearrun.claims import KeyClaims
-from pearrun.journal import Journal
+from pearrun.api import backends
+from pearrun.api.claims import KeyClaims
+from pearrun.api.journal import Journal
+from pearrun.api.router import Router
+from pearrun.api.runner import Runner
+from pearrun.api.structures import Job
 from pearrun.metrics import MetricsTable
-from pearrun.router import Router
-from pearrun.runner import Runner
 from pearrun.states import BackendKind
 from pearrun.states import RequestState
-from pearrun.structures import Job
 from tests import builders
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from pearrun import claims as claims_module
 from pearrun import exceptions
+from pearrun.api import claims as claims_module
 from tests import builders
 
 KEY = 'licence-records/k'
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from pearrun import config
 from pearrun import exceptions
+from pearrun.api import config
 from tests import builders
 
 STREAM = 'config'
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,14 +2,14 @@
 
 import asyncio
 
-from pearrun import entries
-from pearrun import journal as journal_module
-from pearrun.config import ConfigFollower
-from pearrun.dispatcher import Dispatcher
-from pearrun.ledger import read_ledger
+from pearrun.api import entries
+from pearrun.api import journal as journal_module
+from pearrun.api.config import ConfigFollower
+from pearrun.api.dispatcher import Dispatcher
+from pearrun.api.ledger import read_ledger
+from pearrun.api.models import CompletionBody
+from pearrun.api.router import Router
 from pearrun.metrics import MetricsTable
-from pearrun.models import CompletionBody
-from pearrun.router import Router
 from tests import builders
 
 WORDS = [f't{i}' for i in range(8)]
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 import pytest
 
-from pearrun import entries
 from pearrun import exceptions
-from pearrun import journal as journal_module
-from pearrun.ledger import read_ledger
-from pearrun.recovery import Recovery
+from pearrun.api import entries
+from pearrun.api import journal as journal_module
+from pearrun.api.ledger import read_ledger
+from pearrun.api.recovery import Recovery
 from tests import builders
 
 HOSTS = 3
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from pearrun import exceptions
-from pearrun.members import BEATS_PER_S
-from pearrun.members import Member
-from pearrun.members import Membership
+from pearrun.api.members import BEATS_PER_S
+from pearrun.api.members import Member
+from pearrun.api.members import Membership
 from pearrun.states import MemberState
 from tests import builders
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,10 +6,10 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from pearrun import config
 from pearrun import exceptions
-from pearrun import orders as orders_module
-from pearrun.router import Router
+from pearrun.api import config
+from pearrun.api import orders as orders_module
+from pearrun.api.router import Router
 from tests import builders
 
 STREAM = 'config'
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,12 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearrun import config
-from pearrun import peers as peers_module
-from pearrun.pace import BURST
-from pearrun.pace import JOURNAL_SHARE
-from pearrun.pace import Pace
-from pearrun.router import Router
+from pearrun.api import config
+from pearrun.api import peers as peers_module
+from pearrun.api.pace import BURST
+from pearrun.api.pace import JOURNAL_SHARE
+from pearrun.api.pace import Pace
+from pearrun.api.router import Router
 from tests import builders
 
 
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -8,7 +8,16 @@
 ROOT = pathlib.Path(pearrun.__file__).parent
 
 # A package may import those after it, and flat modules.
-ORDER = ('standins', 'platform', 'relay', 'shared', 'http1', 'decisions')
+ORDER = (
+    'bench',
+    'standins',
+    'api',
+    'platform',
+    'relay',
+    'shared',
+    'http1',
+    'decisions',
+)
 
 
 def imported_rooms(path):
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pearrun import exceptions
-from pearrun import router as router_module
+from pearrun.api import router as router_module
 from pearrun.states import EndpointState
 from tests import builders
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pearrun import exceptions
-from pearrun import settings
+from pearrun.api import settings
 from tests import builders
 
 
