Quotas keep more margin in a cut; tests say what they mean

Cause: test_hosts_cut_off_from_each_other_stay_inside_it failed, cut 4: 1.0007 of what a window may hold; of 500 drawn cases 2 were over (1.0016 at the most). A full refill of the limit plus 0.3 of what is tolerated leaves two halves of a cut too little room.

Change: 0.15 of the tolerance is used. The seed is kept as an example.

--- a/pearrun/decisions/quota.py
+++ b/pearrun/decisions/quota.py
@@ -42,7 +42,7 @@
 UNLISTED_SHARE = 0.1
 # Part of the tolerated excess that is used; the rest covers calls that
 # several hosts admit before they hear of each other's.
-TOLERANCE_USED = 0.3
+TOLERANCE_USED = 0.15
 # Half-life of the average rate that others assume while they do not hear
 # a host: calls differ a hundredfold in size, and an average over one
 # second, taken at a bad moment, let two halves of a cut use the limit
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -55,10 +55,10 @@
         self.refused = 0.0
         self.asked = 0.0
 
-    def play(self, demand_per_s, seconds):
-        """Offer calls of 200 to 30,000 units for some seconds."""
+    def play(self, demand_per_s, seconds, start_s=0):
+        """Offer calls of 200 to 30,000 units until a time."""
         units_left = 0.0
-        for now in range(0, int(seconds * 1000), STEP_MS):
+        for now in range(start_s * 1000, int(seconds * 1000), STEP_MS):
             if now == self.restart_at_ms:
                 self._restart(now)
             if now % REPORT_MS == 0:
@@ -162,6 +162,7 @@
 
 
 @given(st.integers(0, 1 << 30), st.integers(1, 8))
+@example(178106429, 4)
 @example(94888, 1)
 @example(2, 1)
 @hypothesis_settings(max_examples=150, deadline=None)
@@ -190,10 +191,13 @@
     assert played.most_in_a_window() <= allowed()
 
 
-@pytest.mark.parametrize('seed', range(3))
-def test_little_is_refused_below_the_limit_through_hubs(seed):
-    played = Simulation(45, seed, delay_ms=400).play(RATE / 1.8, 12)
-    assert played.refused <= 0.02 * played.asked
+@pytest.mark.parametrize('seed', range(8))
+def test_nothing_is_refused_below_the_limit_through_hubs(seed):
+    """But in the first seconds, when every bucket is nearly empty."""
+    played = Simulation(45, seed, delay_ms=400).play(RATE / 1.8, 2)
+    refused_at_start = played.refused
+    played.play(RATE / 1.8, 20, start_s=2)
+    assert played.refused == refused_at_start
 
 
 @given(st.integers(0, 1 << 30))
