--- a/pearrun/api/lookup.py
+++ b/pearrun/api/lookup.py
@@ -87,6 +87,7 @@
         stream = stream_of(request_id)
         if stream == PREFIX:
             raise exceptions.UnknownRequestError(f'no request {request_id!r}')
+        moving = False
         for _ in range(MAX_CHAIN):
             member = await self.find_member(stream)
             alive = member is not None and not self.membership.is_dead(member)
@@ -95,13 +96,17 @@
             ledger = await read_ledger(self.log, stream)
             if request_id in ledger.finished:
                 return Stored(ledger.finished[request_id])
-            if request_id not in ledger.unfinished:
+            known = request_id in ledger.unfinished
+            if not known and not moving:
                 break
-            if ledger.sealed_by is None or ledger.sealed_by == stream:
+            if not known or ledger.sealed_by in (None, stream):
                 raise exceptions.RequestMovingError(
                     'the request is being taken over; ask again',
                     retry_after_s=1,
                 )
+            # Until a sealed journal is emptied, its successor may not hold
+            # all of its requests yet.
+            moving = not ledger.emptied
             stream = ledger.sealed_by
         raise exceptions.UnknownRequestError(f'no request {request_id!r}')
 
