An endpoint that starts again under its name is a new one

Cause: an endpoint was known by its name alone, so that calls, failures, pauses, connections and cached prompts of one start were believed of the next; an entry with an unknown state counted as leaving, one without slots as having one, and a record whose key was no text ended the process.

Change: the id that hosts speak of holds the start (name@start); an entry of an earlier start is ignored, also after the later one left. Entries are decoded with the types that the platform names; any other one is a coded error and leaves what is known alone.

--- a/pearrun/ids.py
+++ b/pearrun/ids.py
@@ -4,6 +4,7 @@
 
 RequestId = NewType('RequestId', str)
 EndpointId = NewType('EndpointId', str)
+EndpointName = NewType('EndpointName', str)
 ZoneName = NewType('ZoneName', str)
 CustomerId = NewType('CustomerId', str)
 ServiceName = NewType('ServiceName', str)
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -146,7 +146,7 @@
         left_ms = max(1, call.timeout_at_ms - now_ms)
         own = [
             (b'Pearrun-Deadline-Ms', str(left_ms)),
-            (b'Pearrun-Expect-Runner', record.id),
+            (b'Pearrun-Expect-Runner', record.name),
         ]
         if call.prompt.tokens:
             own.append((b'Pearrun-Urgency', str(call.priority)))
--- a/pearrun/platform/decoding.py
+++ b/pearrun/platform/decoding.py
@@ -1,5 +1,6 @@
 """Decoding of what the operator and the endpoints write to the store."""
 
+import ipaddress
 import json
 
 from pearrun import exceptions
@@ -17,7 +18,13 @@
 
 # Fields whose name on the wire says little:
 # - 'split': services that share a route, in place of 'service';
-# - 'stage', 'call_seq': of engines' orders, not used here.
+# - 'stage', 'call_seq': of engines' orders, not used here;
+# - 'born': when the endpoint's process started, in Unix milliseconds.
+
+ENDPOINT_STATES = {
+    'ready': EndpointState.LIVE,
+    'draining': EndpointState.LEAVING,
+}
 
 
 def decode_configuration(raw):
@@ -137,30 +144,81 @@
     )
 
 
-def decode_endpoint(endpoint_id, raw):
+def decode_endpoint(name, raw):
     """Decode an endpoint's entry.
 
-    :param endpoint_id: the record's key.
+    Entries of other writers are told by their fields: one that lacks a
+    field, or has one of another type, names no endpoint.
+
+    :param name: the record's key.
     :param raw: the record's bytes.
     :returns: an :class:`EndpointRecord`.
     :raises WireFormatError: it is malformed.
     """
     try:
         item = json.loads(raw)
-        leaves_ms = item.get('leaves_ms')
+        check_address(take_typed(item, 'addr', str))
+        leaves_ms = take_typed(item, 'leaves_ms', (int, float), None)
         return EndpointRecord(
-            id=endpoint_id,
-            service=item['service'],
+            name=name,
+            service=take_typed(item, 'service', str),
             address=item['addr'],
-            zone=item['zone'],
-            slots=int(item.get('slots') or 1),
-            state=EndpointState.LIVE
-            if item['state'] == 'ready'
-            else EndpointState.LEAVING,
-            reclaimable=bool(item.get('spot')),
+            zone=take_typed(item, 'zone', str),
+            slots=take_count(item, 'slots'),
+            state=ENDPOINT_STATES[take_typed(item, 'state', str)],
+            reclaimable=take_typed(item, 'spot', bool, False),
             leaves_ms=int(leaves_ms) if leaves_ms is not None else None,
+            started_ms=take_typed(item, 'born', int, 0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise exceptions.WireFormatError(
-            f'endpoint {endpoint_id}: {type(exc).__name__}: {exc}'
+            f'endpoint {name}: {type(exc).__name__}: {exc}'
         ) from exc
+
+
+def check_address(address):
+    """Check that an address is ``IP:PORT``.
+
+    :raises ValueError: it is not.
+    """
+    ip, _, port = address.rpartition(':')
+    ipaddress.ip_address(ip)
+    if not 0 < int(port) < 65_536:
+        raise ValueError(f'no port: {address}')
+
+
+def take_count(item, name):
+    """Return a field that is a whole number of at least 1.
+
+    :raises ValueError: it is less.
+    """
+    count = take_typed(item, name, int)
+    if count < 1:
+        raise ValueError(f'{name}: {count}')
+    return count
+
+
+def take_typed(item, name, kinds, *default):
+    """Return a field after a check of its type.
+
+    :param kinds: a type or a tuple of types.
+    :param default: returned where the field is missing; without it, the
+        field must be there.
+    :raises KeyError: a field that must be there is missing.
+    :raises TypeError: it has another type.
+    """
+    if default and name not in item:
+        return default[0]
+    value = item[name]
+    # A bool is an int to Python, though not on the wire.
+    is_stray_bool = isinstance(value, bool) and kinds is not bool
+    if is_stray_bool or not isinstance(value, kinds):
+        raise TypeError(f'{name}: {value!r}')
+    return value
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -203,8 +203,9 @@
         listed = {record.key for record in records}
         for record in records:
             self._put(record)
-        for endpoint_id in set(self.host.fleet.endpoints) - listed:
-            self._remove(endpoint_id)
+        for endpoint in list(self.host.fleet.endpoints.values()):
+            if endpoint.record.name not in listed:
+                self._remove(endpoint.record.name)
         self._confirm(asked_ms)
 
     def take_changes(self, records, asked_ms):
@@ -223,11 +224,13 @@
 
     def _put(self, record):
         entry = self.decode(decoding.decode_endpoint, record.key, record.value)
-        if entry is None:
+        if entry is None or self.host.fleet.is_outdated(entry):
             return
-        timer = self.removals.pop(entry.id, None)
-        if timer is not None:
-            timer.cancel()
+        known = self.host.fleet.find(entry.name)
+        if known is not None and known.id != entry.id:
+            self._cancel_removal(known.id)
+            self.host.drop_endpoint(known, 'started again')
+        self._cancel_removal(entry.id)
         if self.host.fleet.put(entry):
             logger.bind(
                 endpoint=entry.id,
@@ -239,17 +242,22 @@
                 leaves_ms=entry.leaves_ms,
             ).info('endpoint state')
 
-    def _remove(self, endpoint_id):
-        endpoint = self.host.fleet.endpoints.get(endpoint_id)
-        if endpoint is None or endpoint_id in self.removals:
+    def _cancel_removal(self, endpoint_id):
+        timer = self.removals.pop(endpoint_id, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _remove(self, name):
+        endpoint = self.host.fleet.find(name)
+        if endpoint is None or endpoint.id in self.removals:
             return
         if not self._store_just_returned():
             self.host.drop_endpoint(endpoint, 'entry removed')
             return
         endpoint.pause.until_ms = self.host.clock.now() + self.return_ms
         loop = asyncio.get_running_loop()
-        self.removals[endpoint_id] = loop.call_later(
-            to_seconds(self.return_ms), self._remove_late, endpoint_id
+        self.removals[endpoint.id] = loop.call_later(
+            to_seconds(self.return_ms), self._remove_late, endpoint.id
         )
 
     def _remove_late(self, endpoint_id):
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -230,8 +230,12 @@
 
 
 def split_key(record):
-    """Split a keyed record into key and value."""
-    size = record[0]
-    key = record[1 : 1 + size].decode()
+    """Split a keyed record into key and value.
+
+    A key that is no text gets replacement characters: it names nothing
+    known, and what follows it can still be read.
+    """
+    size = record[0] if record else 0
+    key = record[1 : 1 + size].decode('utf-8', 'replace')
     value = record[1 + size :]
     return KeyedRecord(key, value or None)
