A duty call ends with the lease that it was begun under

Cause: a call of a duty was given up by a plain close. The kernel goes on sending what a broken path held back, so that an order with the old token arrived when the path healed, seconds after a successor had acted. Its own time-out (1.2 s) also let it outlast the lease, the connection could stand only after the lease, and the token and the question whether it holds were read at two moments.

Ruled out: the successor's wait (3.8 s without a record, counted from the answer of its own read) is longer than any lease counted from the sending of an acknowledged record.

Change: Term is the token and whether it still holds; a call is bounded by what is left of its term, checked once its connection stands, and given up with a reset that drops what has not arrived (all client connections).

Tests fail first: a path that takes no bytes until the term is over (the whole report arrived before, 20,000 counts), a lease taken again, a term that is over.

--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -296,6 +296,13 @@
         self.status = status
 
 
+class LeaseEndedError(PearrunError):
+    """The lease ended before a call of a duty was sent."""
+
+    code = 1811
+    http_status = 503
+
+
 class WireFormatError(PearrunError):
     """A message of the platform cannot be decoded."""
 
@@ -366,6 +373,7 @@
     StoreUnavailableError,
     StoreConflictError,
     DutyCallError,
+    LeaseEndedError,
     WireFormatError,
     ConfigConflictError,
     ForeignBranchError,
--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+import struct
 
 import h11
 
@@ -36,6 +37,9 @@
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
 
+# Close without lingering: unsent bytes are dropped, the peer gets a reset.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 CLOCK = Clock()
 
 
@@ -199,10 +203,18 @@
         return not closing and idle_ms < self.idle_limit_ms
 
     def abort(self):
-        """Close at once; a request still running is given up."""
+        """Reset at once; a request still running is given up.
+
+        What has not arrived yet is dropped.  After a plain close the
+        kernel goes on sending it for as long as the path is broken, and a
+        request that was given up would be carried out when it heals.
+        """
         self.in_use = False
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
 
     async def _next_event(self):
         while True:
--- a/pearrun/http1/pool.py
+++ b/pearrun/http1/pool.py
@@ -56,10 +56,14 @@
             raise
         return connection
 
-    async def fetch(self, method, target, headers, body, limit):
+    async def fetch(
+        self, method, target, headers, body, limit, check=lambda: None
+    ):
         """Send a request on a connection of the pool.
 
         :param limit: most bytes of body read.
+        :param check: called once a connection stands; it raises where the
+            request must not be sent any more.
         :returns: the whole :class:`Response`.
         :raises EndpointUnreachableError: no connection stands.
         :raises ConnectionBrokenError: the response is not complete.
@@ -67,6 +71,7 @@
         connection = await self.take()
         self.fetching.add(connection)
         try:
+            check()
             response = await connection.fetch(
                 method, target, headers, body, limit
             )
--- a/pearrun/platform/dutycalls.py
+++ b/pearrun/platform/dutycalls.py
@@ -11,15 +11,19 @@
 
 CONNECT_MS = 800
 SILENCE_MS = 1500
-# Shorter than what is left of a lease after a renewal, so that a call
-# does not outlast it.
+# Longest wait for an answer; less where the lease ends before.
 CALL_MS = 1200
 MAX_CONNECTIONS = 2
 MAX_BODY_BYTES = 64 * 1024
 
 
 class DutyClient:
-    """Sends the duties' calls.
+    """Sends the duties' calls, none of which outlasts its term.
+
+    A call is given up at the end of its term with a reset of its
+    connection, which drops what has not arrived: bytes that a broken path
+    holds back would otherwise be sent again once it heals, seconds after a
+    successor has begun to act.
 
     :param address: ``IP:PORT`` of the platform's API.
     :param holder: this host's name.
@@ -32,17 +36,19 @@
             address, PoolSettings(MAX_CONNECTIONS, CONNECT_MS, SILENCE_MS)
         )
 
-    async def report_usage(self, fencing, window, counts):
+    async def report_usage(self, term, window, counts):
         """Report the calls of one window, by customer.
 
+        :param term: the :class:`Term` of this host.
         :raises DutyCallError: it was not taken, or no answer came.
         """
         body = {'window_no': window, 'counts': counts}
-        await self._post('/usage', fencing, body)
+        await self._post('/usage', term, body)
 
-    async def order(self, fencing, order):
+    async def order(self, term, order):
         """Order a number of endpoints.
 
+        :param term: the :class:`Term` of this host.
         :param order: an :class:`Order`.
         :raises DutyCallError: it was not taken, or no answer came.
         """
@@ -53,21 +59,22 @@
         }
         if order.reclaimable:
             body['spot'] = True
-        await self._post('/scale', fencing, body)
+        await self._post('/scale', term, body)
 
-    async def _post(self, path, fencing, body):
+    async def _post(self, path, term, body):
         data = json.dumps(body).encode()
         headers = [
             ('Host', self.address),
             (names.DUTY_HOLDER, self.holder),
-            (names.FENCING_TOKEN, str(fencing)),
+            (names.FENCING_TOKEN, str(term.fencing)),
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(data))),
         ]
         try:
-            async with asyncio.timeout(to_seconds(CALL_MS)):
+            call_ms = min(CALL_MS, term.left_ms())
+            async with asyncio.timeout(to_seconds(call_ms)):
                 response = await self.pool.fetch(
-                    'POST', path, headers, data, MAX_BODY_BYTES
+                    'POST', path, headers, data, MAX_BODY_BYTES, term.check
                 )
         except (exceptions.PearrunError, TimeoutError) as exc:
             raise exceptions.DutyCallError(
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -8,6 +8,7 @@
 from pearrun.clock import to_seconds
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import RecordKind
+from pearrun.shared.term import Term
 
 # How often the lease and the duties are looked at.
 TICK_MS = 250
@@ -57,13 +58,11 @@
 
     def holds(self):
         """Say whether this host may act now."""
-        return self.view.holds(self.clock.boot())
+        return self.left_ms() > 0
 
     def left_ms(self):
         """Return how long the lease still holds; 0 without it."""
-        if not self.holds():
-            return 0
-        return self.view.valid_until_ms - self.clock.boot()
+        return Term(self.view, self.clock).left_ms()
 
     async def _tick(self):
         if self.host.stopping or self.host.config.current is None:
@@ -113,9 +112,10 @@
 
     async def _perform(self):
         await self._agree_usage()
-        await self._deliver_usage()
-        if self.scaler is not None and self.holds():
-            await self.scaler.act(self.view.fencing, self.holds)
+        term = Term(self.view, self.clock)
+        await self._deliver_usage(term)
+        if self.scaler is not None and term.holds():
+            await self.scaler.act(term)
 
     async def _agree_usage(self):
         """Fix the counts of windows that have ended, in the log.
@@ -142,7 +142,7 @@
         windows = self.host.board.windows
         return bool(windows) and window >= min(windows)
 
-    async def _deliver_usage(self):
+    async def _deliver_usage(self, term):
         settings = self.host.settings.usage
         wall = self.host.time.wall()
         for window, counts in sorted(self.view.reported.items()):
@@ -150,21 +150,19 @@
             if wall > end_ms + settings.due_ms + LATE_MS:
                 self.delivered.discard(window)
                 continue
-            if window in self.delivered or not self.holds():
+            if window in self.delivered or not term.holds():
                 continue
             try:
-                await self.calls.report_usage(
-                    self.view.fencing, window, counts
-                )
+                await self.calls.report_usage(term, window, counts)
             except exceptions.DutyCallError as exc:
                 logger.bind(
-                    code=exc.code, window=window, fencing=self.view.fencing
+                    code=exc.code, window=window, fencing=term.fencing
                 ).warning(f'usage report not taken: {exc.message}')
                 return
             self.delivered.add(window)
             logger.bind(
                 window=window,
                 counts=counts,
-                fencing=self.view.fencing,
+                fencing=term.fencing,
                 after_ms=wall - end_ms,
             ).info('usage reported')
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -33,11 +33,10 @@
         self.lower_since_ms = {}
         self.planned_ms = None
 
-    async def act(self, fencing, may_act):
+    async def act(self, term):
         """Send the orders that are due.
 
-        :param fencing: the lease's fencing token.
-        :param may_act: says whether the lease still holds.
+        :param term: the :class:`Term` under which they are sent.
         """
         now = self.clock.now()
         if self.planned_ms is not None and now - self.planned_ms < PLAN_MS:
@@ -47,9 +46,9 @@
             if service.scale is None:
                 continue
             for order in self._plan(service, now):
-                if not may_act():
+                if not term.holds():
                     return
-                await self._send(order, fencing, now)
+                await self._send(order, term, now)
 
     def _plan(self, service, now):
         """Return the orders that are to be in force now."""
@@ -135,21 +134,21 @@
         )
         return scaling.expect_needed(units / scaled, self.settings)
 
-    async def _send(self, order, fencing, now):
+    async def _send(self, order, term, now):
         key = (order.service, order.zone, order.reclaimable)
         count, sent_ms = self.ordered.get(key, (None, 0))
         if count == order.count and now - sent_ms < REPEAT_MS:
             return
         try:
-            await self.calls.order(fencing, order)
+            await self.calls.order(term, order)
         except exceptions.DutyCallError as exc:
             if exc.status == 409:
                 # None to be had: ask again, but not at every plan.
                 repeat_ms = now - REPEAT_MS + REFUSED_MS
                 self.ordered[key] = (order.count, repeat_ms)
-            logger.bind(order=order, fencing=fencing, code=exc.code).warning(
-                f'order not taken: {exc.message}'
-            )
+            logger.bind(
+                order=order, fencing=term.fencing, code=exc.code
+            ).warning(f'order not taken: {exc.message}')
             return
         self.ordered[key] = (order.count, now)
         if count != order.count:
@@ -159,5 +158,5 @@
                 reclaimable=order.reclaimable,
                 count=order.count,
                 before=count,
-                fencing=fencing,
+                fencing=term.fencing,
             ).info('endpoints ordered')
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -1,12 +1,23 @@
 """Duties, peers and hosts together, over the stand-ins."""
 
 import asyncio
+import socket
 
+import pytest
+
+from pearrun import exceptions
+from pearrun.clock import Clock
+from pearrun.decisions import lease
+from pearrun.decisions.lease import LeaseRecord
+from pearrun.decisions.lease import LeaseView
+from pearrun.decisions.lease import RecordKind
 from pearrun.decisions.scaling import ScalingSettings
 from pearrun.http1.client import connect
 from pearrun.platform import dutycalls
+from pearrun.shared.term import Term
 from pearrun.standins.platformsite import KEY
 from pearrun.standins.platformsite import make_config
+from tests.builders import free_port
 from tests.platformsite import call
 from tests.platformsite import make_prompt
 from tests.platformsite import run_site
@@ -28,6 +39,18 @@
     return config
 
 
+def make_term(left_ms=60_000):
+    """Return the term of a lease that was just renewed.
+
+    :param left_ms: how long it still holds.
+    """
+    clock = Clock()
+    view = LeaseView('host-1/1')
+    sent_ms = clock.boot() + left_ms - lease.HOLD_MS
+    view.note_written(0, LeaseRecord(RecordKind.CLAIM, view.run), sent_ms)
+    return Term(view, clock)
+
+
 def find_holders(site):
     """Return the hosts that hold the lease now."""
     return [
@@ -233,10 +256,88 @@
             site.api.status = 409
             client = dutycalls.DutyClient(site.api_address, 'host-1')
             try:
-                await client.report_usage(1, 5, {'anna': 1})
+                await client.report_usage(make_term(), 5, {'anna': 1})
             except dutycalls.exceptions.DutyCallError as exc:
                 assert exc.status == 409
             else:
                 raise AssertionError('the refusal was taken for a success')
 
     asyncio.run(main())
+
+
+def test_a_lease_taken_again_does_not_renew_an_older_term():
+    term = make_term()
+    view = term._view
+    view.apply(1, LeaseRecord(RecordKind.CLAIM, 'host-2/1'))
+    assert not term.holds()
+    again = LeaseRecord(RecordKind.CLAIM, view.run)
+    view.note_written(2, again, Clock().boot())
+    assert Term(view, Clock()).holds()
+    assert not term.holds()
+    with pytest.raises(exceptions.LeaseEndedError):
+        term.check()
+
+
+def test_no_duty_call_is_sent_or_awaited_after_its_term():
+    async def main():
+        async with run_site(make_config(), PLAIN) as site:
+            client = dutycalls.DutyClient(site.api_address, 'host-1')
+            before = len(site.api.calls)
+            with pytest.raises(exceptions.DutyCallError):
+                await client.report_usage(make_term(0), 5, {'anna': 1})
+            assert all(c.body.get('window_no') != 5 for c in site.api.calls)
+            assert len(site.api.calls) >= before
+
+    asyncio.run(main())
+
+
+async def serve_silently(port, receive_bytes):
+    """Serve connections that are not read until ``read`` is set.
+
+    :param receive_bytes: the kernel's buffer of unread bytes.
+    :returns: ``(server, read, received)``; what was read of each
+        connection is put on the queue ``received``.
+    """
+    read = asyncio.Event()
+    received = asyncio.Queue()
+
+    async def take(reader, writer):
+        reader._transport.pause_reading()
+        await read.wait()
+        reader._transport.resume_reading()
+        data = b''
+        try:
+            while chunk := await reader.read(65_536):
+                data += chunk
+        except ConnectionError:
+            pass
+        await received.put(data)
+        writer.close()
+
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(('127.0.0.1', port))
+    server = await asyncio.start_server(take, sock=sock, limit=1024)
+    return server, read, received
+
+
+def test_what_a_broken_path_holds_back_does_not_arrive_after_the_term():
+    """The path stops taking bytes; it heals when the term is over."""
+
+    async def main():
+        port = free_port()
+        server, read, received = await serve_silently(port, 4096)
+        address = f'127.0.0.1:{port}'
+        client = dutycalls.DutyClient(address, 'host-1')
+        counts = {f'customer-{number:06}': 1 for number in range(20_000)}
+        term = make_term(400)
+        with pytest.raises(exceptions.DutyCallError):
+            await client.report_usage(term, 5, counts)
+        assert not term.holds()
+        read.set()
+        data = await asyncio.wait_for(received.get(), 5)
+        assert b'customer-019999' not in data
+        server.close()
+
+    asyncio.run(main())
