--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -24,8 +24,6 @@
 class PlacementSettings:
     """Weights of the choice.
 
-    :param tokens_per_ms: prompt tokens an engine reads in a
-        millisecond; the slower of the two deployments' engines.
     :param call_ms: what one running call adds to another one's first
         token: a step of a batch grows by about 0.1 ms a call, and a
         first token waits for some steps.
@@ -36,7 +34,6 @@
         the time in which a running one ends.
     """
 
-    tokens_per_ms: float = 55.0
     call_ms: float = 1.0
     zone_ms: float = 2.0
     favourite_ms: float = 4.0
@@ -76,32 +73,34 @@
     affinity: str | None = None
 
 
-def estimate_ms(candidate, demand, settings):
+def estimate_ms(candidate, demand, model, settings):
     """Estimate the time to a call's first token at an endpoint.
 
+    :param model: the :class:`EngineModel` of its service.
     :returns: milliseconds.
     """
     fresh = max(0, demand.tokens - candidate.cached_tokens)
     reading = candidate.reading_tokens + fresh
     waiting = max(0, candidate.calls + 1 - candidate.slots)
     return (
-        reading / settings.tokens_per_ms
+        reading / model.tokens_per_ms
         + candidate.calls * settings.call_ms
         + waiting * settings.full_ms
     )
 
 
-def choose(candidates, demand, settings):
+def choose(candidates, demand, model, settings):
     """Choose the endpoint with the least expected time.
 
     :param candidates: a list of :class:`Candidate`.
+    :param model: the :class:`EngineModel` of their service.
     :returns: ``(candidate, milliseconds)``; ``(None, 0)`` without any.
     """
     best = None
     best_ms = 0.0
     favourite = find_favourite(candidates, demand.affinity)
     for candidate in candidates:
-        wait_ms = estimate_ms(candidate, demand, settings)
+        wait_ms = estimate_ms(candidate, demand, model, settings)
         cost_ms = wait_ms
         if not candidate.same_zone:
             cost_ms += settings.zone_ms
--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -21,8 +21,13 @@
     """Limits of the orders.
 
     :param fewest: endpoints of a service that always serve.
-    :param calls_each: calls an endpoint should have at once; at 8 a
-        model engine's step takes a quarter longer than alone.
+    :param slots_share: part of an endpoint's slots that calls should take;
+        clumps and one endpoint's share of a wave take the rest.
+    :param wait_share: part of the latency target that a call may wait on
+        the average for prompts being read before its own; a tenth of the
+        calls wait for three times the average or more.
+    :param most_reading: largest part of an endpoint's time that goes into
+        reading prompts; tokens of running calls come in the rest.
     :param limit_units_each: units a second of customers' limits for which
         one endpoint is kept while no load has been seen yet: at Sinal
         Nordeste 700,000 of them go with 7 endpoints in use.
@@ -38,7 +43,9 @@
     """
 
     fewest: int = 4
-    calls_each: int = 8
+    slots_share: float = 0.5
+    wait_share: float = 0.2
+    most_reading: float = 0.6
     limit_units_each: float = 100_000.0
     spare: int = 1
     hold_ms: int = 30_000
@@ -174,6 +181,35 @@
     return max(settings.fewest, expected)
 
 
-def count_needed(calls, settings):
-    """Return how many endpoints a number of calls at once needs."""
-    return max(settings.fewest, -(-calls // settings.calls_each))
+def count_needed(demand, tokens_per_ms, slots, settings):
+    """Return how many endpoints a demand needs.
+
+    It needs so many that calls find slots, and that prompts are read soon
+    enough; the greater of the two.
+
+    :param demand: the :class:`Demand` of all hosts.
+    :param tokens_per_ms: prompt tokens an endpoint reads in a millisecond.
+    :param slots: calls that an endpoint runs at once.
+    """
+    by_slots = demand.busy / (slots * settings.slots_share)
+    reading_ms = demand.tokens_per_s / tokens_per_ms
+    share = share_for_reading(demand, tokens_per_ms, settings)
+    by_reading = reading_ms / (1000.0 * share)
+    return max(settings.fewest, math.ceil(max(by_slots, by_reading)))
+
+
+def share_for_reading(demand, tokens_per_ms, settings):
+    """Return the part of an endpoint's time that may go into reading.
+
+    A call that comes while prompts are read for a part r of the time waits
+    r / (1 - r) times what is left, on the average, of a prompt that is being
+    read, which grows with the prompts' spread.
+    """
+    if not demand.target_ms or not demand.tokens_per_s:
+        return settings.most_reading
+    left_tokens = demand.squares_per_s / (2 * demand.tokens_per_s)
+    left_ms = left_tokens / tokens_per_ms
+    if left_ms <= 0:
+        return settings.most_reading
+    ratio = settings.wait_share * demand.target_ms / left_ms
+    return min(settings.most_reading, ratio / (1 + ratio))
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -36,6 +36,7 @@
         self.connection = None
         self.selected = None
         self.reading = False
+        self.sent_ms = 0
 
     async def run(self, selected, resume):
         """Send the call.
@@ -88,6 +89,7 @@
             )
         except exceptions.EndpointUnreachableError as exc:
             return NotRun(exc.message, arrived=False), None
+        self.sent_ms = self.host.clock.now()
         self.trace.note_written()
         try:
             head, verdict = await self._read_own_head()
@@ -143,6 +145,9 @@
         if head.status >= 500 and complete:
             return FailedAnswer(head, body), head
         self.host.selection.note_success(self.selected.endpoint)
+        self.host.demands.note_answer(
+            self.service.name, self.host.clock.since(self.sent_ms)
+        )
         self._note_first()
         headers = self.host.codec.forward_headers(head)
         if complete:
@@ -171,6 +176,8 @@
                 events = cutter.feed(chunk)
                 if not events:
                     continue
+                if self.reading:
+                    self._learn_first(resume)
                 self._mark_read()
                 self._note_first()
                 self._start_stream(head)
@@ -185,6 +192,9 @@
                 return Cut(exc.message), None
             return Unknown(exc.message), None
         self.host.selection.note_success(self.selected.endpoint)
+        self.host.demands.note_answer(
+            self.service.name, self.host.clock.since(self.sent_ms)
+        )
         self._start_stream(head)
         self.caller.finish()
         return Answered(head.status), head
@@ -195,6 +205,12 @@
             headers = self.host.codec.forward_headers(head)
             self.caller.start(head.status, headers)
 
+    def _learn_first(self, resume):
+        """Learn from a first event; a resumed call reads more than known."""
+        if resume.last_event_id is None:
+            waited_ms = self.host.clock.since(self.sent_ms)
+            self.host.selection.note_first(self.selected, waited_ms)
+
     def _mark_read(self):
         if self.reading:
             self.reading = False
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -86,6 +86,12 @@
                 await self._give_up(call, caller, trace, 'no endpoint')
                 return
             trace.expected_ms = selected.expected_ms
+            if not trace.tries:
+                self.host.demands.note_call(
+                    service.name,
+                    selected.fresh_tokens,
+                    call.route.latency_target_ms,
+                )
             if not trace.tries and not self._admits(call, selected):
                 trace.reason = 'overload'
                 left_ms = call.timeout_at_ms - self.clock.now()
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -5,6 +5,8 @@
 from pearrun.shared.clocksync import CorrectedClock
 from pearrun.shared.confighistory import ConfigHistory
 from pearrun.shared.counters import Counters
+from pearrun.shared.demands import Demands
+from pearrun.shared.engines import Engines
 from pearrun.shared.feed import Feed
 from pearrun.shared.fleet import Fleet
 from pearrun.shared.loads import Loads
@@ -32,10 +34,12 @@
         self.config = ConfigHistory(clock)
         self.fleet = Fleet()
         self.loads = Loads(clock)
+        self.demands = Demands(clock)
+        self.engines = Engines()
         self.members = Members(clock, settings.name)
         self.pools = EndpointPools(self.count_hosts)
         self.selection = Selection(
-            clock, settings.zone, self.fleet, self.loads
+            clock, settings.zone, self.fleet, self.loads, self.engines
         )
         self.feed = Feed()
         self.quotas = Quotas(
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -89,6 +89,7 @@
         host = self.host
         now = self.clock.now()
         host.loads.put(report.run, report.loads)
+        host.demands.others.put(report.run, report.demands)
         host.quotas.put_report(report.run, report.admitted)
         if report.run.whole_zone:
             self.versions[report.run.host] = report.config_version
@@ -232,4 +233,5 @@
     def _drop(self, run):
         """Drop a run's part; an older report of it is still refused."""
         self.host.loads.remove(run)
+        self.host.demands.others.remove(run)
         self.host.quotas.remove(run)
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -111,7 +111,14 @@
         host.board.put(name, self.run_id.started_ms, host.usage.windows)
         admitted = host.quotas.report()
         placed = host.selection.take_placed()
-        own = self._report(self.run_id, 1, self._own_loads(), admitted, placed)
+        own = self._report(
+            self.run_id,
+            1,
+            self._own_loads(),
+            host.demands.own(),
+            admitted,
+            placed,
+        )
         windows = sorted(host.usage.windows)[-REPORTED_WINDOWS:]
         counts = {window: host.usage.windows[window] for window in windows}
         usage = reports.UsageNote(self.run_id, counts)
@@ -130,7 +137,7 @@
             tuple(passed_on),
         )
 
-    def _report(self, run, hosts, loads, admitted, placed):
+    def _report(self, run, hosts, loads, demands, admitted, placed):
         host = self.host
         return reports.HostReport(
             run=run,
@@ -143,6 +150,7 @@
             admitted=admitted,
             placed=placed,
             duty=self.make_notice(),
+            demands=demands,
         )
 
     def _own_loads(self):
@@ -161,6 +169,7 @@
             self.zone_run,
             1 + host.members.count_heard_in(zone),
             host.loads.sum_zone(zone, own.loads),
+            host.demands.others.sum_zone(zone, own.demands),
             host.quotas.sum_zone(zone, own.admitted),
             placed,
         )
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -9,8 +9,10 @@
 import cbor2
 
 from pearrun import exceptions
+from pearrun.decisions.demand import Demand
 from pearrun.ids import EndpointId
 from pearrun.ids import HostName
+from pearrun.ids import ServiceName
 from pearrun.shared import cbor
 from pearrun.shared.loads import Load
 from pearrun.shared.prompts import Placed
@@ -42,6 +44,7 @@
     :param config_age_ms: how long ago that version was confirmed as
         the newest.
     :param loads: :class:`Load` by endpoint id.
+    :param demands: :class:`Demand` by service.
     :param admitted: :class:`Admitted` by customer.
     :param placed: prompts sent lately.
     """
@@ -56,6 +59,9 @@
     admitted: dict[str, Admitted]
     placed: tuple[Placed, ...] = ()
     duty: DutyNotice | None = None
+    demands: dict[ServiceName, Demand] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,6 +186,17 @@
         },
         [[item.endpoint_id, item.part_ids] for item in report.placed],
         [duty.holder, duty.fencing, duty.left_ms] if duty else None,
+        {name: encode_demand(item) for name, item in report.demands.items()},
+    ]
+
+
+def encode_demand(demand):
+    """Return a demand's fields, rounded: they are measures."""
+    return [
+        round(demand.busy, 2),
+        round(demand.tokens_per_s),
+        round(demand.squares_per_s),
+        demand.target_ms,
     ]
 
 
@@ -213,9 +230,8 @@
 def decode_report(fields):
     """Decode the fields of a report."""
     run = Run(*fields[:4])
-    (number, hosts, wall, version, age, loads, admitted, placed, duty) = (
-        fields[4:]
-    )
+    number, hosts, wall, version, age, loads, admitted, *rest = fields[4:]
+    placed, duty, demands = rest
     return HostReport(
         run=run,
         number=number,
@@ -233,4 +249,5 @@
             for endpoint_id, part_ids in placed
         ),
         duty=DutyNotice(*duty) if duty else None,
+        demands={name: Demand(*item) for name, item in demands.items()},
     )
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -88,19 +88,20 @@
         return zones
 
     def _need(self, service_name, now):
-        """Return how many endpoints the load of the last time needs."""
-        calls = sum(
-            endpoint.calls + self.host.loads.get(endpoint.id).calls
-            for endpoint in self.host.fleet.endpoints.values()
-            if endpoint.record.service == service_name
-        )
+        """Return how many endpoints the demand of the last time needs."""
+        demand = self.host.demands.total(service_name)
+        model = self.host.engines.of_service(service_name)
         past = self.needs.get(service_name)
         if past is None:
             # Nobody has seen this service's load yet.
             past = self.needs[service_name] = {now: self._expect()}
-        past[now] = max(
-            past.get(now, 0), scaling.count_needed(calls, self.settings)
+        needed = scaling.count_needed(
+            demand,
+            model.tokens_per_ms,
+            self._slots(service_name),
+            self.settings,
         )
+        past[now] = max(past.get(now, 0), needed)
         for old in [at for at in past if now - at > self.settings.hold_ms]:
             del past[old]
         need = scaling.Need(
@@ -113,11 +114,26 @@
         )
         if self.last_need.get(service_name) != need:
             self.last_need[service_name] = need
-            logger.bind(service=service_name, calls=calls, need=need).info(
-                'endpoints needed'
-            )
+            logger.bind(
+                service=service_name,
+                need=need,
+                now=needed,
+                busy=round(demand.busy, 1),
+                tokens_per_s=round(demand.tokens_per_s),
+                target_ms=demand.target_ms,
+                tokens_per_ms=round(model.tokens_per_ms, 1),
+                answers=model.answers,
+            ).info('endpoints needed')
         return need
 
+    def _slots(self, service_name):
+        """Return the slots of an endpoint; the fewest that any has."""
+        slots = [
+            endpoint.record.slots
+            for endpoint in self.host.fleet.of_service(service_name)
+        ]
+        return min(slots, default=1)
+
     def _expect(self):
         """Return how many endpoints a service should need, by its limits.
 
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -21,11 +21,13 @@
 
     :param expected_ms: expected time to the call's first token.
     :param fresh_tokens: prompt tokens the endpoint has to read.
+    :param reading_tokens: those of other calls that it reads before.
     """
 
     endpoint: Endpoint
     expected_ms: float
     fresh_tokens: int
+    reading_tokens: int = 0
 
 
 class Selection:
@@ -33,13 +35,15 @@
 
     :param fleet: the :class:`Fleet`.
     :param loads: other hosts' work, by endpoint; see :meth:`Loads.get`.
+    :param engines: the learnt :class:`Engines`.
     """
 
-    def __init__(self, clock, zone, fleet, loads):
+    def __init__(self, clock, zone, fleet, loads, engines):
         self.clock = clock
         self.zone = zone
         self.fleet = fleet
         self.loads = loads
+        self.engines = engines
         self.prefixes = PrefixIndex()
         self._placed = []
         self.zones = {}
@@ -63,14 +67,17 @@
         candidates = self._describe(endpoints, shared, now)
         affinity = shared[-1].id if shared else None
         demand = placement.Demand(call.prompt.tokens, affinity)
-        best, expected_ms = placement.choose(candidates, demand, self.settings)
+        model = self.engines.of_service(service.name)
+        best, expected_ms = placement.choose(
+            candidates, demand, model, self.settings
+        )
         if best is None:
             return None
         endpoint = self.fleet.endpoints[best.id]
         endpoint.pause.note_try(now)
         self._zone(endpoint).pause.note_try(now)
         fresh = max(0, call.prompt.tokens - best.cached_tokens)
-        return Selected(endpoint, expected_ms, fresh)
+        return Selected(endpoint, expected_ms, fresh, best.reading_tokens)
 
     def begin(self, selected, call):
         """Count a call that is being sent to an endpoint."""
@@ -102,6 +109,13 @@
         """Count a call as ended."""
         selected.endpoint.calls -= 1
 
+    def note_first(self, selected, waited_ms):
+        """Learn from the time to the first token of a whole prompt."""
+        service_name = selected.endpoint.record.service
+        self.engines.of_service(service_name).note_first(
+            selected.fresh_tokens + selected.reading_tokens, waited_ms
+        )
+
     def note_answer(self, endpoint):
         """Note that an endpoint answered, whatever it answered."""
         self._zone(endpoint).note_answer()
@@ -147,7 +161,7 @@
     def _describe(self, endpoints, shared, now):
         """Return a :class:`Candidate` for each endpoint."""
         cached = self.prefixes.find_cached(shared, now)
-        loads = self.loads.sums()
+        loads = self.loads.sum()
         candidates = []
         for endpoint in endpoints:
             record = endpoint.record
