--- a/pearrun/cli.py
+++ b/pearrun/cli.py
@@ -12,6 +12,8 @@
     pearrun wait URL...                       wait for /healthz to answer
     pearrun explain REQUEST_ID [LOG...]       a request's path, from the logs
                                               of platform hosts; - for stdin
+    pearrun losses [LOG...] [--span_s=2]      which calls were lost, when and
+                                              why; --span_s: a row's seconds
     pearrun help                              this text
 """
 
@@ -28,6 +30,7 @@
 from pearrun import burn
 from pearrun import exceptions
 from pearrun import explain
+from pearrun import losses
 from pearrun.api import config
 from pearrun.api import settings as settings_module
 from pearrun.api.logservice import LogClient
@@ -45,6 +48,7 @@
 flags.DEFINE_string('config_stream', 'config', 'Config stream name.')
 flags.DEFINE_string('out', None, 'bench: write the report here as JSON.')
 flags.DEFINE_string('plot', None, 'bench: draw latency and cost here (PNG).')
+flags.DEFINE_float('span_s', 2.0, 'losses: seconds of a row.')
 flags.DEFINE_string('team', None, 'config apply: publish only this team.')
 
 USAGE = __doc__
@@ -174,10 +178,11 @@
                 await asyncio.sleep(0.1)
 
 
-def explain_request(request_id, paths):
-    """Print a request's time line.
+def read_logs(paths):
+    """Read the hosts' logs.
 
     :param paths: log files; standard input where there are none.
+    :returns: a list of :class:`LogLine`.
     :raises InputFileError: a file cannot be read.
     """
     try:
@@ -188,10 +193,14 @@
                 else stack.enter_context(open(path, encoding='utf-8'))
                 for path in paths or ['-']
             ]
-            lines = explain.read_lines(sources)
+            return explain.read_lines(sources)
     except OSError as exc:
         raise exceptions.InputFileError(str(exc)) from exc
-    print('\n'.join(explain.explain(lines, request_id)))
+
+
+def explain_request(request_id, paths):
+    """Print a request's time line; see :func:`read_logs`."""
+    print('\n'.join(explain.explain(read_logs(paths), request_id)))
 
 
 async def run_explain(request_id, paths):
@@ -199,6 +208,12 @@
     explain_request(request_id, paths)
 
 
+async def run_losses(paths):
+    """Print which calls were lost, when and why."""
+    lines = losses.render_losses(read_logs(paths), FLAGS.span_s)
+    print('\n'.join(lines))
+
+
 async def show_help():
     """Print the commands."""
     print(USAGE)
@@ -209,6 +224,8 @@
     match args:
         case ['help']:
             return show_help()
+        case ['losses', *paths]:
+            return run_losses(paths)
         case ['explain', request_id, *paths]:
             return run_explain(request_id, paths)
         case ['config', 'apply', path]:
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -103,6 +103,7 @@
             status=self.status,
             reason=self.reason,
             tries=[dataclasses.astuple(item) for item in self.tries],
+            target_ms=call.route.latency_target_ms,
             expected_ms=round(self.expected_ms),
             first_ms=self.first_event_ms,
             total_ms=now_ms - self.begun_ms,
