--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -67,6 +67,8 @@
     async def _tick(self):
         if self.host.stopping or self.host.config.current is None:
             return
+        if self.scaler is not None:
+            self.scaler.watch()
         now = self.clock.boot()
         if self.view.holder == self.view.run and self.view.valid_until_ms:
             if self.view.should_renew(now):
--- a/pearrun/shared/engines.py
+++ b/pearrun/shared/engines.py
@@ -1,16 +1,38 @@
 """The learnt models of the services' engines."""
 
-from pearrun.decisions.enginemodel import EngineModel
+from pearrun.decisions import enginemodel
+from pearrun.decisions.enginemodel import EngineModelSettings
+from pearrun.decisions.enginemodel import NO_ANSWERS
+from pearrun.shared.runreports import RunReports
 
 
 class Engines:
-    """One :class:`EngineModel` for each service."""
+    """What this host and the others saw of each service's engines."""
 
-    def __init__(self):
-        self._models = {}
+    def __init__(self, clock):
+        self.settings = EngineModelSettings()
+        self.others = RunReports(clock, enginemodel.add_sums)
+        self.own = {}
+
+    def note_first(self, service_name, tokens, waited_ms):
+        """Learn from the time to a first token.
+
+        :param tokens: prompt tokens that were to be read until then, those
+            of calls before it included.
+        :param waited_ms: milliseconds from its sending.
+        """
+        model = self.of_service(service_name)
+        if enginemodel.is_outlier(model, tokens, waited_ms, self.settings):
+            return
+        known = self.own.get(service_name, NO_ANSWERS)
+        seen = enginemodel.make_sums(tokens, waited_ms)
+        self.own[service_name] = known.times(self.settings.keep).plus(seen)
 
     def of_service(self, service_name):
-        """Return a service's model; a first guess until answers came."""
-        if service_name not in self._models:
-            self._models[service_name] = EngineModel()
-        return self._models[service_name]
+        """Return a service's :class:`EngineModel`.
+
+        It is a guess until answers came.
+        """
+        own = self.own.get(service_name, NO_ANSWERS)
+        others = self.others.sum().get(service_name, NO_ANSWERS)
+        return enginemodel.fit(own.plus(others), self.settings)
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -35,7 +35,7 @@
         self.fleet = Fleet()
         self.loads = Loads(clock)
         self.demands = Demands(clock)
-        self.engines = Engines()
+        self.engines = Engines(clock)
         self.members = Members(clock, settings.name)
         self.pools = EndpointPools(self.count_hosts)
         self.selection = Selection(
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -90,6 +90,7 @@
         now = self.clock.now()
         host.loads.put(report.run, report.loads)
         host.demands.others.put(report.run, report.demands)
+        host.engines.others.put(report.run, report.engines)
         host.quotas.put_report(report.run, report.admitted)
         if report.run.whole_zone:
             self.versions[report.run.host] = report.config_version
@@ -234,4 +235,5 @@
         """Drop a run's part; an older report of it is still refused."""
         self.host.loads.remove(run)
         self.host.demands.others.remove(run)
+        self.host.engines.others.remove(run)
         self.host.quotas.remove(run)
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -117,9 +117,10 @@
             self.run_id,
             1,
             self._own_loads(),
-            host.demands.own(),
             admitted,
             placed,
+            demands=host.demands.own(),
+            engines=dict(host.engines.own),
         )
         windows = sorted(host.usage.windows)[-REPORTED_WINDOWS:]
         counts = {window: host.usage.windows[window] for window in windows}
@@ -141,7 +142,7 @@
             tuple(passed_on),
         )
 
-    def _report(self, run, hosts, loads, demands, admitted, placed):
+    def _report(self, run, hosts, loads, admitted, placed, **learnt):
         host = self.host
         return reports.HostReport(
             run=run,
@@ -154,7 +155,7 @@
             admitted=admitted,
             placed=placed,
             duty=self.make_notice(),
-            demands=demands,
+            **learnt,
         )
 
     def _own_loads(self):
@@ -173,9 +174,10 @@
             self.zone_run,
             1 + host.members.count_heard_in(zone),
             host.loads.sum_zone(zone, own.loads),
-            host.demands.others.sum_zone(zone, own.demands),
             host.quotas.sum_zone(zone, own.admitted),
             placed,
+            demands=host.demands.others.sum_zone(zone, own.demands),
+            engines=host.engines.others.sum_zone(zone, own.engines),
         )
         notice = report.duty or self.board.find_notice()
         return dataclasses.replace(report, duty=notice)
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -10,6 +10,7 @@
 
 from pearrun import exceptions
 from pearrun.decisions.demand import Demand
+from pearrun.decisions.enginemodel import LineSums
 from pearrun.ids import EndpointId
 from pearrun.ids import HostName
 from pearrun.ids import ServiceName
@@ -45,6 +46,7 @@
         the newest.
     :param loads: :class:`Load` by endpoint id.
     :param demands: :class:`Demand` by service.
+    :param engines: :class:`LineSums` by service.
     :param admitted: :class:`Admitted` by customer.
     :param placed: prompts sent lately.
     """
@@ -62,6 +64,9 @@
     demands: dict[ServiceName, Demand] = dataclasses.field(
         default_factory=dict
     )
+    engines: dict[ServiceName, LineSums] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -187,6 +192,18 @@
         [[item.endpoint_id, item.part_ids] for item in report.placed],
         [duty.holder, duty.fencing, duty.left_ms] if duty else None,
         {name: encode_demand(item) for name, item in report.demands.items()},
+        {name: encode_sums(item) for name, item in report.engines.items()},
+    ]
+
+
+def encode_sums(sums):
+    """Return the fields of :class:`LineSums`, rounded."""
+    return [
+        round(sums.weight, 2),
+        round(sums.x),
+        round(sums.y),
+        round(sums.xx),
+        round(sums.xy),
     ]
 
 
@@ -231,7 +248,7 @@
     """Decode the fields of a report."""
     run = Run(*fields[:4])
     number, hosts, wall, version, age, loads, admitted, *rest = fields[4:]
-    placed, duty, demands = rest
+    placed, duty, demands, engines = rest
     return HostReport(
         run=run,
         number=number,
@@ -250,4 +267,5 @@
         ),
         duty=DutyNotice(*duty) if duty else None,
         demands={name: Demand(*item) for name, item in demands.items()},
+        engines={name: LineSums(*item) for name, item in engines.items()},
     )
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -32,24 +32,43 @@
         self.last_need = {}
         self.lower_since_ms = {}
         self.planned_ms = None
+        self.watched_ms = None
+
+    def watch(self):
+        """Note what the demand needs now, also where another host orders.
+
+        A host that takes the duties over goes on from the needs of the last
+        time.  One that knew none kept ten endpoints, by the customers'
+        limits, where four were needed.
+        """
+        now = self.clock.now()
+        if self.watched_ms is not None and now - self.watched_ms < PLAN_MS:
+            return
+        self.watched_ms = now
+        for service in self._scaled():
+            self._note_need(service.name, now)
 
     async def act(self, term):
         """Send the orders that are due.
 
         :param term: the :class:`Term` under which they are sent.
         """
+        self.watch()
         now = self.clock.now()
         if self.planned_ms is not None and now - self.planned_ms < PLAN_MS:
             return
         self.planned_ms = now
-        for service in self.host.config.current.services.values():
-            if service.scale is None:
-                continue
+        for service in self._scaled():
             for order in self._plan(service, now):
                 if not term.holds():
                     return
                 await self._send(order, term, now)
 
+    def _scaled(self):
+        """Return the services whose endpoints are ordered."""
+        services = self.host.config.current.services.values()
+        return [service for service in services if service.scale is not None]
+
     def _plan(self, service, now):
         """Return the orders that are to be in force now."""
         zones = self._count(service.name)
@@ -87,13 +106,13 @@
             )
         return zones
 
-    def _need(self, service_name, now):
-        """Return how many endpoints the demand of the last time needs."""
+    def _note_need(self, service_name, now):
+        """Note how many endpoints the demand of now needs."""
         demand = self.host.demands.total(service_name)
         model = self.host.engines.of_service(service_name)
         past = self.needs.get(service_name)
         if past is None:
-            # Nobody has seen this service's load yet.
+            # Nobody has seen this service's demand yet.
             past = self.needs[service_name] = {now: self._expect()}
         needed = scaling.count_needed(
             demand,
@@ -104,14 +123,7 @@
         past[now] = max(past.get(now, 0), needed)
         for old in [at for at in past if now - at > self.settings.hold_ms]:
             del past[old]
-        need = scaling.Need(
-            lasting=max(
-                needed
-                for at, needed in past.items()
-                if now - at <= self.settings.lasting_hold_ms
-            ),
-            reclaimable=max(past.values()),
-        )
+        need = self._need(service_name, now)
         if self.last_need.get(service_name) != need:
             self.last_need[service_name] = need
             logger.bind(
@@ -122,9 +134,20 @@
                 tokens_per_s=round(demand.tokens_per_s),
                 target_ms=demand.target_ms,
                 tokens_per_ms=round(model.tokens_per_ms, 1),
-                answers=model.answers,
+                answers=round(model.answers),
             ).info('endpoints needed')
-        return need
+
+    def _need(self, service_name, now):
+        """Return the :class:`Need` by the demand of the last time."""
+        past = self.needs[service_name]
+        return scaling.Need(
+            lasting=max(
+                needed
+                for at, needed in past.items()
+                if now - at <= self.settings.lasting_hold_ms
+            ),
+            reclaimable=max(past.values()),
+        )
 
     def _slots(self, service_name):
         """Return the slots of an endpoint; the fewest that any has."""
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -112,9 +112,8 @@
     def note_first(self, selected, waited_ms):
         """Learn from the time to the first token of a whole prompt."""
         service_name = selected.endpoint.record.service
-        self.engines.of_service(service_name).note_first(
-            selected.fresh_tokens + selected.reading_tokens, waited_ms
-        )
+        tokens = selected.fresh_tokens + selected.reading_tokens
+        self.engines.note_first(service_name, tokens, waited_ms)
 
     def note_answer(self, endpoint):
         """Note that an endpoint answered, whatever it answered."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -20,7 +20,7 @@
 
 PLACEMENT = placement.PlacementSettings()
 SCALING = scaling.ScalingSettings()
-MODEL = EngineModel()
+MODEL = EngineModel(tokens_per_ms=55.0, base_ms=30.0)
 LIMITS = ScaleLimits(1, 6, 4000, 0.18, {'a': 0.85, 'b': 1.2, 'c': 1.0})
 
 
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -6,50 +6,53 @@
 from hypothesis import strategies as st
 import pytest
 
+from pearrun.clock import Clock
 from pearrun.decisions import demand
 from pearrun.decisions import scaling
 from pearrun.decisions.demand import Demand
 from pearrun.decisions.demand import DemandMeter
-from pearrun.decisions.enginemodel import EngineModel
 from pearrun.shared.demands import add_by_service
+from pearrun.shared.engines import Engines
+from pearrun.shared.run import Run
 
 SCALING = scaling.ScalingSettings()
 
 
 def learn(tokens_per_ms, base_ms, count=300, seed=1, spoilt=0.0):
-    """Return a model after answers of engines of a speed.
+    """Return what a host learns from answers of engines of a speed.
 
     :param spoilt: part of the answers that come seconds late.
     """
     rng = random.Random(seed)
-    model = EngineModel()
+    engines = Engines(Clock())
     for _ in range(count):
         tokens = min(40_000, rng.lognormvariate(7.5, 1.2))
         waited_ms = base_ms + tokens / tokens_per_ms * rng.uniform(0.8, 1.2)
         if rng.random() < spoilt:
             waited_ms += rng.uniform(2000, 8000)
-        model.note_first(tokens, waited_ms)
-    return model
+        engines.note_first('s', tokens, waited_ms)
+    return engines
 
 
 @pytest.mark.parametrize('tokens_per_ms', [10, 25, 55, 112, 300])
 def test_the_reading_speed_is_learnt(tokens_per_ms):
-    model = learn(tokens_per_ms, 45)
+    model = learn(tokens_per_ms, 45).of_service('s')
     assert model.tokens_per_ms == pytest.approx(tokens_per_ms, rel=0.2)
     assert model.expect_ms(0) == pytest.approx(45, abs=25)
 
 
 def test_late_answers_of_faulty_endpoints_teach_nothing():
-    model = learn(112, 45, spoilt=0.1)
+    model = learn(112, 45, spoilt=0.1).of_service('s')
     assert model.tokens_per_ms == pytest.approx(112, rel=0.25)
 
 
 def test_a_change_of_the_engines_is_followed():
-    model = learn(112, 45)
+    engines = learn(112, 45)
     rng = random.Random(2)
     for _ in range(800):
         tokens = min(40_000, rng.lognormvariate(7.5, 1.2))
-        model.note_first(tokens, 45 + tokens / 40)
+        engines.note_first('s', tokens, 45 + tokens / 40)
+    model = engines.of_service('s')
     assert model.tokens_per_ms == pytest.approx(40, rel=0.2)
 
 
@@ -60,16 +63,30 @@
     )
 )
 def test_any_answers_leave_a_usable_model(answers):
-    model = EngineModel()
+    engines = Engines(Clock())
     for tokens, waited_ms in answers:
-        model.note_first(tokens, waited_ms)
-    guess = model.settings.tokens_per_ms
-    most = model.settings.most_times
+        engines.note_first('s', tokens, waited_ms)
+    model = engines.of_service('s')
+    guess = engines.settings.tokens_per_ms
+    most = engines.settings.most_times
     assert guess / most <= model.tokens_per_ms * 1.001
     assert model.tokens_per_ms <= guess * most * 1.001
     assert model.base_ms >= 0
 
 
+def test_a_host_that_started_knows_what_the_others_learnt():
+    engines = Engines(Clock())
+    assert engines.of_service('s').tokens_per_ms == pytest.approx(55)
+    for number in range(8):
+        run = Run(f'h{number}', 1, 'z')
+        engines.others.put(run, learn(112, 45, 12, number).own)
+    model = engines.of_service('s')
+    assert model.tokens_per_ms == pytest.approx(112, rel=0.25)
+    # Alone it would be far off after so few answers.
+    alone = learn(112, 45, 12).of_service('s')
+    assert alone.tokens_per_ms < 0.75 * 112
+
+
 def measure_steady(calls_per_s, tokens, answer_ms, target_ms=800):
     """Return the demand of steady calls that are answered in a time."""
     meter = DemandMeter()
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -124,6 +124,32 @@
     asyncio.run(main())
 
 
+def test_a_successor_orders_by_the_needs_of_the_last_time():
+    """It watched the demand all along; limits alone would ask for more."""
+
+    async def main():
+        config = scaled_config()
+        config['tenants'][0]['rate_per_s'] = 5_000_000
+        config['tenants'][0]['burst'] = 5_000_000
+        async with run_site(config, PLAIN, hosts=3) as site:
+            await wait_until(lambda: find_holders(site))
+            (first,) = find_holders(site)
+            for daemon in site.hosts.values():
+                scaler = daemon.duties.scaler
+                await wait_until(lambda scaler=scaler: scaler.needs)
+                # As after the time for which a need is held.
+                now = daemon.clock.now()
+                scaler.needs['model'] = {now: 5}
+            await first.end()
+            del site.hosts[first.settings.name]
+            await wait_until(lambda: find_holders(site), 10)
+            (second,) = find_holders(site)
+            need = second.duties.scaler.last_need['model']
+            assert need.lasting <= 5
+
+    asyncio.run(main())
+
+
 def test_hosts_see_each_others_load_and_admissions():
     async def main():
         config = make_config()
