--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -8,14 +8,13 @@
 """
 
 import asyncio
-import socket
-import struct
 
 import h11
 
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
+from pearrun.http1 import sockets
 from pearrun.http1.channel import Channel
 from pearrun.http1.messages import Response
 from pearrun.http1.messages import ResponseHead
@@ -31,14 +30,7 @@
 IDLE_MARGIN_MS = 400
 # Idle time assumed where the endpoint names none.
 DEFAULT_IDLE_MS = 4000
-# Keep-alive probes, in seconds (the kernel's unit): a connection that
-# went silent is found within idle + probes * interval.
-PROBE_IDLE_S = 1
-PROBE_INTERVAL_S = 1
-PROBE_COUNT = 2
 
-# Close without lingering: unsent bytes are dropped, the peer gets a reset.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 CLOCK = Clock()
 
@@ -212,8 +204,7 @@
         self.in_use = False
         if self.transport is None or self.transport.is_closing():
             return
-        sock = self.transport.get_extra_info('socket')
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        sockets.reset_on_close(self.transport.get_extra_info('socket'))
         self.transport.abort()
 
     async def _next_event(self):
@@ -282,20 +273,5 @@
         ) from exc
     except OSError as exc:
         raise exceptions.EndpointUnreachableError(f'{address}: {exc}') from exc
-    detect_silence(transport.get_extra_info('socket'), silence_ms)
+    sockets.detect_silence(transport.get_extra_info('socket'), silence_ms)
     return connection
-
-
-def detect_silence(sock, silence_ms):
-    """Make the kernel end a connection whose other end went silent.
-
-    :param sock: the connection's socket.
-    :param silence_ms: how long sent bytes may stay unacknowledged.
-    """
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, silence_ms)
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
--- a/pearrun/http1/server.py
+++ b/pearrun/http1/server.py
@@ -15,8 +15,8 @@
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.http1 import limits as limits_module
+from pearrun.http1 import sockets
 from pearrun.http1.channel import Channel
-from pearrun.http1.client import detect_silence
 from pearrun.http1.limits import RejectedError
 from pearrun.http1.limits import ServerLimits
 from pearrun.http1.messages import Request
@@ -51,7 +51,7 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        detect_silence(transport.get_extra_info('socket'), SILENCE_MS)
+        sockets.detect_silence(transport.get_extra_info('socket'), SILENCE_MS)
         limits = self.server.limits()
         self.state = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
