--- a/pearrun/decisions/admission.py
+++ b/pearrun/decisions/admission.py
@@ -1,9 +1,11 @@
 """Which calls are refused at once, and when their callers may return.
 
-Load pattern: a burst of several times the usual calls.  A call whose
-first token is not expected inside the time its caller has left is
-refused at once: waiting would cost its caller the time to come back,
-and its prompt would delay the calls that can still be served.
+Load pattern: more calls than the endpoints can serve, for seconds (a
+burst) or for longer (too few endpoints to be had).  A call whose first
+token is not expected within its latency target, or inside the time its
+caller has left, is refused at once: its prompt would delay the calls
+behind it past their targets too, until none is served in time, and waiting
+would cost its caller the time to come back.
 """
 
 import dataclasses
@@ -17,23 +19,32 @@
     :param share: part of the time left in which a first token must be
         expected; the rest is for the answer itself and for errors of
         the estimate.
+    :param target_times: times its latency target that a first token may be
+        expected to take; 1, since a queue that is longer makes all calls
+        late that pass through it.
     :param least_return_ms: shortest time after which to come back.
     :param longest_return_ms: longest one; callers honour a third of
         the time they have left.
     """
 
     share: float = 0.6
+    target_times: float = 1.0
     least_return_ms: int = 150
     longest_return_ms: int = 2000
 
 
-def admits(expected_ms, left_ms, settings):
+def admits(expected_ms, left_ms, target_ms, settings):
     """Say whether a call can be served in its time.
 
     :param expected_ms: expected time to its first token.
     :param left_ms: time until its answer is due.
+    :param target_ms: its latency target; 0 for none.
     """
-    return expected_ms <= left_ms * settings.share
+    if expected_ms > left_ms * settings.share:
+        return False
+    if not target_ms:
+        return True
+    return expected_ms <= target_ms * settings.target_times
 
 
 def return_after_ms(expected_ms, left_ms, settings):
--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -30,14 +30,11 @@
     :param zone_ms: what a hop to another zone costs, in time and price.
     :param favourite_ms: head start of the hashed favourite, so that
         hosts agree while loads are alike.
-    :param full_ms: what a call beyond an endpoint's slots waits, about
-        the time in which a running one ends.
     """
 
     call_ms: float = 1.0
     zone_ms: float = 2.0
     favourite_ms: float = 4.0
-    full_ms: float = 100.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,10 +64,13 @@
     :param tokens: its prompt's tokens; 0 for plain services.
     :param affinity: the prompt part that should draw alike calls to
         one endpoint; ``None`` where nothing is shared.
+    :param answer_ms: how long calls to the service take; a slot is free
+        again after as long.
     """
 
     tokens: int = 0
     affinity: str | None = None
+    answer_ms: float = 1000.0
 
 
 def estimate_ms(candidate, demand, model, settings):
@@ -83,9 +83,9 @@
     reading = candidate.reading_tokens + fresh
     waiting = max(0, candidate.calls + 1 - candidate.slots)
     return (
-        reading / model.tokens_per_ms
+        model.expect_ms(reading)
         + candidate.calls * settings.call_ms
-        + waiting * settings.full_ms
+        + waiting * demand.answer_ms / candidate.slots
     )
 
 
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -166,7 +166,12 @@
         if call.route.kind is not CallKind.STREAM:
             return True
         left_ms = call.timeout_at_ms - self.clock.now()
-        return admission.admits(selected.expected_ms, left_ms, self.admission)
+        return admission.admits(
+            selected.expected_ms,
+            left_ms,
+            call.route.latency_target_ms,
+            self.admission,
+        )
 
     def _quota_return(self, call):
         """Return when a caller over its quota had best come back.
--- a/pearrun/shared/demands.py
+++ b/pearrun/shared/demands.py
@@ -23,6 +23,10 @@
         """Note how long a call took that was answered whole."""
         self._meter(service_name).note_answer(took_ms)
 
+    def answer_ms(self, service_name):
+        """Return how long an answered call of a service takes."""
+        return self._meter(service_name).answer_ms
+
     def own(self):
         """Return this host's :class:`Demand` by service."""
         now = self.clock.now()
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -39,7 +39,12 @@
         self.members = Members(clock, settings.name)
         self.pools = EndpointPools(self.count_hosts)
         self.selection = Selection(
-            clock, settings.zone, self.fleet, self.loads, self.engines
+            clock,
+            settings.zone,
+            self.fleet,
+            self.loads,
+            self.engines,
+            self.demands,
         )
         self.feed = Feed()
         self.quotas = Quotas(
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -36,14 +36,16 @@
     :param fleet: the :class:`Fleet`.
     :param loads: other hosts' work, by endpoint; see :meth:`Loads.get`.
     :param engines: the learnt :class:`Engines`.
+    :param demands: the :class:`Demands`, for the time that answers take.
     """
 
-    def __init__(self, clock, zone, fleet, loads, engines):
+    def __init__(self, clock, zone, fleet, loads, engines, demands):
         self.clock = clock
         self.zone = zone
         self.fleet = fleet
         self.loads = loads
         self.engines = engines
+        self.demands = demands
         self.prefixes = PrefixIndex()
         self._placed = []
         self.zones = {}
@@ -66,7 +68,8 @@
         shared = call.prompt.parts[:-1]
         candidates = self._describe(endpoints, shared, now)
         affinity = shared[-1].id if shared else None
-        demand = placement.Demand(call.prompt.tokens, affinity)
+        answer_ms = self.demands.answer_ms(service.name)
+        demand = placement.Demand(call.prompt.tokens, affinity, answer_ms)
         model = self.engines.of_service(service.name)
         best, expected_ms = placement.choose(
             candidates, demand, model, self.settings
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -99,8 +99,10 @@
 
 def test_what_cannot_be_served_in_time_is_refused():
     settings = admission.AdmissionSettings()
-    assert admission.admits(500, 3000, settings)
-    assert not admission.admits(2500, 3000, settings)
+    assert admission.admits(500, 3000, 0, settings)
+    assert not admission.admits(2500, 3000, 0, settings)
+    assert admission.admits(500, 3000, 600, settings)
+    assert not admission.admits(700, 3000, 600, settings)
 
 
 @given(st.floats(0, 20_000), st.integers(1, 15_000))
