--- a/pearrun/decisions/admission.py
+++ b/pearrun/decisions/admission.py
@@ -41,7 +41,7 @@
     """Say whether a call can be served in its time.
 
     :param expected_ms: expected time to its first token.
-    :param queued_ms: part of it that it waits for other calls.
+    :param queued_ms: it without the time in which its own prompt is read.
     :param left_ms: time until its answer is due.
     :param target_ms: its latency target; 0 for none.
     """
--- a/pearrun/decisions/enginemodel.py
+++ b/pearrun/decisions/enginemodel.py
@@ -14,6 +14,7 @@
 """
 
 import dataclasses
+import functools
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,6 +111,7 @@
     )
 
 
+@functools.lru_cache(8)
 def make_guess(settings):
     """Return the :class:`LineSums` that stand in for answers."""
     half = settings.guess_weight / 2
--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -80,23 +80,10 @@
     :returns: milliseconds.
     """
     fresh = max(0, demand.tokens - candidate.cached_tokens)
-    return (
-        model.expect_ms(fresh)
-        + candidate.calls * settings.call_ms
-        + estimate_queue_ms(candidate, demand, model)
-    )
-
-
-def estimate_queue_ms(candidate, demand, model):
-    """Estimate how long a call waits at an endpoint for other calls.
-
-    It waits until their prompts are read, and for a slot.
-
-    :returns: milliseconds.
-    """
     waiting = max(0, candidate.calls + 1 - candidate.slots)
     return (
-        candidate.reading_tokens / model.tokens_per_ms
+        model.expect_ms(candidate.reading_tokens + fresh)
+        + candidate.calls * settings.call_ms
         + waiting * demand.answer_ms / candidate.slots
     )
 
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -33,6 +33,7 @@
         self.lower_since_ms = {}
         self.planned_ms = None
         self.watched_ms = None
+        self.slots = {}
 
     def watch(self):
         """Note what the demand needs now, also where another host orders.
@@ -46,7 +47,7 @@
             return
         self.watched_ms = now
         for service in self._scaled():
-            self._note_need(service.name, now)
+            self._note_need(service, now)
 
     async def act(self, term):
         """Send the orders that are due.
@@ -59,6 +60,9 @@
             return
         self.planned_ms = now
         for service in self._scaled():
+            if service.name not in self.needs:
+                # Configured since the needs were noted.
+                continue
             for order in self._plan(service, now):
                 if not term.holds():
                     return
@@ -106,8 +110,9 @@
             )
         return zones
 
-    def _note_need(self, service_name, now):
+    def _note_need(self, service, now):
         """Note how many endpoints the demand of now needs."""
+        service_name = service.name
         demand = self.host.demands.total(service_name)
         model = self.host.engines.of_service(service_name)
         past = self.needs.get(service_name)
@@ -117,7 +122,7 @@
         needed = scaling.count_needed(
             demand,
             model.tokens_per_ms,
-            self._slots(service_name),
+            self._find_slots(service),
             self.settings,
         )
         past[now] = max(past.get(now, 0), needed)
@@ -149,13 +154,20 @@
             reclaimable=max(past.values()),
         )
 
-    def _slots(self, service_name):
-        """Return the slots of an endpoint; the fewest that any has."""
+    def _find_slots(self, service):
+        """Return the slots of an endpoint; the fewest that any has.
+
+        While none is known, as when entries lapsed with the store, they are
+        those last known, or those that the configuration names.
+        """
         slots = [
             endpoint.record.slots
-            for endpoint in self.host.fleet.of_service(service_name)
+            for endpoint in self.host.fleet.of_service(service.name)
         ]
-        return min(slots, default=1)
+        if slots:
+            self.slots[service.name] = min(slots)
+        named = service.engine.slots if service.engine else 1
+        return self.slots.get(service.name, named)
 
     def _expect(self):
         """Return how many endpoints a service should need, by its limits.
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -22,7 +22,8 @@
     :param expected_ms: expected time to the call's first token.
     :param fresh_tokens: prompt tokens the endpoint has to read.
     :param reading_tokens: those of other calls that it reads before.
-    :param queued_ms: part of the expected time that it waits for others.
+    :param queued_ms: the expected time without that in which the call's
+        own prompt is read.
     """
 
     endpoint: Endpoint
@@ -82,7 +83,7 @@
         endpoint.pause.note_try(now)
         self._zone(endpoint).pause.note_try(now)
         fresh = max(0, call.prompt.tokens - best.cached_tokens)
-        queued_ms = placement.estimate_queue_ms(best, demand, model)
+        queued_ms = expected_ms - fresh / model.tokens_per_ms
         return Selected(
             endpoint, expected_ms, fresh, best.reading_tokens, queued_ms
         )
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -14,6 +14,7 @@
 from pearrun.decisions.scaling import ScalingSettings
 from pearrun.http1.client import connect
 from pearrun.platform import dutycalls
+from pearrun.shared.scaler import Scaler
 from pearrun.shared.term import Term
 from pearrun.standins.platformsite import KEY
 from pearrun.standins.platformsite import make_config
@@ -367,3 +368,35 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_a_service_that_is_configured_later_is_planned_at_the_next_watch():
+    async def main():
+        async with run_site(make_config(), PLAIN) as site:
+            (daemon,) = site.hosts.values()
+            scaler = daemon.duties.scaler
+            scaler.watched_ms = daemon.clock.now()
+            config = scaled_config(version=2)
+            site.configure(config)
+            await wait_until(lambda: daemon.host.config.version == 2)
+            await scaler.act(make_term())
+            await wait_until(lambda: 'model' in scaler.needs)
+
+    asyncio.run(main())
+
+
+def test_endpoints_whose_entries_lapsed_leave_the_need_as_it_was():
+    """Without any entry an endpoint's slots are not taken to be one."""
+
+    async def main():
+        async with run_site(scaled_config(), [('m1', 'model')]) as site:
+            (daemon,) = site.hosts.values()
+            scaler = daemon.duties.scaler
+            service = daemon.host.config.current.services['model']
+            known = scaler._find_slots(service)
+            site.store.put('servers', 'm1', None)
+            await wait_until(lambda: not daemon.host.fleet.of_service('model'))
+            assert scaler._find_slots(service) == known == 8
+            assert Scaler(daemon.host, None)._find_slots(service) == 8
+
+    asyncio.run(main())
