--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -24,8 +24,9 @@
     :param slots_share: part of an endpoint's slots that calls should take;
         clumps and one endpoint's share of a wave take the rest.
     :param wait_share: part of the latency target that a call may wait on
-        the average for prompts being read before its own; a tenth of the
-        calls wait for three times the average or more.
+        the average for prompts being read before its own, if each went
+        where least is to be read; reports are up to 0.35 s old, so calls
+        wait for several times as long, and a tenth of them three times more.
     :param most_reading: largest part of an endpoint's time that goes into
         reading prompts; tokens of running calls come in the rest.
     :param limit_units_each: units a second of customers' limits for which
@@ -44,7 +45,7 @@
 
     fewest: int = 4
     slots_share: float = 0.5
-    wait_share: float = 0.2
+    wait_share: float = 0.1
     most_reading: float = 0.6
     limit_units_each: float = 100_000.0
     spare: int = 1
@@ -191,25 +192,36 @@
     :param tokens_per_ms: prompt tokens an endpoint reads in a millisecond.
     :param slots: calls that an endpoint runs at once.
     """
-    by_slots = demand.busy / (slots * settings.slots_share)
-    reading_ms = demand.tokens_per_s / tokens_per_ms
-    share = share_for_reading(demand, tokens_per_ms, settings)
-    by_reading = reading_ms / (1000.0 * share)
-    return max(settings.fewest, math.ceil(max(by_slots, by_reading)))
+    by_slots = math.ceil(demand.busy / (slots * settings.slots_share))
+    by_reading = count_readers(demand, tokens_per_ms, settings)
+    return max(settings.fewest, by_slots, by_reading)
 
 
-def share_for_reading(demand, tokens_per_ms, settings):
-    """Return the part of an endpoint's time that may go into reading.
+def count_readers(demand, tokens_per_ms, settings):
+    """Return how many endpoints read a demand's prompts soon enough.
 
-    A call that comes while prompts are read for a part r of the time waits
-    r / (1 - r) times what is left, on the average, of a prompt that is being
-    read, which grows with the prompts' spread.
+    :param tokens_per_ms: prompt tokens an endpoint reads in a millisecond.
     """
+    # Endpoints that read all the time would just do.
+    load = demand.tokens_per_s / (tokens_per_ms * 1000.0)
+    count = max(1, math.ceil(load / settings.most_reading))
     if not demand.target_ms or not demand.tokens_per_s:
-        return settings.most_reading
-    left_tokens = demand.squares_per_s / (2 * demand.tokens_per_s)
-    left_ms = left_tokens / tokens_per_ms
-    if left_ms <= 0:
-        return settings.most_reading
-    ratio = settings.wait_share * demand.target_ms / left_ms
-    return min(settings.most_reading, ratio / (1 + ratio))
+        return count
+    left_ms = demand.squares_per_s / (2 * demand.tokens_per_s) / tokens_per_ms
+    most_ms = settings.wait_share * demand.target_ms
+    while left_ms * estimate_waits(load, count) > most_ms:
+        count += 1
+    return count
+
+
+def estimate_waits(load, count):
+    """Estimate the mean wait of a call, where the least loaded is chosen.
+
+    Sakasegawa's approximation of a queue with several servers.
+
+    :param load: servers that would be busy all the time.
+    :returns: in units of the mean time left of a call being served.
+    """
+    busy = load / count
+    power = math.sqrt(2 * (count + 1)) - 1
+    return busy**power / (count * (1 - busy))
