A settings signal is ignored before the interpreter runs

That window is the interpreter's start and the package's import. Ruled out: an end of the process while it served (it was in its first run after a stop; nothing had been asked of it). Change: deploy/run-host ignores the signal in the shell and replaces itself by the interpreter; an ignored signal stays so over exec. The platform, scripts/up-platform and the soak all start hosts by it. The test reads what the interpreter inherits; it fails on the old command.

--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -7,6 +7,8 @@
 import signal
 import sys
 
+# The command of deploy/system.toml.
+RUN_SCRIPT = 'deploy/run-host'
 # How soon an ended process is started again, as the platform does it.
 RESTART_S = 0.3
 
@@ -45,9 +47,9 @@
             while not self.closing:
                 self.asked = False
                 self.process = await asyncio.create_subprocess_exec(
+                    'sh',
+                    RUN_SCRIPT,
                     sys.executable,
-                    '-m',
-                    'pearrun.platform',
                     env=environment,
                     stdout=log,
                     stderr=log,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,9 +3,11 @@
 import asyncio
 import json
 import os
+import pathlib
 import signal
 import subprocess
 import sys
+import tomllib
 
 import pytest
 
@@ -349,3 +351,24 @@
     rest = process.stderr.read()
     assert process.wait() == 1
     assert 'error 1102' in rest
+
+
+def test_a_settings_signal_before_the_interpreter_runs_is_ignored(tmp_path):
+    """A stand-in for the interpreter notes what it inherits."""
+    interpreter = tmp_path / 'interpreter'
+    interpreter.write_text('#!/bin/sh\ngrep SigIgn /proc/self/status\n')
+    interpreter.chmod(0o755)
+    root = pathlib.Path(__file__).parent.parent
+    deployed = tomllib.loads((root / 'deploy/system.toml').read_text())
+    command = deployed['roles']['entry']['run'].split()
+    command[command.index('python3')] = str(interpreter)
+    done = subprocess.run(
+        command,
+        cwd=root,
+        preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    ignored = int(done.stdout.split()[1], 16)
+    assert ignored & 1 << (signal.SIGHUP - 1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 @pytest.mark.parametrize(
     'seed',
     [
-        # SIGHUP while a host was starting ended it.
+        # SIGHUP while a host was starting ended it, both.
         1,
         20261203,
     ],
