--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -29,9 +29,6 @@
         wait for several times as long, and a tenth of them three times more.
     :param most_reading: largest part of an endpoint's time that goes into
         reading prompts; tokens of running calls come in the rest.
-    :param limit_units_each: units a second of customers' limits for which
-        one endpoint is kept while no load has been seen yet: at Sinal
-        Nordeste 700,000 of them go with 7 endpoints in use.
     :param spare: reclaimable endpoints ordered beyond what is needed,
         in each zone: a boot takes seconds, a burst comes at once.
     :param hold_ms: how long the highest need of the past still counts
@@ -47,7 +44,6 @@
     slots_share: float = 0.5
     wait_share: float = 0.1
     most_reading: float = 0.6
-    limit_units_each: float = 100_000.0
     spare: int = 1
     hold_ms: int = 30_000
     lasting_hold_ms: int = 10_000
@@ -170,18 +166,6 @@
     return limits.zone_prices.get(zone, 1.0)
 
 
-def expect_needed(limit_units, settings):
-    """Return how many endpoints to have before any load was seen.
-
-    A fleet that is taken over, or starts, before its load would else be
-    cut down to the fewest, and boot again under the first wave.
-
-    :param limit_units: units a second that all customers may use.
-    """
-    expected = math.ceil(limit_units / settings.limit_units_each)
-    return max(settings.fewest, expected)
-
-
 def count_needed(demand, tokens_per_ms, slots, settings):
     """Return how many endpoints a demand needs.
 
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -4,6 +4,7 @@
 
 from pearrun import exceptions
 from pearrun.decisions import scaling
+from pearrun.decisions.demand import SPAN_MS
 from pearrun.states import EndpointState
 
 # How often the plan is made anew.
@@ -31,6 +32,7 @@
         self.needs = {}
         self.last_need = {}
         self.lower_since_ms = {}
+        self.started_ms = self.clock.now()
         self.planned_ms = None
         self.watched_ms = None
         self.slots = {}
@@ -93,6 +95,9 @@
             self.lower_since_ms.pop(key, None)
             return False
         since_ms = self.lower_since_ms.setdefault(key, now)
+        if now - self.started_ms < SPAN_MS:
+            # The demand has not been seen for as long as it is averaged.
+            return True
         return now - since_ms < self.settings.release_ms
 
     def _count(self, service_name):
@@ -115,10 +120,7 @@
         service_name = service.name
         demand = self.host.demands.total(service_name)
         model = self.host.engines.of_service(service_name)
-        past = self.needs.get(service_name)
-        if past is None:
-            # Nobody has seen this service's demand yet.
-            past = self.needs[service_name] = {now: self._expect()}
+        past = self.needs.setdefault(service_name, {})
         needed = scaling.count_needed(
             demand,
             model.tokens_per_ms,
@@ -169,22 +171,6 @@
         named = service.engine.slots if service.engine else 1
         return self.slots.get(service.name, named)
 
-    def _expect(self):
-        """Return how many endpoints a service should need, by its limits.
-
-        Customers' limits hold for all scaled services together.
-        """
-        config = self.host.config.current
-        units = sum(
-            customer.rate_per_s
-            for customer in config.customers.values()
-            if customer.counts_tokens
-        )
-        scaled = sum(
-            service.scale is not None for service in config.services.values()
-        )
-        return scaling.expect_needed(units / scaled, self.settings)
-
     async def _send(self, order, term, now):
         key = (order.service, order.zone, order.reclaimable)
         count, sent_ms = self.ordered.get(key, (None, 0))
