Tests: nothing is given back before demand was seen; a successor's needs

The successor's test told the needs taken over from those by limits, which are gone: it now wants the very need that was noted (7, over the fewest of 4) in place of at most 5.

--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -8,10 +8,11 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.decisions import lease
+from pearrun.decisions import scaling
+from pearrun.decisions.demand import SPAN_MS
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import LeaseView
 from pearrun.decisions.lease import RecordKind
-from pearrun.decisions.scaling import ScalingSettings
 from pearrun.http1.client import connect
 from pearrun.platform import dutycalls
 from pearrun.shared.scaler import Scaler
@@ -116,7 +117,7 @@
             await wait_until(lambda: site.api.orders())
             await asyncio.sleep(0.5)
             orders = site.api.orders()
-            fewest = ScalingSettings().fewest
+            fewest = scaling.ScalingSettings().fewest
             spot = [order for order in orders if order.get('spot')]
             lasting = [order for order in orders if not order.get('spot')]
             assert {order['zone'] for order in spot} == {'zone-a', 'zone-b'}
@@ -126,13 +127,10 @@
 
 
 def test_a_successor_orders_by_the_needs_of_the_last_time():
-    """It watched the demand all along; limits alone would ask for more."""
+    """It watched the demand all along."""
 
     async def main():
-        config = scaled_config()
-        config['tenants'][0]['rate_per_s'] = 5_000_000
-        config['tenants'][0]['burst'] = 5_000_000
-        async with run_site(config, PLAIN, hosts=3) as site:
+        async with run_site(scaled_config(), PLAIN, hosts=3) as site:
             await wait_until(lambda: find_holders(site))
             (first,) = find_holders(site)
             for daemon in site.hosts.values():
@@ -140,13 +138,13 @@
                 await wait_until(lambda scaler=scaler: scaler.needs)
                 # As after the time for which a need is held.
                 now = daemon.clock.now()
-                scaler.needs['model'] = {now: 5}
+                scaler.needs['model'] = {now: 7}
             await first.end()
             del site.hosts[first.settings.name]
             await wait_until(lambda: find_holders(site), 10)
             (second,) = find_holders(site)
             need = second.duties.scaler.last_need['model']
-            assert need.lasting <= 5
+            assert need.lasting == 7
 
     asyncio.run(main())
 
@@ -400,3 +398,21 @@
             assert Scaler(daemon.host, None)._find_slots(service) == 8
 
     asyncio.run(main())
+
+
+def test_nothing_is_given_back_before_demand_was_seen_for_a_span():
+    """A host's own first seconds show less demand than there is."""
+
+    async def main():
+        async with run_site(scaled_config(), [('m1', 'model')]) as site:
+            (daemon,) = site.hosts.values()
+            scaler = Scaler(daemon.host, None)
+            zones = scaler._count('model')
+            fewer = scaling.Order('model', 'zone-a', False, 0)
+            now = scaler.started_ms
+            assert scaler._waits(fewer, zones, now)
+            late = now + scaler.settings.release_ms
+            assert scaler._waits(fewer, zones, late)
+            assert not scaler._waits(fewer, zones, now + SPAN_MS)
+
+    asyncio.run(main())
