--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -20,6 +20,7 @@
 
 from absl import app as absl_app
 from absl import flags
+from matplotlib import pyplot
 import yaml
 
 from benchmarks import worth
@@ -162,6 +163,37 @@
     )
 
 
+def plot(plays, results, path):
+    """Draw what each variant changes: a panel a site, a point a play."""
+    sites = list(dict.fromkeys(item.site.stem for item in plays))
+    names = list(dict.fromkeys(item.variant.name for item in plays))
+    names.remove(UNCHANGED)
+    size = (4 * len(sites) + 3, 0.3 * len(names) + 1)
+    figure, panels = pyplot.subplots(
+        1, len(sites), sharey=True, figsize=size, squeeze=False
+    )
+    for panel, site in zip(panels[0], sites, strict=True):
+        for item in plays:
+            if item.site.stem != site or item.variant.name == UNCHANGED:
+                continue
+            change = change_of(item, results)
+            if change is not None:
+                panel.plot(change, names.index(item.variant.name), 'ko')
+        panel.axvline(0.0, color='grey')
+        panel.set_title(site)
+        panel.set_xlabel('change of worth')
+    panels[0][0].set_yticks(range(len(names)), names)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def change_of(item, results):
+    """Return what a play's variant changes; ``None`` if one failed."""
+    base = dataclasses.replace(item, variant=Variant(UNCHANGED))
+    day, old = results[item.key], results[base.key]
+    return day.worth - old.worth if day and old else None
+
+
 def mean(days, field):
     """Return the mean of a field of days."""
     return statistics.fmean(getattr(day, field) for day in days)
@@ -193,6 +225,8 @@
     print('\n'.join(render(plays, results)))
     summary = {key: vars(day) if day else None for key, day in results.items()}
     (workdir / 'summary.json').write_text(json.dumps(summary, indent=1))
+    if FLAGS.plot:
+        plot(plays, results, FLAGS.plot)
 
 
 if __name__ == '__main__':
@@ -203,6 +237,7 @@
     flags.DEFINE_list('seeds', ['0'], 'Seeds; 0 is the day as it is.')
     flags.DEFINE_string('variants', None, 'YAML file of variants.')
     flags.DEFINE_list('only', [], 'Variants to play; empty: all.')
+    flags.DEFINE_string('plot', None, 'Draw the changes into this file.')
     flags.DEFINE_integer('jobs', 4, 'Plays at a time.')
     flags.DEFINE_boolean('charge_cpu', False, 'Charge processor time.')
     flags.DEFINE_string('why', 'Ablation', 'The journal entries\' "why".')
