--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -31,8 +31,9 @@
         reading prompts; tokens of running calls come in the rest.
     :param limit_units_each: units a second of customers' limits for which
         one endpoint is kept while no load has been seen yet: three
-        customers with limits of 700,000 needed 7 or 8, a large one that
-        started with 4 served 0.59 of its first 12 s, with it 0.81.
+        customers with limits of 700,000 needed 7 or 8.  A large one that
+        started with 4 served 0.59 of what was asked in its first 12 s, with
+        as many as this 0.81.
     :param spare: reclaimable endpoints ordered beyond what is needed,
         in each zone: a boot takes seconds, a burst comes at once.
     :param hold_ms: how long the highest need of the past still counts
@@ -183,22 +184,6 @@
     return max(settings.fewest, expected)
 
 
-def add_expected(need, expected, reclaimable_sold):
-    """Return a need that also counts what is expected before demand.
-
-    Lasting endpoints are not kept for it where cheap ones are sold, which
-    boot before their first calls: those of 12 s before the first call were
-    a hundredth of what a minute of calls is worth.
-
-    :param need: the :class:`Need` by demand that was seen.
-    :param expected: endpoints as :func:`expect_needed` returns them.
-    """
-    reclaimable = max(need.reclaimable, expected)
-    if reclaimable_sold:
-        return Need(need.lasting, reclaimable)
-    return Need(max(need.lasting, expected), reclaimable)
-
-
 def count_needed(demand, tokens_per_ms, slots, settings):
     """Return how many endpoints a demand needs.
 
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -29,7 +29,6 @@
         self.settings = scaling.ScalingSettings()
         self.ordered = {}
         self.needs = {}
-        self.noted_ms = {}
         self.last_need = {}
         self.lower_since_ms = {}
         self.planned_ms = None
@@ -77,7 +76,7 @@
     def _plan(self, service, now):
         """Return the orders that are to be in force now."""
         zones = self._count(service.name)
-        need = self._need(service, now)
+        need = self._need(service.name, now)
         orders = scaling.plan_orders(
             service.name, service.scale, zones, need, self.settings
         )
@@ -116,8 +115,10 @@
         service_name = service.name
         demand = self.host.demands.total(service_name)
         model = self.host.engines.of_service(service_name)
-        past = self.needs.setdefault(service_name, {})
-        self.noted_ms.setdefault(service_name, now)
+        past = self.needs.get(service_name)
+        if past is None:
+            # Nobody has seen this service's demand yet.
+            past = self.needs[service_name] = {now: self._expect()}
         needed = scaling.count_needed(
             demand,
             model.tokens_per_ms,
@@ -127,7 +128,7 @@
         past[now] = max(past.get(now, 0), needed)
         for old in [at for at in past if now - at > self.settings.hold_ms]:
             del past[old]
-        need = self._need(service, now)
+        need = self._need(service_name, now)
         if self.last_need.get(service_name) != need:
             self.last_need[service_name] = need
             logger.bind(
@@ -141,10 +142,10 @@
                 answers=round(model.answers),
             ).info('endpoints needed')
 
-    def _need(self, service, now):
+    def _need(self, service_name, now):
         """Return the :class:`Need` by the demand of the last time."""
-        past = self.needs[service.name]
-        seen = scaling.Need(
+        past = self.needs[service_name]
+        return scaling.Need(
             lasting=max(
                 needed
                 for at, needed in past.items()
@@ -152,10 +153,6 @@
             ),
             reclaimable=max(past.values()),
         )
-        if now - self.noted_ms[service.name] > self.settings.hold_ms:
-            return seen
-        sold = service.scale.reclaimable_price is not None
-        return scaling.add_expected(seen, self._expect(), sold)
 
     def _find_slots(self, service):
         """Return the slots of an endpoint; the fewest that any has.
