--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -8,6 +8,7 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.decisions import lease
+from pearrun.decisions import quota
 from pearrun.decisions import scaling
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import LeaseView
@@ -166,6 +167,11 @@
             await wait_until(lambda: two.host.loads.get('m1').calls == 1)
             bucket = two.host.quotas.buckets['anna']
             await wait_until(lambda: bucket.peers)
+            # It was heard before, so its first call is news; and the few
+            # milliseconds since its last report make no rate.
+            (use,) = bucket.peers.values()
+            assert use.used > 0
+            assert 0 < use.rate <= use.used / quota.IDLE_S
             assert (await task).complete
 
     asyncio.run(main())
