--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -14,9 +14,6 @@
 from tests import builders
 
 KEY = 'licence-records/k'
-# Processor time of one example; 0.001 s, measured.  Time of day would count
-# other processes' work too: 0.46 s beside 23 of them.
-MOST_CPU_S = 0.2
 
 
 @given(
@@ -47,7 +44,7 @@
         log.down = False
 
     asyncio.run(scenario())
-    assert time.process_time() - began_s < MOST_CPU_S
+    assert time.process_time() - began_s < builders.MOST_CPU_S
     assert len(winners) <= 1
     held = log.values(claims_module.stream_of('alarme-svc/k'))
     if winners:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,6 +1,7 @@
 """Membership: who is alive, counted in the observer's own beats."""
 
 import asyncio
+import time
 
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
@@ -103,10 +104,13 @@
 
 
 @given(size=st.integers(1, 400))
+@hypothesis_settings(deadline=None)
 def test_beats_of_all_together_keep_to_their_share_of_the_log(size):
+    began_s = time.process_time()
     watcher = membership(builders.FakeLog(), 0)
     for number in range(size):
         watcher.receive(member(number).to_beat())
+    assert time.process_time() - began_s < builders.MOST_CPU_S
     assert size * 1000 / watcher.pause_ms <= BEATS_PER_S + 1
 
 
