--- a/pearrun/api/lookup.py
+++ b/pearrun/api/lookup.py
@@ -98,6 +98,11 @@
                 return Stored(ledger.finished[request_id])
             known = request_id in ledger.unfinished
             if not known and not moving:
+                if self._may_still_write(member, ledger):
+                    raise exceptions.RequestMovingError(
+                        'the request is with a host that is out of reach',
+                        retry_after_s=1,
+                    )
                 break
             if not known or ledger.sealed_by in (None, stream):
                 raise exceptions.RequestMovingError(
@@ -110,6 +115,19 @@
             stream = ledger.sealed_by
         raise exceptions.UnknownRequestError(f'no request {request_id!r}')
 
+    def _may_still_write(self, member, ledger):
+        """Say whether a host out of reach may hold requests unwritten.
+
+        A host that is cut off serves callers who wait, and writes of them
+        once the log is back; until its journal is sealed, that a request is
+        not there says nothing.
+        """
+        return (
+            member is not None
+            and ledger.sealed_by is None
+            and ledger.stream != self.journal.stream
+        )
+
     async def find_member(self, stream):
         """Return a journal's writer, or ``None``.
 
--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -178,7 +178,7 @@
 
 
 class RequestMovingError(PearrunError):
-    """The request is being taken over by another host; ask again."""
+    """Its host is out of reach or being taken over; ask again."""
 
     code = 1301
     http_status = 503
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -32,12 +32,21 @@
         return None
 
 
-def make_lookup(log, own_stream):
+class SilentWriter:
+    """The request's host is known and has not been heard for a while."""
+
+    def find(self, stream):
+        return stream
+
+    def is_dead(self, member):
+        return True
+
+
+def make_lookup(log, own_stream, members=None):
     """Return a lookup whose daemon writes the journal ``own_stream``."""
+    members = members or NoMembers()
     journal = types.SimpleNamespace(stream=own_stream)
-    return Lookup(
-        builders.settings(), log, None, NoJobs(), NoMembers(), journal
-    )
+    return Lookup(builders.settings(), log, None, NoJobs(), members, journal)
 
 
 def write(log, stream, *written):
@@ -82,3 +91,18 @@
     lookup = make_lookup(log, journal_module.PREFIX + 'new-1')
     with pytest.raises(exceptions.UnknownRequestError):
         locate(lookup)
+
+
+def test_a_request_of_a_host_that_is_cut_off_is_not_called_unknown():
+    """It may be served there and written once the log is back."""
+    log = builders.FakeLog()
+    old = journal_module.stream_of(REQUEST_ID)
+    new = journal_module.PREFIX + 'new-1'
+    lookup = make_lookup(log, new, SilentWriter())
+    with pytest.raises(exceptions.RequestMovingError) as caught:
+        locate(lookup)
+    assert caught.value.retry_after_s == 1
+
+    write(log, old, entries.Sealed(new), entries.Emptied(new))
+    with pytest.raises(exceptions.UnknownRequestError):
+        locate(lookup)
