--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -1,6 +1,7 @@
 """Following what the operator and the endpoints write to the store."""
 
 import asyncio
+import enum
 
 from loguru import logger
 
@@ -9,6 +10,7 @@
 from pearrun.clock import to_seconds
 from pearrun.platform import decoding
 from pearrun.platform.store import KeyedRecord
+from pearrun.shared.feed import Changes
 
 CONFIG_TOPIC = 'op'
 CONFIG_KEY = 'config'
@@ -83,14 +85,25 @@
 
     async def _read_once(self):
         """Read all newest records, or wait for changes once."""
-        asked_ms = self.host.clock.now()
         if self.position is None:
-            records, self.position = await self.store.newest(self.topic)
-            self.take_all(records, asked_ms)
+            await self._read_newest()
             return
-        position = self.position
+        await self._read_changes(self.wait_ms)
+
+    async def _read_newest(self):
+        """Read the newest record of every key."""
+        asked_ms = self.host.clock.now()
+        records, self.position = await self.store.newest(self.topic)
+        self.take_all(records, asked_ms)
+
+    async def _read_changes(self, wait_ms):
+        """Read what was written since the last read.
+
+        :param wait_ms: how long to wait while there is nothing.
+        """
+        asked_ms = self.host.clock.now()
         records, self.position = await self.store.follow(
-            self.topic, position, self.wait_ms
+            self.topic, self.position, wait_ms
         )
         self.take_changes(records, asked_ms)
 
@@ -163,6 +176,13 @@
         self.host.config.confirm(newest_ms)
 
 
+class Source(enum.Enum):
+    """Who told this host of a change."""
+
+    STORE = 'store'
+    PEER = 'peer'
+
+
 class EndpointFollower(Follower):
     """Keeps the list of endpoints."""
 
@@ -175,7 +195,7 @@
             ENDPOINT_PAUSE_MS,
         )
         self.feed = host.feed
-        self.changes = None
+        self.source = Source.STORE
         self.removals = {}
         self.return_ms = int(host.settings.drain_ms * RETURN_SHARE)
         self.feed_silent_ms = int(host.settings.drain_ms * FEED_SILENT_SHARE)
@@ -184,26 +204,32 @@
         if self.position is None or not self.feed.followed:
             through_hubs = self.feed.through_hubs
             self.pause_ms = HUB_PAUSE_MS if through_hubs else ENDPOINT_PAUSE_MS
-            await self._read_and_publish()
+            await super()._read_once()
             return
         self.pause_ms = 0
-        batch = await self.feed.wait(self.position, self.feed_silent_ms)
-        if batch is None:
-            await self._read_and_publish()
+        changes = await self.feed.wait(self.position, self.feed_silent_ms)
+        if changes is None:
+            await self._read_changes(self.wait_ms)
             return
-        self.position = batch.next
-        now = self.host.clock.now()
-        self.take_changes(
-            [KeyedRecord(key, value) for key, value in batch.records], now
-        )
+        self._take_passed_on(changes)
+
+    async def _read_changes(self, wait_ms):
+        """Read the store, also for the other hosts of the zone."""
+        start = self.position
+        asked_ms = self.host.clock.now()
+        records, end = await self.store.follow(self.topic, start, wait_ms)
+        self.position = end
+        self.source = Source.STORE
+        self.take_changes(records, asked_ms)
+        pairs = tuple((record.key, record.value) for record in records)
+        self.feed.publish(Changes(start, end, pairs, asked_ms))
 
-    async def _read_and_publish(self):
-        """Read the store once, also for the other hosts of the zone."""
-        self.changes = None
-        position = self.position
-        await super()._read_once()
-        if self.changes is not None:
-            self.feed.publish(position, self.changes, self.position)
+    def _take_passed_on(self, changes):
+        """Take :class:`Changes` that another host read."""
+        self.position = changes.next
+        self.source = Source.PEER
+        records = [KeyedRecord(key, value) for key, value in changes.records]
+        self.take_changes(records, changes.asked_ms)
 
     def take_all(self, records, asked_ms):
         """See :class:`Follower`."""
@@ -222,11 +248,11 @@
                 self._remove(record.key)
             else:
                 self._put(record)
-        self.changes = records
         self._confirm(asked_ms)
 
     def _confirm(self, asked_ms):
-        self.host.fleet.listed_ms = asked_ms
+        fleet = self.host.fleet
+        fleet.listed_ms = max(fleet.listed_ms or 0, asked_ms)
         self.host.config.confirm_alive(self.host.clock.now())
 
     def _put(self, record):
@@ -247,6 +273,8 @@
                 state=entry.state.value,
                 reclaimable=entry.reclaimable,
                 leaves_ms=entry.leaves_ms,
+                source=self.source.value,
+                list_age_ms=self.host.list_age_ms(self.host.clock.now()),
             ).info('endpoint state')
 
     def _cancel_removal(self, endpoint_id):
--- a/pearrun/shared/feed.py
+++ b/pearrun/shared/feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 
 from pearrun.clock import to_seconds
 from pearrun.shared.reports import EndpointFeed
@@ -10,6 +11,24 @@
 KEPT_BATCHES = 16
 
 
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """Changes of the list of endpoints between two offsets.
+
+    :param start: offset of the first record.
+    :param next: offset after the last one.
+    :param records: pairs of an endpoint's name and its entry, ``None``
+        where it was removed.
+    :param asked_ms: when the store was asked for them, by this host's
+        clock: a read that waits may miss what comes while it waits.
+    """
+
+    start: int
+    next: int
+    records: tuple[tuple[str, bytes | None], ...]
+    asked_ms: int
+
+
 class Feed:
     """Batches of changes: those read here, and those read elsewhere.
 
@@ -17,34 +36,48 @@
     ``through_hubs`` whether what it reads comes by way of hubs.
     """
 
-    def __init__(self):
+    def __init__(self, clock):
+        self.clock = clock
         self.through_hubs = False
         self.followed = False
         self._unsent = []
         self._received = collections.deque(maxlen=KEPT_BATCHES)
         self._grown = asyncio.Event()
 
-    def publish(self, start, records, end):
-        """Keep what was read here for the other hosts of the zone."""
-        changes = tuple((record.key, record.value) for record in records)
-        self._unsent.append(EndpointFeed(start, end, changes))
+    def publish(self, changes):
+        """Keep :class:`Changes` read here for the other hosts of the zone."""
+        self._unsent.append(changes)
 
     def take_unsent(self):
-        """Return the batches published since the last call."""
+        """Return what was published since the last call, to be sent now.
+
+        :returns: a list of :class:`EndpointFeed`.
+        """
         unsent, self._unsent = self._unsent, []
-        return unsent
+        return [
+            EndpointFeed(
+                changes.start,
+                changes.next,
+                changes.records,
+                self.clock.since(changes.asked_ms),
+            )
+            for changes in unsent
+        ]
 
     def offer(self, batch):
         """Take an :class:`EndpointFeed` that another host read."""
-        self._received.append(batch)
+        asked_ms = self.clock.now() - batch.age_ms
+        self._received.append(
+            Changes(batch.start, batch.next, batch.records, asked_ms)
+        )
         self._grown.set()
 
     async def wait(self, position, silence_ms):
         """Return the batch that goes on from an offset.
 
         :param silence_ms: how long to wait for any news.
-        :returns: an :class:`EndpointFeed`; ``None`` where none came in
-            time or there is a gap before it.
+        :returns: :class:`Changes`; ``None`` where none came in time or
+            there is a gap before them.
         """
         while True:
             batch = self._find(position)
@@ -71,4 +104,4 @@
     if batch.start >= position:
         return batch
     records = batch.records[position - batch.start :]
-    return EndpointFeed(position, batch.next, records)
+    return dataclasses.replace(batch, start=position, records=records)
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -46,7 +46,7 @@
             self.engines,
             self.demands,
         )
-        self.feed = Feed()
+        self.feed = Feed(clock)
         self.quotas = Quotas(
             clock, self.config, settings.quota, self.members, self.feed
         )
@@ -68,7 +68,12 @@
         )
 
     def list_age_ms(self, now_ms):
-        """Return how long ago the endpoints were last listed."""
+        """Return how long ago the list of endpoints was complete.
+
+        Changes since then may be unknown here.
+
+        :returns: milliseconds; ``None`` before the first list.
+        """
         listed_ms = self.fleet.listed_ms
         return None if listed_ms is None else now_ms - listed_ms
 
@@ -81,6 +86,7 @@
                 endpoint=endpoint.id,
                 service=endpoint.record.service,
                 reason=reason,
+                list_age_ms=self.list_age_ms(self.clock.now()),
             ).info('endpoint removed')
 
     def log_avoided(self, endpoint, pause_ms):
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -85,11 +85,13 @@
     :param next: offset after the last one.
     :param records: pairs of an endpoint id and its entry, ``None`` where
         it was removed.
+    :param age_ms: how long ago the store was asked for them.
     """
 
     start: int
     next: int
     records: tuple[tuple[str, bytes | None], ...]
+    age_ms: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,8 +159,8 @@
             return cbor2.dumps(encode_report(message))
         case UsageNote(run, counts):
             return cbor2.dumps(['usage', *encode_run(run), counts])
-        case EndpointFeed(start, end, records):
-            return cbor2.dumps(['endpoints', start, end, records])
+        case EndpointFeed(start, end, records, age_ms):
+            return cbor2.dumps(['endpoints', start, end, records, age_ms])
         case HostEnded(host):
             return cbor2.dumps(['ended', host])
         case ConfigCopy(host, raw):
@@ -231,10 +233,9 @@
             case 'usage':
                 return UsageNote(Run(*fields[:4]), fields[4])
             case 'endpoints':
-                start, end, records = fields
-                return EndpointFeed(
-                    start, end, tuple((key, value) for key, value in records)
-                )
+                start, end, records, age_ms = fields
+                pairs = tuple((key, value) for key, value in records)
+                return EndpointFeed(start, end, pairs, age_ms)
             case 'ended':
                 return HostEnded(fields[0])
             case 'config':
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -8,7 +8,8 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
-from pearrun.platform.store import KeyedRecord
+from pearrun.clock import Clock
+from pearrun.shared.feed import Changes
 from pearrun.shared.feed import Feed
 
 KEYS = st.sampled_from(['e1', 'e2', 'e3'])
@@ -37,9 +38,9 @@
         self.loop = asyncio.new_event_loop()
         self.log = []
         self.positions = [0, 0]
-        self.feeds = [Feed(), Feed()]
+        self.feeds = [Feed(Clock()), Feed(Clock())]
         self.on_the_way = []
-        self.feed = Feed()
+        self.feed = Feed(Clock())
         self.position = 0
         self.state = {}
 
@@ -53,9 +54,12 @@
     @rule(reader=READERS)
     def read(self, reader):
         start = self.positions[reader]
-        records = [KeyedRecord(*item) for item in self.log[start:]]
-        self.positions[reader] = len(self.log)
-        self.feeds[reader].publish(start, records, len(self.log))
+        end = len(self.log)
+        self.positions[reader] = end
+        asked_ms = Clock().now()
+        self.feeds[reader].publish(
+            Changes(start, end, tuple(self.log[start:]), asked_ms)
+        )
 
     @rule(reader=READERS, lost=st.booleans())
     def make_round(self, reader, lost):
