--- /dev/null
+++ b/tests/test_late_drains.py
@@ -0,0 +1,155 @@
+"""How long a host may go on using an endpoint that has begun to leave.
+
+A host passed a call on to an endpoint 2.2 s after the store had
+acknowledged that it leaves, where 2 s are allowed.  No line of that time
+told of a lost store, a lost peer or a failed call.
+
+A read that waits for changes may miss a record that is appended in the
+millisecond in which it arrives, and answers only at the end of its wait.
+A host then learns of a drain with the next record, or when the wait ends.
+When 37 drains were played, one host of nine learnt of one drain 1,408 ms
+after the others, with the next change, though it had been asking all along:
+
+    52.4141 front-khomas-a-3 endpoint removed i-f0358c5a64
+    52.5728 front-khomas-a-1 endpoint state i-c8ebc39db5 leaving
+    52.5748 front-khomas-b-2 endpoint state i-c8ebc39db5 leaving
+    53.9801 front-khomas-a-3 endpoint state i-c8ebc39db5 leaving
+
+Its next read arrived 158 ms after the first line, when its pause of 150 ms
+was over.  A shorter wait bounds one such read.  A host that is told by
+another one adds its own wait for news to that, and must not.
+"""
+
+import asyncio
+import json
+
+import pytest
+
+from pearrun import exceptions
+from pearrun.clock import Clock
+from pearrun.clock import to_seconds
+from pearrun.platform import codec
+from pearrun.platform import settings as settings_module
+from pearrun.platform.following import EndpointFollower
+from pearrun.platform.store import KeyedRecord
+from pearrun.shared.host import HostContext
+from pearrun.shared.reports import EndpointFeed
+from pearrun.standins.platformsite import make_settings_fields
+from pearrun.standins.platformsite import StandinSite
+from tests.platformsite import wait_until
+from tests.test_endpoint_entries import ENTRY
+
+PORTS = {'front': 8360, 'ready': 8365, 'peer': 7500}
+
+
+class ScriptedStore:
+    """A log of endpoints whose waiting reads miss what comes meanwhile.
+
+    :param drain_at_read: the drain is appended as this read arrives, the
+        first one being 1; 0 for never.
+    :param failing_reads: numbers of reads that get no answer.
+    """
+
+    def __init__(self, drain_at_read=0, failing_reads=()):
+        self.clock = Clock()
+        self.drain_at_read = drain_at_read
+        self.failing_reads = failing_reads
+        self.records = [make_record('ready')]
+        self.reads = 0
+        self.drained_ms = None
+
+    async def newest(self, topic):
+        """See :class:`StoreClient`."""
+        return list(self.records), len(self.records)
+
+    async def follow(self, topic, start, wait_ms):
+        """See :class:`StoreClient`."""
+        self.reads += 1
+        if self.reads in self.failing_reads:
+            raise exceptions.StoreUnavailableError('no answer')
+        found = self.records[start:]
+        if self.reads == self.drain_at_read:
+            self.drain()
+        if not found and wait_ms:
+            await asyncio.sleep(to_seconds(wait_ms))
+        return found, start + len(found)
+
+    def drain(self):
+        """Append that the endpoint leaves."""
+        self.records.append(make_record('draining'))
+        self.drained_ms = self.clock.now()
+
+
+def make_record(state):
+    """Return the record of the one endpoint in a state."""
+    return KeyedRecord('e1', json.dumps({**ENTRY, 'state': state}).encode())
+
+
+def make_follower(store):
+    """Return the follower of a host that another one reads for."""
+    site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
+    fields = make_settings_fields('h', 'zone-a', '10.1.0.1', site, PORTS)
+    host = HostContext(
+        settings_module.decode(fields), codec.EndpointCodec(), Clock()
+    )
+    host.feed.followed = True
+    return EndpointFollower(host, store)
+
+
+async def measure_delay(follower, store):
+    """Return the milliseconds from the drain until it is acted on."""
+    fleet = follower.host.fleet
+    await wait_until(lambda: store.drained_ms is not None)
+    await wait_until(lambda: fleet.of_service('model') == [])
+    return store.clock.since(store.drained_ms)
+
+
+async def tell_late(follower, store):
+    """Have another host pass on a read that missed a drain, and no more."""
+    await wait_until(lambda: follower.host.fleet.of_service('model'))
+    position = len(store.records)
+    waited_ms = follower.wait_ms
+    store.drain()
+    await asyncio.sleep(to_seconds(waited_ms))
+    follower.host.feed.offer(EndpointFeed(position, position, (), waited_ms))
+
+
+def play(store, script=None):
+    """Run a follower until it has acted on the drain.
+
+    :param script: called with the follower and the store.
+    :returns: the time that took, and the time allowed, in milliseconds.
+    """
+
+    async def main():
+        follower = make_follower(store)
+        tasks = [asyncio.create_task(follower.run())]
+        if script is not None:
+            tasks.append(asyncio.create_task(script(follower, store)))
+        try:
+            took_ms = await measure_delay(follower, store)
+        finally:
+            for task in tasks:
+                task.cancel()
+        return took_ms, follower.host.settings.drain_ms
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('store', 'script'),
+    [
+        pytest.param(
+            ScriptedStore(drain_at_read=1), None, id='own read missed it'
+        ),
+        pytest.param(ScriptedStore(), tell_late, id='reader missed it'),
+        pytest.param(
+            ScriptedStore(drain_at_read=1, failing_reads=(2,)),
+            None,
+            id='a read failed',
+        ),
+    ],
+)
+def test_a_drain_is_known_in_time_without_the_host_that_reads(store, script):
+    took_ms, allowed_ms = play(store, script)
+    assert took_ms < allowed_ms
