--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -287,13 +287,14 @@
         endpoint = self.host.fleet.find(name)
         if endpoint is None or endpoint.id in self.removals:
             return
-        if not self._store_just_returned():
+        if not self._return_left_ms():
             self.host.drop_endpoint(endpoint, 'entry removed')
             return
-        endpoint.pause.until_ms = self.host.clock.now() + self.return_ms
+        left_ms = self._return_left_ms()
+        endpoint.pause.until_ms = self.host.clock.now() + left_ms
         loop = asyncio.get_running_loop()
         self.removals[endpoint.id] = loop.call_later(
-            to_seconds(self.return_ms), self._remove_late, endpoint.id
+            to_seconds(left_ms), self._remove_late, endpoint.id
         )
 
     def _remove_late(self, endpoint_id):
@@ -302,10 +303,16 @@
         if endpoint is not None:
             self.host.drop_endpoint(endpoint, 'entry not back after outage')
 
-    def _store_just_returned(self):
+    def _return_left_ms(self):
+        """Return how long entries that lapsed may still come back.
+
+        It counts from the store's return, however late a removal is heard
+        of: the endpoint may have left by itself.
+
+        :returns: milliseconds; 0 when the store has not been away lately.
+        """
         if not self.reachable:
-            return True
-        returned_ms = self.regained_ms
-        if returned_ms is None:
-            return False
-        return self.host.clock.since(returned_ms) < self.return_ms
+            return self.return_ms
+        if self.regained_ms is None:
+            return 0
+        return max(0, self.return_ms - self.host.clock.since(self.regained_ms))
--- a/tests/test_endpoint_entries.py
+++ b/tests/test_endpoint_entries.py
@@ -22,6 +22,7 @@
 from pearrun.standins.platformsite import make_settings_fields
 from pearrun.standins.platformsite import StandinSite
 from pearrun.states import EndpointState
+from tests.platformsite import wait_until
 
 ENTRY = {
     'service': 'model',
@@ -188,6 +189,28 @@
     assert follower.host.fleet.of_service('model') == []
 
 
+def test_a_removed_entry_is_waited_for_from_the_stores_return_on():
+    """One that is told late is not waited for later.
+
+    A host heard of a removal 1 s after the store had returned, and went on
+    using the endpoint for 1.5 s from then on: longer than 2 s after it had
+    left, where it was the only one.
+    """
+
+    async def main():
+        follower = make_follower()
+        take(follower, 'e1', encode())
+        clock = follower.host.clock
+        follower.regained_ms = clock.now() - 1000
+        follower.take_changes([KeyedRecord('e1', None)], 0)
+        assert find(follower) is not None
+        await wait_until(lambda: find(follower) is None)
+        allowed_ms = follower.host.settings.drain_ms
+        assert clock.since(follower.regained_ms) < allowed_ms
+
+    asyncio.run(main())
+
+
 def test_a_new_start_ends_the_wait_for_the_old_ones_entry():
     async def main():
         follower = make_follower()
