--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -250,6 +250,14 @@
         self.silent = silent
 
 
+def is_silence(error):
+    """Say whether an error means that nothing answered on a connection.
+
+    :param error: what ended a request: an exception.
+    """
+    return isinstance(error, TimeoutError) or getattr(error, 'silent', False)
+
+
 class MismatchedAnswerError(BackendError):
     """An endpoint's answer is not one to this request."""
 
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -178,6 +178,10 @@
         except (exceptions.PearrunError, TimeoutError) as exc:
             self.failures += 1
             self.failing = True
+            if exceptions.is_silence(exc):
+                # What silenced this connection may have silenced the idle
+                # ones: each would cost another call its whole time.
+                self.pool.close()
             raise exceptions.StoreUnavailableError(
                 f'{path}: {exc or "timed out"}'
             ) from exc
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -220,7 +220,12 @@
         self.host.demands.note_answer(self.service.name, took_ms)
 
     def _note_broken(self, exc):
-        self._note_failure(silent=getattr(exc, 'silent', False))
+        silent = exceptions.is_silence(exc)
+        self._note_failure(silent=silent)
+        if silent:
+            # The idle connections may have gone silent with this one, and
+            # each would cost a call that may not be repeated.
+            self.host.pools.close_idle(self.selected.endpoint.id)
 
     def _note_failure(self, refused=False, silent=False):
         endpoint = self.selected.endpoint
--- a/pearrun/shared/pools.py
+++ b/pearrun/shared/pools.py
@@ -42,6 +42,12 @@
             pool = self._pools[record.id] = Pool(record.address, settings)
         return pool
 
+    def close_idle(self, endpoint_id):
+        """Close the idle connections to an endpoint that is still used."""
+        pool = self._pools.get(endpoint_id)
+        if pool is not None:
+            pool.close()
+
     def remove(self, endpoint_id):
         """Close the idle connections to an endpoint that has left."""
         pool = self._pools.pop(endpoint_id, None)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from pearrun import exceptions
 from pearrun.decisions.budget import RetryBudget
 from pearrun.http1 import client
 from pearrun.platform import membership
@@ -425,6 +426,46 @@
     asyncio.run(main())
 
 
+def test_one_silent_connection_to_an_endpoint_costs_one_call(monkeypatch):
+    """Several connections go silent at once; one call finds out.
+
+    Calls that may not be repeated were lost on each of them, one by one.
+    """
+
+    async def scenario(site, host):
+        site.runners['p1'].work_ms = 100
+        await asyncio.gather(
+            *(call(host, '/once/', f'a{number}') for number in range(3))
+        )
+        read_head = client.ClientConnection.read_head
+        silenced = set(list_idle(host))
+        assert len(silenced) == 3
+
+        async def read_unless_silenced(connection):
+            if connection in silenced:
+                raise exceptions.ConnectionBrokenError('silent', True)
+            return await read_head(connection)
+
+        monkeypatch.setattr(
+            client.ClientConnection, 'read_head', read_unless_silenced
+        )
+        assert (await call(host, '/once/', 'b')).status == 502
+        assert (await call(host, '/once/', 'c')).status == 200
+
+    play(scenario, runners=PLAIN)
+
+
+def list_idle(daemon):
+    """Return a host's idle connections to the endpoints."""
+    endpoints = daemon.host.fleet.endpoints.values()
+    service = daemon.host.config.current.services['plain']
+    return [
+        connection
+        for endpoint in endpoints
+        for connection in daemon.host.pools.get(endpoint.record, service).idle
+    ]
+
+
 def test_draining_and_removed_endpoints_get_no_new_calls():
     async def scenario(site, host):
         first = site.runners['p1']
