--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -18,14 +18,14 @@
 # Longest wait of a read for endpoints, as a part of the time in which a
 # drain must be acted on.  Two reads, the pauses between them and a round of
 # reports fit into the time after which the other hosts read for themselves.
-ENDPOINT_WAIT_SHARE = 0.2
+ENDPOINT_WAIT_SHARE = 0.25
 # Longest wait of the other reads: a call each in this time.  A read that
 # hangs on a connection that went silent is made up for by the other hosts,
 # which pass on a newer configuration within 1.5 s.
 WAIT_MS = 25_000
 # A host reads the endpoints itself once its list is older than this part of
 # the time in which a drain must be acted on; the rest is for that read.
-OLDEST_LIST_SHARE = 0.75
+OLDEST_LIST_SHARE = 0.8
 # Pause between reads of the endpoints' heartbeats, which come many
 # times a second: a drain has to be acted on within 2 s.
 ENDPOINT_PAUSE_MS = 150
