Reports that two hubs pass on are decoded once

Each of a zone's two hubs passes on the same reports, and a host decoded both copies.

Change: reports are remembered by their bytes, which bear a number.

Tests: fail before (6 decoded in place of 3).

--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -202,7 +202,7 @@
         """Take one peer's bundles until its link ends."""
         try:
             async for data in link:
-                self.board.take(reports.decode_bundle(data))
+                self.board.take_encoded(data)
         except exceptions.WireFormatError as exc:
             logger.bind(code=exc.code).warning(exc.message)
         except websockets.ConnectionClosedError as exc:
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -1,5 +1,7 @@
 """What other hosts told this one."""
 
+import collections
+
 from loguru import logger
 
 from pearrun import exceptions
@@ -14,6 +16,9 @@
 ASKED_MS = 2000
 # A notice of the lease that is older than this is not passed on.
 NOTICE_FRESH_MS = 600
+# Reports remembered as they came, so that copies are not decoded: two rounds
+# of a large zone's hosts, some 400 bytes each.
+REMEMBERED_REPORTS = 256
 # A holder that was heard this lately is told the usage.
 HOLDER_KNOWN_MS = 3000
 
@@ -35,16 +40,30 @@
         self._hubs = {}
         self._asked_ms = None
         self._fresh = {}
+        self._remembered = collections.OrderedDict()
         self._ended = []
         self._zone_placed = []
 
     # taking messages
 
+    def take_encoded(self, data):
+        """Take an encoded :class:`Bundle`.
+
+        Every hub of a zone passes on the same reports; those that another
+        one has told already are not decoded again, which would be a third
+        of the work of hearing the others.
+
+        :raises WireFormatError: it is none.
+        """
+        bundle = reports.decode_bundle(data, self._remembered.__contains__)
+        self.take(bundle)
+
     def take(self, bundle):
         """Take a :class:`Bundle`."""
         for message, encoded in bundle.messages:
             match message:
                 case reports.HostReport():
+                    self._remember(encoded)
                     self._take_report(message, encoded, bundle)
                 case reports.UsageNote(run, counts):
                     self.host.members.note_heard(run.host)
@@ -56,6 +75,12 @@
                 case reports.ConfigCopy(name, raw):
                     self._take_config(name, raw)
 
+    def _remember(self, encoded):
+        """Remember a report's bytes; its number makes them its own."""
+        self._remembered[encoded] = None
+        while len(self._remembered) > REMEMBERED_REPORTS:
+            self._remembered.popitem(last=False)
+
     def _take_report(self, report, encoded, bundle):
         run = report.run
         own = run.host == self.host.settings.name
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -134,16 +134,18 @@
     return cbor2.dumps([sender, from_hub, list(encoded)])
 
 
-def decode_bundle(data):
+def decode_bundle(data, is_known=lambda encoded: False):
     """Decode a :class:`Bundle`.
 
+    :param is_known: says of an encoded message whether to leave it out.
     :raises WireFormatError: it is none, or holds an unknown message.
     """
     try:
         sender, from_hub, encoded = cbor.load(data, 'peer')
-        return Bundle(
-            sender, from_hub, [(decode(item), item) for item in encoded]
-        )
+        messages = [
+            (decode(item), item) for item in encoded if not is_known(item)
+        ]
+        return Bundle(sender, from_hub, messages)
     except (ValueError, TypeError) as exc:
         raise exceptions.WireFormatError(f'peer: {exc}') from exc
 
--- /dev/null
+++ b/tests/test_reportboard.py
@@ -0,0 +1,86 @@
+"""Reports that reach a host more than once."""
+
+from pearrun import exceptions
+from pearrun.clock import Clock
+from pearrun.platform import codec
+from pearrun.platform import settings as settings_module
+from pearrun.shared import reports
+from pearrun.shared.host import HostContext
+from pearrun.shared.loads import Load
+from pearrun.shared.reportboard import ReportBoard
+from pearrun.shared.run import Run
+from pearrun.standins.platformsite import make_settings_fields
+from pearrun.standins.platformsite import StandinSite
+
+PORTS = {'front': 8360, 'ready': 8365, 'peer': 7500}
+RUN = Run('other', 1, 'zone-a')
+
+
+def make_board():
+    """Return the board of a host that takes no configurations."""
+    site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
+    fields = make_settings_fields('h', 'zone-a', '10.1.0.1', site, PORTS)
+    settings = settings_module.decode(fields)
+    host = HostContext(settings, codec.EndpointCodec(), Clock())
+    return ReportBoard(host, decode_nothing)
+
+
+def decode_nothing(raw):
+    """Stand where configurations are decoded."""
+    raise exceptions.WireFormatError('no configuration')
+
+
+def make_report(number, calls):
+    """Return an encoded report of another host."""
+    return reports.encode(
+        reports.HostReport(
+            run=RUN,
+            number=number,
+            hosts=1,
+            wall_ms=0,
+            config_version=0,
+            config_age_ms=0,
+            loads={'e': Load(calls, 0)},
+            admitted={},
+        )
+    )
+
+
+def tell(board, hub, *messages):
+    """Have a hub tell a board some messages."""
+    board.take_encoded(reports.encode_bundle(hub, True, messages))
+
+
+def test_a_report_that_two_hubs_pass_on_is_decoded_once(monkeypatch):
+    decoded = []
+    decode = reports.decode
+
+    def decode_and_count(data):
+        decoded.append(data)
+        return decode(data)
+
+    monkeypatch.setattr(reports, 'decode', decode_and_count)
+    board = make_board()
+    for number in range(1, 4):
+        for hub in ('hub-1', 'hub-2'):
+            tell(board, hub, make_report(number, number))
+    assert len(decoded) == 3
+    assert board.host.loads.get('e').calls == 3
+
+
+def test_a_host_that_ends_twice_is_forgotten_twice():
+    """Only reports are told apart by their bytes: they bear numbers."""
+    board = make_board()
+    ended = reports.encode(reports.HostEnded('other'))
+    for number in (1, 2):
+        tell(board, 'hub-1', make_report(number, number))
+        assert board.host.loads.get('e').calls == number
+        tell(board, 'hub-1', ended)
+        assert board.host.loads.get('e').calls == 0
+
+
+def test_an_older_report_is_not_taken_after_a_newer_one():
+    board = make_board()
+    tell(board, 'hub-1', make_report(2, 2))
+    tell(board, 'hub-2', make_report(1, 1))
+    assert board.host.loads.get('e').calls == 2
