--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -114,12 +114,10 @@
 
     def make_duty_notice(self):
         """Return what the others are told of the lease, if it is here."""
-        left_ms = self.duties.left_ms()
-        if not left_ms:
+        if not self.duties.holds():
             return None
-        return reports.DutyNotice(
-            self.settings.name, self.duties.view.fencing, left_ms
-        )
+        view = self.duties.view
+        return reports.DutyNotice(self.settings.name, view.fencing, view.end)
 
     def holds_lease(self):
         """Say whether this host performs the duties now."""
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -1,6 +1,7 @@
 """What other hosts told this one."""
 
 import collections
+import dataclasses
 
 from loguru import logger
 
@@ -122,13 +123,25 @@
         if report.config_version == host.config.version:
             host.config.confirm(now - report.config_age_ms)
         if report.duty is not None:
-            self.duty_heard[report.duty.holder] = (now, report.duty)
+            self._note_duty(report.duty, now)
         if report.run.zone == host.settings.zone:
             self._zone_placed.extend(report.placed)
         for placed in report.placed:
             parts = [PromptPart(part_id, 0) for part_id in placed.part_ids]
             host.selection.prefixes.note(placed.endpoint_id, parts, now)
 
+    def _note_duty(self, notice, now):
+        """Note when a holder of the lease last said that it is one.
+
+        Hubs tell each other what others told them, so a notice comes back.
+        Taken for a new one it would keep a lost holder's lease from being
+        taken by another host for good.
+        """
+        said_ms = now - notice.age_ms
+        heard_ms, _ = self.duty_heard.get(notice.holder, (said_ms, None))
+        if said_ms >= heard_ms:
+            self.duty_heard[notice.holder] = (said_ms, notice)
+
     def _prefers(self, run):
         """Say whether a hub's sums count for its zone.
 
@@ -179,12 +192,18 @@
         return self.versions.get(name)
 
     def heard_duty_ms(self):
-        """Return when a valid holder of the lease was last heard of."""
+        """Return when a holder of the lease last said that it is one."""
         return max(
             (heard_ms for heard_ms, _ in self.duty_heard.values()),
             default=None,
         )
 
+    def last_notice(self):
+        """Return the last :class:`DutyNotice`, however old, or ``None``."""
+        heard = self.duty_heard.values()
+        last = max(heard, key=lambda item: item[0], default=None)
+        return last[1] if last else None
+
     def find_holder(self):
         """Return the name of the lease's holder, if one is known."""
         now = self.clock.now()
@@ -196,14 +215,20 @@
         return max(known)[1] if known else None
 
     def find_notice(self):
-        """Return the newest notice of the lease, if it is fresh."""
+        """Return the newest notice of the lease, if it is fresh.
+
+        :returns: a :class:`DutyNotice` with its present age, or ``None``.
+        """
         now = self.clock.now()
         fresh = [
             (heard_ms, notice.fencing, notice)
             for heard_ms, notice in self.duty_heard.values()
             if now - heard_ms < NOTICE_FRESH_MS
         ]
-        return max(fresh)[2] if fresh else None
+        if not fresh:
+            return None
+        heard_ms, _, notice = max(fresh, key=lambda item: item[:2])
+        return dataclasses.replace(notice, age_ms=now - heard_ms)
 
     def is_asked(self):
         """Say whether other hosts of the zone tell this one as a hub."""
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -26,12 +26,14 @@
     """That a host holds the duties' lease.
 
     :param fencing: its fencing token.
-    :param left_ms: milliseconds for which the lease still holds.
+    :param log_end: where the lease's log ends after its last record.
+    :param age_ms: how long ago the holder itself said so.
     """
 
     holder: HostName
     fencing: int
-    left_ms: int
+    log_end: int
+    age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -194,12 +196,17 @@
             for name, use in report.admitted.items()
         },
         [[item.endpoint_id, item.part_ids] for item in report.placed],
-        [duty.holder, duty.fencing, duty.left_ms] if duty else None,
+        encode_notice(duty) if duty else None,
         {name: encode_demand(item) for name, item in report.demands.items()},
         {name: encode_sums(item) for name, item in report.engines.items()},
     ]
 
 
+def encode_notice(notice):
+    """Return the fields of a :class:`DutyNotice`."""
+    return [notice.holder, notice.fencing, notice.log_end, notice.age_ms]
+
+
 def encode_sums(sums):
     """Return the fields of :class:`LineSums`, rounded."""
     return [
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -207,7 +207,7 @@
         loads={'e': Load(2, 900)},
         admitted={'anna': Admitted(10, 2)},
         placed=(Placed('e', ('p', 'q')),),
-        duty=reports.DutyNotice(HostName('h'), 9, 1500),
+        duty=reports.DutyNotice(HostName('h'), 9, 12, 150),
         demands={'s': Demand(2.5, 900, 1_000_000, 800)},
         engines={'s': LineSums(12.25, 4000, 700, 5_000_000, 90_000)},
     )
--- a/tests/test_reportboard.py
+++ b/tests/test_reportboard.py
@@ -1,5 +1,8 @@
 """Reports that reach a host more than once."""
 
+import dataclasses
+import time
+
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.platform import codec
@@ -84,3 +87,27 @@
     tell(board, 'hub-1', make_report(2, 2))
     tell(board, 'hub-2', make_report(1, 1))
     assert board.host.loads.get('e').calls == 2
+
+
+def test_a_notice_of_the_lease_that_comes_back_is_no_news():
+    """Hubs of two zones tell each other what the other one told."""
+    boards = [make_board(), make_board()]
+    notice = reports.DutyNotice('holder', 3, 7)
+    said_ms = boards[0].clock.now()
+    for number in range(1, 6):
+        notice = pass_notice(boards[number % 2], notice, number)
+        assert notice.age_ms >= 50 * number
+    for board in boards:
+        assert board.heard_duty_ms() - said_ms < 125
+
+
+def pass_notice(board, notice, number):
+    """Tell a board of the lease, and return what it tells after 50 ms."""
+    report = dataclasses.replace(
+        reports.decode(make_report(number, 0)),
+        run=Run(f'hub-{number}', 1, 'zone-b', True),
+        duty=notice,
+    )
+    tell(board, 'hub', reports.encode(report))
+    time.sleep(0.05)
+    return board.find_notice()
