A call that failed elsewhere goes back to an endpoint that was slow to accept

Cause: with two endpoints, one was slow to accept and was passed over, the other one reset the call, and none was left, though the first one would have taken it.

One that has not run is refused at once, as before.

--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -79,9 +79,10 @@
     async def _serve(self, call, service, caller, trace):
         """Send the call until it is answered or given up."""
         tried = set()
+        unreached = set()
         resume = Resume(call.last_event_id)
         while True:
-            selected = self.host.selection.choose(call, service, tried)
+            selected = self._choose(call, service, trace, tried, unreached)
             if selected is None:
                 await self._give_up(call, caller, trace, 'no endpoint')
                 return
@@ -100,10 +101,24 @@
             trace.note_send(selected, self.clock.now())
             exchange = Exchange(self.host, call, service, caller, trace)
             outcome = await exchange.run(selected, resume)
-            tried.add(selected.endpoint.id)
+            arrived = not isinstance(outcome, NotRun) or outcome.arrived
+            (tried if arrived else unreached).add(selected.endpoint.id)
             if not await self._go_on(call, service, caller, trace, outcome):
                 return
 
+    def _choose(self, call, service, trace, tried, unreached):
+        """Choose the next endpoint for a call.
+
+        A call that has run elsewhere, and can no longer be refused, goes
+        back to endpoints that took no connection: one that was slow to
+        accept may still save it.  One that has not run is refused at once.
+        """
+        selection = self.host.selection
+        selected = selection.choose(call, service, tried | unreached)
+        if selected is None and unreached and trace.may_have_run:
+            return selection.choose(call, service, tried)
+        return selected
+
     async def _go_on(self, call, service, caller, trace, outcome):
         """Act on how a send ended.
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -216,6 +216,37 @@
     play(scenario, runners=PLAIN_TWO)
 
 
+def test_a_call_that_failed_goes_back_to_an_endpoint_that_was_slow(
+    monkeypatch,
+):
+    """One of two endpoints is slow to accept once; the other one resets.
+
+    The call was given up with 502, "no endpoint", 0.3 s after it came,
+    though the first endpoint would have taken it by then.
+    """
+
+    async def scenario(site, host):
+        site.runners['p1'].faults.reset_before = True
+        slow = site.runners['p2'].address
+        connect = client.connect
+        refused = []
+
+        async def connect_slowly_once(address, *limits):
+            if address == slow and not refused:
+                refused.append(address)
+                raise exceptions.EndpointSilentError('connect timed out')
+            return await connect(address, *limits)
+
+        monkeypatch.setattr(client, 'connect', connect_slowly_once)
+        # Which endpoint a call goes to first is left to the host.
+        for number in range(4):
+            answer = await call(host, '/safe/', f'a{number}')
+            assert answer.status == 200
+        assert refused
+
+    play(scenario, runners=PLAIN_TWO)
+
+
 def test_idempotent_call_failed_by_one_endpoint_is_mended_by_another():
     async def scenario(site, host):
         site.runners['p1'].faults.status = 500
