Tests: a process that is killed has ended before the next step

Cause: cancelled_before_running failed once beside a load average of 24. It kills an engine and sends a call 0.3 s later, which must find no engine; a killed process ends when the machine gets to it. Not reproduced: 6 of 6 passed beside 40 busy processes, so this is the presumed cause only.

Change: the step waits for the end of the process, and of its connections with it.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -318,10 +318,16 @@
             )
 
     def signal(self, name, signal_name):
-        """Send a signal, such as ``KILL`` or ``STOP``, to a process."""
+        """Send a signal, such as ``KILL`` or ``STOP``, to a process.
+
+        A killed process has ended when this returns, and its connections
+        with it: what comes next finds it gone, however busy the machine is.
+        """
         proc = self.procs[name]
         if proc.poll() is None:
             proc.send_signal(getattr(signal, f'SIG{signal_name}'))
+        if signal_name == 'KILL':
+            proc.wait(timeout=30)
 
     def stop(self):
         """Stop every process."""
