--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -22,6 +22,7 @@
 from pearrun.decisions import lease
 from pearrun.platform.daemon import Daemon
 from tests.platformsite import wait_until
+from tests.test_topology import find_hubs
 from tests.test_topology import play_with_hubs
 
 # What a successor may need beyond the time for which the log must stand
@@ -58,3 +59,31 @@
         assert took_ms < lease.QUIET_MS + NEWS_MS
 
     play_with_hubs(scenario, monkeypatch)
+
+
+def test_a_holder_does_not_pass_on_reports_for_holding_the_lease(monkeypatch):
+    """A successor lost the lease again after 3 s, and so did the next.
+
+    Hosts told it what they tell their hubs, so it took itself for one and
+    sent all reports to 22 hosts over a link of 10 Mbit/s, until its own
+    calls to the store timed out:
+
+         5.78 front-boa-viagem-23 lease taken
+         6.41 front-boa-viagem-23 role among hosts is_hub=true targets=26
+         8.64 front-boa-viagem-23 lease: /log-append: (timed out)
+        10.74 front-boa-viagem-23 store lost: connect timed out
+        13.31 front-jaboatao-2 lease taken
+    """
+
+    async def scenario(site, daemons):
+        hubs = find_hubs(daemons)
+        others = [daemon for daemon in daemons if daemon not in hubs]
+        for hub in hubs:
+            cut_from_store(hub)
+        await wait_until(lambda: find_holder(others) is not None, 15)
+        # Hosts plan their links and roles several times a second.
+        await asyncio.sleep(1.5)
+        assert find_holder(others) is not None
+        assert find_hubs(daemons) == hubs
+
+    play_with_hubs(scenario, monkeypatch)
