--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -82,17 +82,24 @@
 
         :param member: the :class:`Member` at its other end.
         """
+        plan = self.plan
+        if plan.mesh:
+            return self.bundle_of([made.own, made.usage, *made.feeds])
         messages = []
-        if self.plan.mesh:
-            messages = [made.own, made.usage, *made.feeds]
-        elif member.zone == self.host.settings.zone:
-            messages = [made.own, *made.feeds, *made.passed_on]
-        elif made.zone is not None:
-            messages = [made.zone]
-        if not self.plan.mesh and member.name == self.board.find_holder():
+        if member.name in plan.targets:
+            messages.extend(self._select(made, member))
+        if member.name == self.board.find_holder():
+            # No more than that: a host that is told as a hub acts as one,
+            # and the holder's link may be too slow for it.
             messages.append(made.usage)
         return self.bundle_of(messages)
 
+    def _select(self, made, member):
+        """Return what a link of a fleet with hubs carries of a round."""
+        if member.zone == self.host.settings.zone:
+            return [made.own, *made.feeds, *made.passed_on]
+        return [made.zone] if made.zone is not None else []
+
     def bundle_of(self, messages):
         """Return a bundle of encoded messages from this host."""
         return reports.encode_bundle(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -86,4 +86,5 @@
         assert find_holder(others) is not None
         assert find_hubs(daemons) == hubs
 
-    play_with_hubs(scenario, monkeypatch)
+    # Two hosts in each zone are no hubs: one holds, the other one tells it.
+    play_with_hubs(scenario, monkeypatch, hosts=8)
