--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -18,8 +18,8 @@
 from pearrun.platform.codec import EndpointCodec
 from pearrun.platform.decoding import decode_configuration
 from pearrun.platform.dutycalls import DutyClient
+from pearrun.platform.endpointlist import EndpointFollower
 from pearrun.platform.following import ConfigFollower
-from pearrun.platform.following import EndpointFollower
 from pearrun.platform.front import Front
 from pearrun.platform.front import Readiness
 from pearrun.platform.leaselog import LeaseLog
--- /dev/null
+++ b/pearrun/platform/endpointlist.py
@@ -0,0 +1,178 @@
+"""The list of endpoints, as they write it to the store."""
+
+import asyncio
+import enum
+
+from loguru import logger
+
+from pearrun.clock import to_seconds
+from pearrun.platform import decoding
+from pearrun.platform.following import Follower
+from pearrun.platform.store import KeyedRecord
+from pearrun.shared.feed import Changes
+
+ENDPOINT_TOPIC = 'servers'
+# Longest wait of a read for endpoints, as a part of the time in which a
+# drain must be acted on.  Two reads, the pauses between them and a round of
+# reports fit into the time after which the other hosts read for themselves.
+ENDPOINT_WAIT_SHARE = 0.25
+# A host reads the endpoints itself once its list is older than this part of
+# the time in which a drain must be acted on; the rest is for that read.
+OLDEST_LIST_SHARE = 0.8
+# Pause between reads of the endpoints' heartbeats, which come many
+# times a second: a drain has to be acted on within 2 s.
+ENDPOINT_PAUSE_MS = 150
+# The same in a large fleet, whose hubs read: half of the calls, and a drain
+# is still known everywhere within a second.
+HUB_PAUSE_MS = 300
+# Entries that lapsed while the store was away come back within 2 s of
+# its return; until then an endpoint that was removed may be used if there
+# is no other, but for this part of the time in which a leaving endpoint
+# must stop getting work at the most.
+RETURN_SHARE = 0.75
+
+
+class Source(enum.Enum):
+    """Who told this host of a change."""
+
+    STORE = 'store'
+    PEER = 'peer'
+
+
+class EndpointFollower(Follower):
+    """Keeps the list of endpoints."""
+
+    def __init__(self, host, store):
+        super().__init__(
+            host,
+            store,
+            ENDPOINT_TOPIC,
+            int(host.settings.drain_ms * ENDPOINT_WAIT_SHARE),
+            ENDPOINT_PAUSE_MS,
+        )
+        self.feed = host.feed
+        self.source = Source.STORE
+        self.removals = {}
+        self.return_ms = int(host.settings.drain_ms * RETURN_SHARE)
+        self.oldest_list_ms = int(host.settings.drain_ms * OLDEST_LIST_SHARE)
+
+    async def _read_once(self):
+        if self.position is None or not self.feed.followed:
+            through_hubs = self.feed.through_hubs
+            self.pause_ms = HUB_PAUSE_MS if through_hubs else ENDPOINT_PAUSE_MS
+            await super()._read_once()
+            return
+        self.pause_ms = 0
+        # What counts is the age of the list, not the silence of the host
+        # that reads: a read that missed a drain is news too, and its wait
+        # and this host's would add up.
+        due_ms = self.host.fleet.listed_ms + self.oldest_list_ms
+        changes = await self.feed.wait(self.position, due_ms)
+        if changes is None:
+            # Only a read that does not wait misses nothing.
+            await self._read_changes(wait_ms=0)
+            return
+        self._take_passed_on(changes)
+
+    async def _read_changes(self, wait_ms):
+        """Read the store, also for the other hosts of the zone."""
+        start = self.position
+        asked_ms = self.host.clock.now()
+        records, end = await self.store.follow(self.topic, start, wait_ms)
+        self.position = end
+        self.source = Source.STORE
+        self.take_changes(records, asked_ms)
+        pairs = tuple((record.key, record.value) for record in records)
+        self.feed.publish(Changes(start, end, pairs, asked_ms))
+
+    def _take_passed_on(self, changes):
+        """Take :class:`Changes` that another host read."""
+        self.position = changes.next
+        self.source = Source.PEER
+        records = [KeyedRecord(key, value) for key, value in changes.records]
+        self.take_changes(records, changes.asked_ms)
+
+    def take_all(self, records, asked_ms):
+        """See :class:`Follower`."""
+        listed = {record.key for record in records}
+        for record in records:
+            self._put(record)
+        for endpoint in list(self.host.fleet.endpoints.values()):
+            if endpoint.record.name not in listed:
+                self._remove(endpoint.record.name)
+        self._confirm(asked_ms)
+
+    def take_changes(self, records, asked_ms):
+        """See :class:`Follower`."""
+        for record in records:
+            if record.value is None:
+                self._remove(record.key)
+            else:
+                self._put(record)
+        self._confirm(asked_ms)
+
+    def _confirm(self, asked_ms):
+        fleet = self.host.fleet
+        fleet.listed_ms = max(fleet.listed_ms or 0, asked_ms)
+        self.host.config.confirm_alive(self.host.clock.now())
+
+    def _put(self, record):
+        entry = self.decode(decoding.decode_endpoint, record.key, record.value)
+        if entry is None or self.host.fleet.is_outdated(entry):
+            return
+        known = self.host.fleet.find(entry.name)
+        if known is not None and known.id != entry.id:
+            self._cancel_removal(known.id)
+            self.host.drop_endpoint(known, 'started again')
+        self._cancel_removal(entry.id)
+        if self.host.fleet.put(entry):
+            logger.bind(
+                endpoint=entry.id,
+                service=entry.service,
+                zone=entry.zone,
+                address=entry.address,
+                state=entry.state.value,
+                reclaimable=entry.reclaimable,
+                leaves_ms=entry.leaves_ms,
+                source=self.source.value,
+                list_age_ms=self.host.list_age_ms(self.host.clock.now()),
+            ).info('endpoint state')
+
+    def _cancel_removal(self, endpoint_id):
+        timer = self.removals.pop(endpoint_id, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _remove(self, name):
+        endpoint = self.host.fleet.find(name)
+        if endpoint is None or endpoint.id in self.removals:
+            return
+        if not self._return_left_ms():
+            self.host.drop_endpoint(endpoint, 'entry removed')
+            return
+        left_ms = self._return_left_ms()
+        endpoint.pause.until_ms = self.host.clock.now() + left_ms
+        loop = asyncio.get_running_loop()
+        self.removals[endpoint.id] = loop.call_later(
+            to_seconds(left_ms), self._remove_late, endpoint.id
+        )
+
+    def _remove_late(self, endpoint_id):
+        self.removals.pop(endpoint_id, None)
+        endpoint = self.host.fleet.endpoints.get(endpoint_id)
+        if endpoint is not None:
+            self.host.drop_endpoint(endpoint, 'entry not back after outage')
+
+    def _return_left_ms(self):
+        """Return how long entries that lapsed may still come back.
+
+        It counts from the store's return, however late a removal is heard
+        of: the endpoint may have left by itself.
+
+        :returns: milliseconds; 0 when the store has not been away lately.
+        """
+        if not self.reachable:
+            return self.return_ms
+        if self.regained_ms is None:
+            return 0
+        return max(0, self.return_ms - self.host.clock.since(self.regained_ms))
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -9,9 +9,12 @@
 import json
 import os
 
+from pearrun.clock import Clock
 from pearrun.http1 import client
 from pearrun.platform import settings as settings_module
+from pearrun.platform.codec import EndpointCodec
 from pearrun.platform.daemon import Daemon
+from pearrun.shared.host import HostContext
 from pearrun.standins.platformsite import KEY
 from pearrun.standins.platformsite import make_settings_fields
 from pearrun.standins.platformsite import StandinSite
@@ -84,6 +87,15 @@
         await super().stop()
 
 
+def make_host_context():
+    """Return the shared objects of a host in zone-a that runs nothing."""
+    site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
+    ports = {'front': 8360, 'ready': 8365, 'peer': 7500}
+    fields = make_settings_fields('h', 'zone-a', '10.1.0.1', site, ports)
+    settings = settings_module.decode(fields)
+    return HostContext(settings, EndpointCodec(), Clock())
+
+
 @contextlib.asynccontextmanager
 async def run_site(config=None, runners=(), hosts=1):
     """Run a site until the block ends, its hosts ready.
--- a/tests/test_endpoint_entries.py
+++ b/tests/test_endpoint_entries.py
@@ -8,20 +8,15 @@
 import pytest
 
 from pearrun import exceptions
-from pearrun.clock import Clock
 from pearrun.decisions.avoidance import Pause
-from pearrun.platform import codec
 from pearrun.platform import decoding
-from pearrun.platform import settings as settings_module
-from pearrun.platform.following import EndpointFollower
+from pearrun.platform.endpointlist import EndpointFollower
 from pearrun.platform.store import KeyedRecord
 from pearrun.platform.store import split_key
-from pearrun.shared.host import HostContext
 from pearrun.shared.loads import Load
 from pearrun.shared.prompts import PromptPart
-from pearrun.standins.platformsite import make_settings_fields
-from pearrun.standins.platformsite import StandinSite
 from pearrun.states import EndpointState
+from tests.platformsite import make_host_context
 from tests.platformsite import wait_until
 
 ENTRY = {
@@ -38,7 +33,6 @@
 LATER = ENTRY['born'] + 5000
 NEEDED = ('service', 'addr', 'zone', 'slots', 'state')
 TYPED = (*NEEDED, 'born', 'spot', 'leaves_ms')
-PORTS = {'front': 8360, 'ready': 8365, 'peer': 7500}
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
@@ -52,11 +46,7 @@
 
 def make_follower():
     """Return a follower whose store is never asked."""
-    site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
-    fields = make_settings_fields('h', 'zone-a', '10.1.0.1', site, PORTS)
-    settings = settings_module.decode(fields)
-    host = HostContext(settings, codec.EndpointCodec(), Clock())
-    return EndpointFollower(host, None)
+    return EndpointFollower(make_host_context(), None)
 
 
 def take(follower, name, raw):
--- a/tests/test_late_drains.py
+++ b/tests/test_late_drains.py
@@ -31,21 +31,15 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
-from pearrun.platform import codec
-from pearrun.platform import settings as settings_module
-from pearrun.platform.following import EndpointFollower
+from pearrun.platform.endpointlist import EndpointFollower
 from pearrun.platform.store import KeyedRecord
-from pearrun.shared.host import HostContext
 from pearrun.shared.reports import EndpointFeed
 from pearrun.standins.platformsite import make_config
-from pearrun.standins.platformsite import make_settings_fields
-from pearrun.standins.platformsite import StandinSite
+from tests.platformsite import make_host_context
 from tests.platformsite import run_site
 from tests.platformsite import wait_until
 from tests.test_endpoint_entries import ENTRY
 
-PORTS = {'front': 8360, 'ready': 8365, 'peer': 7500}
-
 
 class ScriptedStore:
     """A log of endpoints whose waiting reads miss what comes meanwhile.
@@ -92,11 +86,7 @@
 
 def make_follower(store):
     """Return the follower of a host that another one reads for."""
-    site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
-    fields = make_settings_fields('h', 'zone-a', '10.1.0.1', site, PORTS)
-    host = HostContext(
-        settings_module.decode(fields), codec.EndpointCodec(), Clock()
-    )
+    host = make_host_context()
     host.feed.followed = True
     return EndpointFollower(host, store)
 
--- a/tests/test_reportboard.py
+++ b/tests/test_reportboard.py
@@ -4,28 +4,18 @@
 import time
 
 from pearrun import exceptions
-from pearrun.clock import Clock
-from pearrun.platform import codec
-from pearrun.platform import settings as settings_module
 from pearrun.shared import reports
-from pearrun.shared.host import HostContext
 from pearrun.shared.loads import Load
 from pearrun.shared.reportboard import ReportBoard
 from pearrun.shared.run import Run
-from pearrun.standins.platformsite import make_settings_fields
-from pearrun.standins.platformsite import StandinSite
+from tests.platformsite import make_host_context
 
-PORTS = {'front': 8360, 'ready': 8365, 'peer': 7500}
 RUN = Run('other', 1, 'zone-a')
 
 
 def make_board():
     """Return the board of a host that takes no configurations."""
-    site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
-    fields = make_settings_fields('h', 'zone-a', '10.1.0.1', site, PORTS)
-    settings = settings_module.decode(fields)
-    host = HostContext(settings, codec.EndpointCodec(), Clock())
-    return ReportBoard(host, decode_nothing)
+    return ReportBoard(make_host_context(), decode_nothing)
 
 
 def decode_nothing(raw):
