--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -11,10 +11,13 @@
 
 CONFIG_TOPIC = 'op'
 CONFIG_KEY = 'config'
-# Longest wait of a read: a call each in this time.  A read that
-# hangs on a connection that went silent is made up for by the other hosts,
-# which pass on a newer configuration within 1.5 s.
+# Longest wait of a read: a call each in this time.  A read that hangs on a
+# connection that went silent, or missed a record, is made up for by the other
+# hosts, which pass on a newer configuration within 1.5 s.
 WAIT_MS = 25_000
+# The same of a host that has no others, as a part of the time in which a
+# configuration must be in force.
+LONE_WAIT_SHARE = 0.4
 RETRY_BASE_MS = 50
 RETRY_CAP_MS = 500
 
@@ -123,6 +126,12 @@
 
     def __init__(self, host, store):
         super().__init__(host, store, CONFIG_TOPIC)
+        self.lone_wait_ms = int(host.settings.config_ms * LONE_WAIT_SHARE)
+
+    async def _read_once(self):
+        alone = self.host.count_hosts() <= 1
+        self.wait_ms = self.lone_wait_ms if alone else WAIT_MS
+        await super()._read_once()
 
     def _note_reachable(self):
         super()._note_reachable()
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -60,6 +60,7 @@
     :param stop_ms: milliseconds from the stop signal to the kill.
     :param link_mbps: speed of its network link, in megabits a second.
     :param drain_ms: milliseconds a leaving endpoint still serves.
+    :param config_ms: milliseconds until a configuration must be in force.
     :param lease_ms: milliseconds in which duties must not alternate
         between two holders.
     """
@@ -80,6 +81,7 @@
     link_mbps: float
     stop_ms: int
     drain_ms: int
+    config_ms: int
     lease_ms: int
 
 
@@ -138,6 +140,7 @@
         link_mbps=float(fields.get('limits', {}).get('link_mbps', 0)),
         stop_ms=int(bounds.get('grace_s', 8) * 1000),
         drain_ms=int(bounds.get('drain_ms', 2000)),
+        config_ms=int(bounds.get('config_ms', 2000)),
         lease_ms=int(bounds.get('lease_ms', 3000)),
     )
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -457,6 +457,23 @@
     asyncio.run(main())
 
 
+def test_a_configuration_that_a_lone_hosts_read_missed_is_in_force_in_time():
+    """Nobody passes it on; the read went on waiting for up to 25 s."""
+
+    async def scenario(site, host):
+        site.store.faults.missed_records = True
+        # A change ends the read that waits now; the next one misses.
+        site.configure(make_config(2))
+        await wait_until(lambda: host.host.config.version == 2)
+        await asyncio.sleep(0.2)
+        site.configure(make_config(3))
+        written_ms = host.clock.now()
+        await wait_until(lambda: host.host.config.version == 3)
+        assert host.clock.since(written_ms) < host.settings.config_ms
+
+    play(scenario)
+
+
 def test_one_silent_connection_to_an_endpoint_costs_one_call(monkeypatch):
     """Several connections go silent at once; one call finds out.
 
