--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,7 +10,8 @@
 - Duties: one report a window, fencing numbers that only grow, and no two
   holders by turns within a lease.
 - No process ends by itself.
-- Once all is well, every host serves, with the newest configuration.
+- Once all is well, every host serves, with the newest configuration, and
+  one of them holds the duties' lease.
 """
 
 import dataclasses
@@ -46,6 +47,7 @@
     """What one run leaves for the checks.
 
     :param played: :class:`TimedFault` with monotonic times.
+    :param lease_renewed: whether the lease was written once all was well.
     """
 
     records: list
@@ -55,6 +57,7 @@
     exits: dict
     played: list
     last_calls: list
+    lease_renewed: bool
 
 
 def check_all(evidence):
@@ -71,6 +74,7 @@
         check_duties,
         check_exits,
         check_last_calls,
+        check_lease,
     )
     return [finding for check in checks for finding in check(evidence)]
 
@@ -190,6 +194,12 @@
             yield Finding('recovery', f'not served: {record}')
 
 
+def check_lease(evidence):
+    """Once all is well, a host performs the duties."""
+    if not evidence.lease_renewed:
+        yield Finding('recovery', 'nobody renews the lease')
+
+
 # what a call may be excused by
 
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -32,6 +32,8 @@
 # After the last fault: entries come back, silent connections are found,
 # pauses of endpoints end, the lease moves on.
 HEAL_S = 6
+# A holder writes its lease within this time, late ticks included.
+RENEWED_S = 2
 
 
 class Player:
@@ -126,6 +128,7 @@
         traffic.stopped = True
         await calling
         last_calls = await make_last_calls(site, traffic)
+        renewed = await is_lease_renewed(site)
     finally:
         await site.stop()
     evidence = checks.Evidence(
@@ -136,6 +139,7 @@
         exits={name: host.exits for name, host in site.hosts.items()},
         played=player.played,
         last_calls=last_calls,
+        lease_renewed=renewed,
     )
     return checks.check_all(evidence), evidence
 
@@ -145,6 +149,14 @@
     return len(site.store.topic('keyed.hosts').newest) == len(site.host_names)
 
 
+async def is_lease_renewed(site):
+    """Say whether a host goes on writing the duties' lease."""
+    log = site.store.topic('duties')
+    end = log.end
+    await asyncio.sleep(RENEWED_S)
+    return log.end > end
+
+
 async def make_last_calls(site, traffic):
     """Call every host on a connection of its own, newest route too."""
     newest = CallKind(f'/v{site.version}/', False, True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -48,10 +48,17 @@
     ],
 )
 def test_only_an_unavoidable_end_is_no_finding(ended, found):
-    evidence = checks.Evidence([], [], {}, [], {'host-1': [ended]}, [], [])
+    exits = {'host-1': [ended]}
+    evidence = checks.Evidence([], [], {}, [], exits, [], [], True)
     assert len(list(checks.check_exits(evidence))) == found
 
 
+@pytest.mark.parametrize('renewed', [True, False])
+def test_a_lease_that_nobody_renews_is_a_finding(renewed):
+    evidence = checks.Evidence([], [], {}, [], {}, [], [], renewed)
+    assert len(list(checks.check_lease(evidence))) == (not renewed)
+
+
 def test_an_early_signal_is_told_from_one_that_the_program_ignores(tmp_path):
     settings = tmp_path / 'boot.toml'
     settings.write_text('node = 1')
