--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -104,16 +104,31 @@
     :returns: a list of :class:`Order`, two a zone; those that add
         lasting endpoints come first.
     """
-    lasting = spread_lasting(limits, zones, count_lasting(zones, need.lasting))
+    spare = max(0, count_serving(zones) - need.lasting)
+    kept = keep_reclaimable(zones, spare)
+    places = {
+        zone: min(most_lasting(limits), limits.largest - count)
+        for zone, count in kept.items()
+    }
+    total = count_lasting(zones, need.lasting)
+    lasting = spread_lasting(limits, places, total)
     each = reclaimable_in_zone(limits, len(zones), need.reclaimable, settings)
-    orders = [
-        Order(service, zone, False, count) for zone, count in lasting.items()
-    ]
+    reclaimable = {}
     for zone, count in lasting.items():
         taken = max(count, zones[zone].lasting)
         room = max(0, limits.largest - taken)
-        orders.append(Order(service, zone, True, min(each, room)))
-    return orders
+        reclaimable[zone] = min(max(each, kept[zone]), room)
+        spare -= max(0, zones[zone].reclaimable - reclaimable[zone])
+    keep_lasting(lasting, zones, max(0, spare))
+    return [
+        *(Order(service, zone, False, n) for zone, n in lasting.items()),
+        *(Order(service, zone, True, n) for zone, n in reclaimable.items()),
+    ]
+
+
+def count_serving(zones):
+    """Return how many endpoints of both kinds serve in all zones."""
+    return sum(count.reclaimable + count.lasting for count in zones.values())
 
 
 def count_lasting(zones, needed):
@@ -127,18 +142,47 @@
     return max(0, needed - safe)
 
 
-def spread_lasting(limits, zones, total):
+def keep_reclaimable(zones, spare):
+    """Return how many reclaimable endpoints each zone keeps for now.
+
+    Those that serve are given back only as far as the rest can do without:
+    what takes their place, here or in another zone, serves nobody until it
+    has booted.  Zones with most of them give back first, since the loss of
+    one of these costs most.
+
+    :param spare: endpoints that serve beyond the need.
+    """
+    kept = {}
+    for zone in sorted(zones, key=lambda name: -zones[name].reclaimable):
+        given_back = min(zones[zone].reclaimable, spare)
+        spare -= given_back
+        kept[zone] = zones[zone].reclaimable - given_back
+    return kept
+
+
+def keep_lasting(counts, zones, spare):
+    """Raise planned counts where more than the spare would be given back.
+
+    :param counts: lasting endpoints planned by zone; changed in place.
+    """
+    for zone, count in counts.items():
+        given_back = min(max(0, zones[zone].lasting - count), spare)
+        spare -= given_back
+        counts[zone] = max(count, zones[zone].lasting - given_back)
+
+
+def spread_lasting(limits, places, total):
     """Spread lasting endpoints over the zones, cheapest zones first.
 
     Each zone gets its part, so that one cut off can serve its callers.
 
+    :param places: the most that each zone may have.
     :returns: counts by zone.
     """
-    by_price = sorted(zones, key=lambda zone: price_of(limits, zone))
+    by_price = sorted(places, key=lambda zone: price_of(limits, zone))
     counts = dict.fromkeys(by_price, 0)
-    most = most_lasting(limits)
     while total > 0:
-        open_zones = [zone for zone in by_price if counts[zone] < most]
+        open_zones = [zone for zone in by_price if counts[zone] < places[zone]]
         if not open_zones:
             break
         zone = min(open_zones, key=lambda name: counts[name])
