--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -119,6 +119,7 @@
         room = max(0, limits.largest - taken)
         reclaimable[zone] = min(max(each, kept[zone]), room)
         spare -= max(0, zones[zone].reclaimable - reclaimable[zone])
+    # What reclaimable ones leave of the spare, lasting ones may give back.
     keep_lasting(lasting, zones, max(0, spare))
     return [
         *(Order(service, zone, False, n) for zone, n in lasting.items()),
--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -147,10 +147,10 @@
         endpoint = self.host.fleet.find(name)
         if endpoint is None or endpoint.id in self.removals:
             return
-        if not self._return_left_ms():
+        left_ms = self._return_left_ms()
+        if not left_ms:
             self.host.drop_endpoint(endpoint, 'entry removed')
             return
-        left_ms = self._return_left_ms()
         endpoint.pause.until_ms = self.host.clock.now() + left_ms
         loop = asyncio.get_running_loop()
         self.removals[endpoint.id] = loop.call_later(
