Read once more: one loop and one read serve the endpoints' and the hosts' list

Follower takes changes one by one for both lists, and the endpoints' reads go through its own read; counts kept are returned, not changed in place.

One thing is not only form: 'endpoint state' lines after expired history said that a peer had told, where the store had; the source is set before each read.

Shown: the tests of lists, feed, takeover, duties, plans and the whole path pass.

--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -120,7 +120,7 @@
         reclaimable[zone] = min(max(each, kept[zone]), room)
         spare -= max(0, zones[zone].reclaimable - reclaimable[zone])
     # What reclaimable ones leave of the spare, lasting ones may give back.
-    keep_lasting(lasting, zones, max(0, spare))
+    lasting = keep_lasting(lasting, zones, max(0, spare))
     return [
         *(Order(service, zone, False, n) for zone, n in lasting.items()),
         *(Order(service, zone, True, n) for zone, n in reclaimable.items()),
@@ -162,14 +162,17 @@
 
 
 def keep_lasting(counts, zones, spare):
-    """Raise planned counts where more than the spare would be given back.
+    """Return planned counts, raised where more than the spare would go.
 
-    :param counts: lasting endpoints planned by zone; changed in place.
+    :param counts: lasting endpoints planned by zone.
+    :param spare: endpoints that serve beyond the need.
     """
+    kept = {}
     for zone, count in counts.items():
         given_back = min(max(0, zones[zone].lasting - count), spare)
         spare -= given_back
-        counts[zone] = max(count, zones[zone].lasting - given_back)
+        kept[zone] = max(count, zones[zone].lasting - given_back)
+    return kept
 
 
 def spread_lasting(limits, places, total):
--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -57,6 +57,7 @@
         self.oldest_list_ms = int(host.settings.drain_ms * OLDEST_LIST_SHARE)
 
     async def _read_once(self):
+        self.source = Source.STORE
         if self.position is None or not self.feed.followed:
             through_hubs = self.feed.through_hubs
             self.pause_ms = HUB_PAUSE_MS if through_hubs else ENDPOINT_PAUSE_MS
@@ -78,12 +79,9 @@
         """Read the store, also for the other hosts of the zone."""
         start = self.position
         asked_ms = self.host.clock.now()
-        records, end = await self.store.follow(self.topic, start, wait_ms)
-        self.position = end
-        self.source = Source.STORE
-        self.take_changes(records, asked_ms)
+        records = await super()._read_changes(wait_ms)
         pairs = tuple((record.key, record.value) for record in records)
-        self.feed.publish(Changes(start, end, pairs, asked_ms))
+        self.feed.publish(Changes(start, self.position, pairs, asked_ms))
 
     def _take_passed_on(self, changes):
         """Take :class:`Changes` that another host read."""
@@ -104,11 +102,7 @@
 
     def take_changes(self, records, asked_ms):
         """See :class:`Follower`."""
-        for record in records:
-            if record.value is None:
-                self._remove(record.key)
-            else:
-                self._put(record)
+        super().take_changes(records, asked_ms)
         self._confirm(asked_ms)
 
     def _confirm(self, asked_ms):
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -77,19 +77,33 @@
         """Read what was written since the last read.
 
         :param wait_ms: how long to wait while there is nothing.
+        :returns: the records.
         """
         asked_ms = self.host.clock.now()
         records, self.position = await self.store.follow(
             self.topic, self.position, wait_ms
         )
         self.take_changes(records, asked_ms)
+        return records
 
     def take_all(self, records, asked_ms):
         """Take the newest record of every key."""
         raise NotImplementedError
 
     def take_changes(self, records, asked_ms):
-        """Take records written since the last read."""
+        """Take records written since the last read, one by one."""
+        for record in records:
+            if record.value is None:
+                self._remove(record.key)
+            else:
+                self._put(record)
+
+    def _put(self, record):
+        """Take the newest record of a key."""
+        raise NotImplementedError
+
+    def _remove(self, key):
+        """Take it that a key was removed."""
         raise NotImplementedError
 
     def decode(self, decoder, *args):
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -71,14 +71,6 @@
         self.take_changes(records, asked_ms)
         self.host.members.listed = True
 
-    def take_changes(self, records, asked_ms):
-        """See :class:`Follower`."""
-        for record in records:
-            if record.value is None:
-                self._remove(record.key)
-            else:
-                self._put(record)
-
     def _put(self, record):
         member = self.decode(decode, record.key, record.value)
         if member is None:
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -51,8 +51,7 @@
         """Take an encoded :class:`Bundle`.
 
         Every hub of a zone passes on the same reports; those that another
-        one has told already are not decoded again, which would be a third
-        of the work of hearing the others.
+        one has told already are not decoded again, to spare processor time.
 
         :raises WireFormatError: it is none.
         """
