Hubs tell their zone's hosts sums, not every host's report

Cause: each round a hub passed every report of its zone on to each host of it, and both hubs' sums of every other zone. Change: a hub tells its zone the same sums as the other zones, and which report of each host they cover; a host leaves its own part out. Hubs still tell each other single reports. Of another zone only the sums in use are passed on. Usage that has not changed is not sent again; links that carry the same share one encoded bundle; links are planned anew when what the plan follows from changes, and each second.

--- a/pearrun/shared/members.py
+++ b/pearrun/shared/members.py
@@ -24,9 +24,10 @@
 class Members:
     """All entry hosts, as listed on the store.
 
-    ``listed`` says whether the list was read; ``heard`` holds the names
-    of hosts that reported since their links were up.  ``last_heard_ms``
-    says when a host last reported, or was listed.  ``heard_elsewhere``
+    ``changes`` grows with each change of the list; ``listed`` says whether
+    it was read.  ``heard`` holds the names of hosts that reported since
+    their links were up.  ``last_heard_ms`` says when a host last reported,
+    or was listed.  ``heard_elsewhere``
     says how many hosts another zone's hub has heard there.
     """
 
@@ -34,6 +35,7 @@
         self.clock = clock
         self.own_name = own_name
         self.members = {}
+        self.changes = 0
         self.listed = False
         self.heard = set()
         self.last_heard_ms = {}
@@ -41,6 +43,7 @@
 
     def put(self, member):
         """Add a host or take its newest entry."""
+        self.changes += self.members.get(member.name) != member
         self.members[member.name] = member
         self.last_heard_ms[member.name] = self.clock.now()
 
@@ -68,6 +71,7 @@
         """Forget a host that has left."""
         self.heard.discard(name)
         self.last_heard_ms.pop(name, None)
+        self.changes += name in self.members
         return self.members.pop(name, None)
 
     def others(self):
--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -19,8 +19,10 @@
 from pearrun.decisions import topology
 from pearrun.shared import reports
 
-# How often the links are planned anew.
+# How often it is looked whether the links have to be planned anew, and how
+# often they are in any case.
 PLAN_MS = 200
+REPLAN_MS = 1000
 CONNECT_MS = 800
 # A link whose other end answers no ping for this long is dialled again,
 # since a silent connection may never come back while a new one works.
@@ -67,6 +69,8 @@
         self.copied_ms = {}
         self.down = {}
         self.roles = None
+        self.planned = None
+        self.planned_ms = 0
 
     async def run(self):
         """Listen, and keep the planned links."""
@@ -89,18 +93,26 @@
                     link.cancel()
 
     def _plan(self):
-        """Plan the links; begin those that are new, end the others."""
+        """Plan the links; begin those that are new, end the others.
+
+        While all that the plan follows from is as it was, this is done less
+        often: to rank all hosts takes time.
+        """
+        now = self.host.clock.now()
         members = self.host.members.members
-        plan = topology.plan_links(
-            self.own,
-            members.values(),
-            self._find_down(),
-            self.board.is_asked(),
-        )
+        down = self._find_down()
+        asked = self.board.is_asked()
+        holder = self.board.find_holder()
+        basis = (self.host.members.changes, down, asked, holder)
+        if basis == self.planned and now - self.planned_ms < REPLAN_MS:
+            return
+        self.planned = basis
+        self.planned_ms = now
+        plan = topology.plan_links(self.own, members.values(), down, asked)
         self._take_plan(plan)
         names = set(plan.targets)
         if not plan.mesh:
-            names.add(self.board.find_holder())
+            names.add(holder)
         wanted = {
             member
             for name, member in members.items()
@@ -113,6 +125,7 @@
 
     def _take_plan(self, plan):
         self.reporter.plan = plan
+        self.board.is_hub = plan.is_hub
         self.host.feed.through_hubs = not plan.mesh
         self.host.feed.followed = not plan.is_reader
         roles = (plan.mesh, plan.is_hub, plan.is_reader)
@@ -169,16 +182,19 @@
             await asyncio.sleep(to_seconds(REDIAL_MS))
 
     async def _send_rounds(self, link, member):
+        told_usage = None
         while True:
             made = await self.reporter.next_round()
-            await link.send(self.reporter.bundle(made, member))
+            messages = self.reporter.select(made, member, told_usage)
+            if made.usage in messages:
+                told_usage = made.usage
             if self._needs_config(member):
                 copy = reports.ConfigCopy(
                     self.own.name, self.host.config.current.raw
                 )
-                await link.send(
-                    self.reporter.bundle_of([reports.encode(copy)])
-                )
+                messages.append(reports.encode(copy))
+            if messages:
+                await link.send(self.reporter.bundle(messages))
 
     def _needs_config(self, member):
         """Say whether a peer's configuration is older than ours.
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -7,18 +7,21 @@
 
 from pearrun import exceptions
 from pearrun.shared import reports
+from pearrun.shared.ownshare import OwnShare
 from pearrun.shared.prompts import PromptPart
+from pearrun.shared.runreports import REPORT_VALID_MS
 
 # A zone's sums are taken from another of its hubs after this long
 # without a report of the one before: four rounds.
 HUB_SILENT_MS = 1000
-# A host is asked to pass on reports while others send theirs to it; ten
-# rounds, so that a few lost ones do not matter.
+# A host is asked to pass on reports while others send theirs to it, and is
+# known as a hub while it says so; ten rounds, so that a few lost ones do not
+# matter.
 ASKED_MS = 2000
 # A notice of the lease that is older than this is not passed on.
 NOTICE_FRESH_MS = 600
 # Reports remembered as they came, so that copies are not decoded: two rounds
-# of a large zone's hosts, some 400 bytes each.
+# of a large zone's hosts, as its hubs tell each other.
 REMEMBERED_REPORTS = 256
 # A holder that was heard this lately is told the usage.
 HOLDER_KNOWN_MS = 3000
@@ -29,18 +32,26 @@
 
     :param host: shared objects of this host.
     :param decode_configuration: decodes a copy of the configuration.
+
+    ``is_hub`` says whether this host sums up what its zone's hosts tell it.
     """
 
     def __init__(self, host, decode_configuration):
         self.host = host
         self.clock = host.clock
         self.decode_configuration = decode_configuration
+        self.is_hub = False
+        self.own = OwnShare()
         self.versions = {}
         self.duty_heard = {}
         self._numbers = {}
+        self._received_ms = {}
         self._hubs = {}
+        self._hubs_heard = {}
+        self._coverage = {}
         self._asked_ms = None
         self._fresh = {}
+        self._fresh_sums = {}
         self._remembered = collections.OrderedDict()
         self._ended = []
         self._zone_placed = []
@@ -60,11 +71,15 @@
 
     def take(self, bundle):
         """Take a :class:`Bundle`."""
+        if bundle.from_hub:
+            self._hubs_heard[bundle.sender] = self.clock.now()
         for message, encoded in bundle.messages:
             match message:
                 case reports.HostReport():
                     self._remember(encoded)
                     self._take_report(message, encoded, bundle)
+                case reports.Coverage(hub, numbers):
+                    self._take_coverage(hub, numbers)
                 case reports.UsageNote(run, counts):
                     self.host.members.note_heard(run.host)
                     self.host.board.put(run.host, run.started_ms, counts)
@@ -87,27 +102,64 @@
         if own or report.number <= self._numbers.get(run, 0):
             return
         self._numbers[run] = report.number
-        self._fresh[run] = encoded
+        self._note_sender(report, bundle)
         if run.whole_zone:
-            if not self._prefers(run):
-                return
+            self._take_sums(report, encoded)
+            return
+        self._fresh[run] = encoded
+        self._received_ms[run] = self.clock.now()
+        self._note_host(report, bundle)
+        if not self._is_summed(run.zone):
+            self._take_state(report)
+
+    def _take_sums(self, report, encoded):
+        """Take what a hub tells of its whole zone."""
+        run = report.run
+        if report.duty is not None:
+            # Also where another hub's sums are used: who holds the lease
+            # must not seem lost while one hub takes over from another.
+            self._note_duty(report.duty, self.clock.now())
+        if not self._prefers(run):
+            return
+        if run.zone != self.host.settings.zone:
+            self._fresh_sums[run] = encoded
             self.host.members.heard_elsewhere[run.zone] = report.hosts
-        else:
-            self._note_host(report, bundle)
-            if self._is_summed(run.zone):
-                return
-        self._take_state(report)
+            self._take_state(report)
+            return
+        others = self.own.leave_out(report, self._find_covered(run.host))
+        if others is not None:
+            self._take_state(others)
+
+    def _take_coverage(self, hub, numbers):
+        """Take which reports the sums that follow hold."""
+        self._coverage = {hub: numbers}
+        for name in numbers:
+            if name != self.host.settings.name:
+                self.host.members.note_heard(name)
+
+    def _find_covered(self, hub):
+        """Return which own report a hub's sums hold; ``None`` for none."""
+        numbers = self._coverage.get(hub, {})
+        run = self.own.run
+        started_ms, number = numbers.get(self.host.settings.name, (None, 0))
+        return number if run and started_ms == run.started_ms else None
+
+    def _note_sender(self, report, bundle):
+        """Note the time of day of the host at the link's other end.
+
+        Passed on by others, it would be some rounds old.
+        """
+        if report.run.host == bundle.sender:
+            self.host.members.note_heard(bundle.sender)
+            self.host.time.put_report(bundle.sender, report.wall_ms)
 
     def _note_host(self, report, bundle):
         """Note what a host says of itself alone."""
         name = report.run.host
         self.host.members.note_heard(name)
         self.versions[name] = report.config_version
-        if name != bundle.sender:
-            return
-        # Passed on, its time of day would be some rounds old.
-        self.host.time.put_report(name, report.wall_ms)
-        if not bundle.from_hub and report.run.zone == self.host.settings.zone:
+        asks = name == bundle.sender and not bundle.from_hub
+        if asks and report.run.zone == self.host.settings.zone:
             self._asked_ms = self.clock.now()
 
     def _take_state(self, report):
@@ -144,9 +196,10 @@
     def _prefers(self, run):
         """Say whether a hub's sums count for its zone.
 
-        Several hubs sum up a zone; only one of them is used at a time.
+        Several hubs sum up a zone; only one of them is used at a time.  A
+        hub sums up its own zone itself.
         """
-        if run.zone == self.host.settings.zone:
+        if run.zone == self.host.settings.zone and self.is_hub:
             return False
         now = self.clock.now()
         known, heard_ms = self._hubs.get(run.zone, (None, 0))
@@ -169,7 +222,8 @@
         if zone not in self._hubs:
             return False
         hub, heard_ms = self._hubs[zone]
-        if self.clock.since(heard_ms) < HUB_SILENT_MS:
+        sums_itself = self.is_hub and zone == self.host.settings.zone
+        if not sums_itself and self.clock.since(heard_ms) < HUB_SILENT_MS:
             return True
         del self._hubs[zone]
         self.host.members.heard_elsewhere.pop(zone, None)
@@ -235,18 +289,34 @@
             return False
         return self.clock.since(self._asked_ms) < ASKED_MS
 
+    def acts_as_hub(self, name):
+        """Say whether another host said lately that it is a hub."""
+        heard_ms = self._hubs_heard.get(name)
+        return heard_ms is not None and self.clock.since(heard_ms) < ASKED_MS
+
     def take_fresh(self):
-        """Return encoded reports that came since the last call.
+        """Return what came since the last call, to be passed on.
 
-        Those of this host's zone, and those of other zones' hubs.
+        :returns: encoded reports of this zone's hosts, and the encoded sums
+            that are used of other zones.
         """
         fresh, self._fresh = self._fresh, {}
+        sums, self._fresh_sums = self._fresh_sums, {}
         zone = self.host.settings.zone
-        return [
-            encoded
-            for run, encoded in fresh.items()
-            if run.whole_zone != (run.zone == zone)
-        ]
+        own_zone = [data for run, data in fresh.items() if run.zone == zone]
+        return own_zone, list(sums.values())
+
+    def cover(self):
+        """Return the :class:`Coverage` of the sums made now."""
+        now = self.clock.now()
+        zone = self.host.settings.zone
+        numbers = {}
+        for run in sorted(self._received_ms, key=lambda run: run.started_ms):
+            if now - self._received_ms[run] > REPORT_VALID_MS:
+                del self._received_ms[run]
+            elif run.zone == zone:
+                numbers[run.host] = (run.started_ms, self._numbers[run])
+        return reports.Coverage(self.host.settings.name, numbers)
 
     def take_zone_placed(self):
         """Return the prompts that this zone's hosts placed lately."""
@@ -282,6 +352,7 @@
 
     def _drop(self, run):
         """Drop a run's part; an older report of it is still refused."""
+        self._received_ms.pop(run, None)
         self.host.loads.remove(run)
         self.host.demands.others.remove(run)
         self.host.engines.others.remove(run)
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -22,15 +22,19 @@
 
     :param own: this host's report.
     :param usage: its counts of calls.
-    :param zone: sums for its zone; ``None`` if it is no hub.
     :param feeds: changes of the list of endpoints that this host read.
-    :param passed_on: what a hub tells its zone besides its own report.
+    :param zone: sums for its zone; ``None`` if it is no hub.
+    :param coverage: which reports they hold; ``None`` if it is no hub.
+    :param zone_reports: reports of its zone's hosts, for its other hubs.
+    :param passed_on: what a hub tells its whole zone of others.
     """
 
     own: bytes
     usage: bytes
     feeds: tuple[bytes, ...] = ()
     zone: bytes | None = None
+    coverage: bytes | None = None
+    zone_reports: tuple[bytes, ...] = ()
     passed_on: tuple[bytes, ...] = ()
 
 
@@ -51,6 +55,8 @@
         self.make_notice = lambda: None
         self.plan = None
         self.number = 0
+        self._usage = (None, b'')
+        self._bundles = {}
         self._round = None
         self._made = asyncio.Event()
         self._news = asyncio.Event()
@@ -64,6 +70,7 @@
         while True:
             await self._wait_for_news()
             self._news.clear()
+            self._bundles = {}
             self._round = self._make()
             self._made.set()
             self._made = asyncio.Event()
@@ -77,34 +84,50 @@
         await self._made.wait()
         return self._round
 
-    def bundle(self, made, member):
-        """Return what a link carries of a round, encoded.
+    def select(self, made, member, told_usage):
+        """Return what a link carries of a round: encoded messages.
 
         :param member: the :class:`Member` at its other end.
+        :param told_usage: the usage that this link carried last.
         """
         plan = self.plan
+        usage = [] if made.usage is told_usage else [made.usage]
         if plan.mesh:
-            return self.bundle_of([made.own, made.usage, *made.feeds])
+            return [made.own, *usage, *made.feeds]
         messages = []
         if member.name in plan.targets:
             messages.extend(self._select(made, member))
         if member.name == self.board.find_holder():
             # No more than that: a host that is told as a hub acts as one,
             # and the holder's link may be too slow for it.
-            messages.append(made.usage)
-        return self.bundle_of(messages)
+            messages.extend(usage)
+        return messages
 
     def _select(self, made, member):
         """Return what a link of a fleet with hubs carries of a round."""
-        if member.zone == self.host.settings.zone:
-            return [made.own, *made.feeds, *made.passed_on]
-        return [made.zone] if made.zone is not None else []
-
-    def bundle_of(self, messages):
-        """Return a bundle of encoded messages from this host."""
-        return reports.encode_bundle(
-            self.host.settings.name, self.plan.is_hub, messages
-        )
+        sums = [] if made.zone is None else [made.zone]
+        if member.zone != self.host.settings.zone:
+            return sums
+        shared = [*made.feeds, *made.passed_on]
+        if not sums:
+            return [made.own, *shared]
+        if self.board.acts_as_hub(member.name):
+            # It sums up the zone too.
+            return [made.own, *made.zone_reports, *shared]
+        return [made.coverage, *sums, *shared]
+
+    def bundle(self, messages):
+        """Return a bundle of encoded messages from this host.
+
+        Links that carry the same of a round share one.
+        """
+        key = tuple(messages)
+        bundle = self._bundles.get(key)
+        if bundle is None:
+            bundle = self._bundles[key] = reports.encode_bundle(
+                self.host.settings.name, self.plan.is_hub, messages
+            )
+        return bundle
 
     async def _wait_for_news(self):
         try:
@@ -129,26 +152,41 @@
             host.demands.own(),
             dict(host.engines.own),
         )
-        windows = sorted(host.usage.windows)[-REPORTED_WINDOWS:]
-        counts = {window: host.usage.windows[window] for window in windows}
-        usage = reports.UsageNote(self.run_id, counts)
+        self.board.own.keep(own)
+        usage = self._encode_usage()
         feeds = tuple(
             reports.encode(batch) for batch in host.feed.take_unsent()
         )
-        fresh = self.board.take_fresh()
+        zone_reports, sums = self.board.take_fresh()
         ended = self.board.take_ended()
         zone_placed = self.board.take_zone_placed()
         if self.plan is None or not self.plan.is_hub:
-            return Round(reports.encode(own), reports.encode(usage), feeds)
-        passed_on = [*fresh, *(reports.encode(item) for item in ended)]
+            return Round(reports.encode(own), usage, feeds)
+        passed_on = [*sums, *(reports.encode(item) for item in ended)]
         return Round(
             reports.encode(own),
-            reports.encode(usage),
+            usage,
             feeds,
             reports.encode(self._sum_zone(own, zone_placed)),
+            reports.encode(self.board.cover()),
+            tuple(zone_reports),
             tuple(passed_on),
         )
 
+    def _encode_usage(self):
+        """Return the counts of the last windows, encoded.
+
+        It is the same object until a call was counted.
+        """
+        usage = self.host.usage
+        changes, encoded = self._usage
+        if changes != usage.changes:
+            windows = sorted(usage.windows)[-REPORTED_WINDOWS:]
+            counts = {window: usage.windows[window] for window in windows}
+            encoded = reports.encode(reports.UsageNote(self.run_id, counts))
+            self._usage = (usage.changes, encoded)
+        return encoded
+
     def _report(self, run, hosts, loads, admitted, placed, demands, engines):
         """Return a report: of this host, or of its zone's hosts together."""
         host = self.host
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -71,6 +71,18 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Coverage:
+    """Which report of each host a hub's sums for its zone hold.
+
+    :param hub: whose sums of the same bundle they are.
+    :param numbers: start time and report number by host.
+    """
+
+    hub: HostName
+    numbers: dict[HostName, tuple[int, int]]
+
+
 @dataclasses.dataclass(frozen=True)
 class UsageNote:
     """A host's counts of calls by customer, by window number."""
@@ -111,7 +123,9 @@
     raw: bytes
 
 
-Message = HostReport | UsageNote | EndpointFeed | HostEnded | ConfigCopy
+Message = (
+    HostReport | Coverage | UsageNote | EndpointFeed | HostEnded | ConfigCopy
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,6 +181,8 @@
             return cbor2.dumps(['endpoints', start, end, records, age_ms])
         case HostEnded(host):
             return cbor2.dumps(['ended', host])
+        case Coverage(hub, numbers):
+            return cbor2.dumps(['coverage', hub, numbers])
         case ConfigCopy(host, raw):
             return cbor2.dumps(['config', host, raw])
 
@@ -247,6 +263,15 @@
                 return EndpointFeed(start, end, pairs, age_ms)
             case 'ended':
                 return HostEnded(fields[0])
+            case 'coverage':
+                hub, numbers = fields
+                return Coverage(
+                    hub,
+                    {
+                        name: (started, last)
+                        for name, (started, last) in numbers.items()
+                    },
+                )
             case 'config':
                 return ConfigCopy(*fields)
     except (ValueError, TypeError, IndexError, AttributeError) as exc:
--- a/pearrun/shared/usage.py
+++ b/pearrun/shared/usage.py
@@ -5,7 +5,7 @@
 
 
 class UsageCounts:
-    """Counts of this host.
+    """Counts of this host; ``changes`` grows with each of them.
 
     :param wall_ms: returns the corrected time of day.
     :param window_ms: length of a window.
@@ -15,6 +15,7 @@
         self.wall_ms = wall_ms
         self.window_ms = window_ms
         self.windows = {}
+        self.changes = 0
 
     def window_now(self):
         """Return the number of the present window."""
@@ -32,3 +33,4 @@
                 del self.windows[old]
         name = call.customer.name
         counts[name] = counts.get(name, 0) + 1
+        self.changes += 1
