Placement reckons with what other hosts place unheard of

Cause: in a fleet with hubs a host hears of the others' calls 0.3 to 0.5 s late. Change: calls are drawn by the room that endpoints have for what the others are expected to place within the age of their reports; prompts with a long shared beginning stay with its holder, or its favourite, while that has room. Through hubs, only placements of long beginnings are told. Small fleets choose as before.

--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -33,6 +33,7 @@
         self.counters = Counters()
         self.config = ConfigHistory(clock)
         self.fleet = Fleet()
+        self.feed = Feed(clock)
         self.loads = Loads(clock)
         self.demands = Demands(clock)
         self.engines = Engines(clock)
@@ -45,8 +46,8 @@
             self.loads,
             self.engines,
             self.demands,
+            self.feed,
         )
-        self.feed = Feed(clock)
         self.quotas = Quotas(
             clock, self.config, settings.quota, self.members, self.feed
         )
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -13,6 +13,9 @@
 # 4,000 tokens takes 70 ms, and within a report period of 200 ms the
 # others would send two short calls behind each of them.
 LARGE_TOKENS = 4000
+# Mean age of other hosts' reports as they are used where these come through
+# hubs: the rounds of the host and of two hubs.
+HUB_REPORT_AGE_MS = 400
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,16 +42,19 @@
     :param fleet: the :class:`Fleet`.
     :param loads: other hosts' work, by endpoint; see :meth:`Loads.get`.
     :param engines: the learnt :class:`Engines`.
-    :param demands: the :class:`Demands`, for the time that answers take.
+    :param demands: the :class:`Demands`, for the time that answers take and
+        what others place.
+    :param feed: the :class:`Feed`; says whether the hosts use hubs.
     """
 
-    def __init__(self, clock, zone, fleet, loads, engines, demands):
+    def __init__(self, clock, zone, fleet, loads, engines, demands, feed):
         self.clock = clock
         self.zone = zone
         self.fleet = fleet
         self.loads = loads
         self.engines = engines
         self.demands = demands
+        self.feed = feed
         self.prefixes = PrefixIndex()
         self._placed = []
         self.zones = {}
@@ -72,10 +78,14 @@
         candidates = self._describe(endpoints, shared, now)
         affinity = shared[-1].id if shared else None
         answer_ms = self.demands.answer_ms(service.name)
-        demand = placement.Demand(call.prompt.tokens, affinity, answer_ms)
+        shared_tokens = sum(part.tokens for part in shared)
+        demand = placement.Demand(
+            call.prompt.tokens, affinity, shared_tokens, answer_ms
+        )
         model = self.engines.of_service(service.name)
+        unseen = self._expect_unseen(service.name, answer_ms, model)
         best, expected_ms = placement.choose(
-            candidates, demand, model, self.settings
+            candidates, demand, model, self.settings, unseen
         )
         if best is None:
             return None
@@ -96,12 +106,31 @@
         shared = call.prompt.parts[:-1]
         if shared:
             self.prefixes.note(selected.endpoint.id, shared, now)
-            part_ids = tuple(part.id for part in shared)
-            self._placed.append(Placed(selected.endpoint.id, part_ids))
-
+            self._note_placed(selected.endpoint.id, shared)
         if selected.fresh_tokens >= LARGE_TOKENS:
             self.tell_others()
 
+    def _note_placed(self, endpoint_id, shared):
+        """Note a prompt for the other hosts.
+
+        In a large fleet only beginnings that are worth an endpoint's choice:
+        the others are most of the calls, and would fill the reports.
+        """
+        tokens = sum(part.tokens for part in shared)
+        if self.feed.through_hubs and tokens < self.settings.affinity_tokens:
+            return
+        part_ids = tuple(part.id for part in shared)
+        self._placed.append(Placed(endpoint_id, part_ids))
+
+    def _expect_unseen(self, service_name, answer_ms, model):
+        """Return what other hosts have placed since they reported."""
+        others = self.demands.others.sum().get(service_name)
+        if others is None or not self.feed.through_hubs:
+            return placement.NOTHING_UNSEEN
+        return placement.expect_unseen(
+            others, HUB_REPORT_AGE_MS, answer_ms, model, self.settings
+        )
+
     def take_placed(self):
         """Return the prompts sent since the last call, for other hosts.
 
