Usage counts outlast a loss of all hosts; slow duties keep nothing else waiting

Cause 1: counts lived in the hosts until a window was agreed, 1.5 s after its end. A loss of all hosts took the window along, and so did the loss of the holder of what its successor had not heard. Change: the holder saves the counts of all hosts five times a second as they change, one call, by run of a host in a keyed topic; a successor takes them up before it agrees on anything. Counts of a run only grow, so nothing is counted twice. Cause 2: orders were sent one after the other between two renewals of the lease. With an API that takes half a second, 16 orders take 8 s, and the lease holds for 2.5 s. Change: renewal, saving, reports and orders go on by themselves; the orders of a service are sent together; a call may take as long as its term.

--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -25,6 +25,7 @@
 from pearrun.platform.leaselog import LeaseLog
 from pearrun.platform.membership import MemberFollower
 from pearrun.platform.store import StoreClient
+from pearrun.platform.usagelog import UsageLog
 from pearrun.relay.relay import Relay
 from pearrun.shared import reports
 from pearrun.shared.duties import Duties
@@ -108,7 +109,8 @@
         calls = DutyClient(settings.duties.address, settings.name)
         scaler = Scaler(self.host, calls)
         log = LeaseLog(self.store, view, self.clock)
-        duties = Duties(self.host, log, calls, self.reports, scaler)
+        saved = UsageLog(self.store)
+        duties = Duties(self.host, log, calls, self.reports, scaler, saved)
         self.reporter.make_notice = self.make_duty_notice
         return duties
 
--- a/pearrun/platform/dutycalls.py
+++ b/pearrun/platform/dutycalls.py
@@ -12,8 +12,9 @@
 CONNECT_MS = 800
 SILENCE_MS = 1500
 # Longest wait for an answer; less where the lease ends before.
-CALL_MS = 1200
-MAX_CONNECTIONS = 2
+CALL_MS = 2500
+# Orders for all zones of a service are sent together.
+MAX_CONNECTIONS = 8
 MAX_BODY_BYTES = 64 * 1024
 
 
--- a/pearrun/platform/leaselog.py
+++ b/pearrun/platform/leaselog.py
@@ -1,5 +1,7 @@
 """The lease's log on the platform's store."""
 
+import asyncio
+
 import cbor2
 
 from pearrun import exceptions
@@ -22,21 +24,24 @@
         self.store = store
         self.view = view
         self.clock = clock
+        # Several duties write; each record follows the one read last.
+        self._lock = asyncio.Lock()
 
     async def read(self):
         """Read all records since the last read.
 
         :raises StoreError: the store did not answer.
         """
-        start = self.view.end or 0
-        try:
-            batch = await self.store.read(TOPIC, start)
-        except exceptions.ExpiredOffsetError as exc:
-            self.view.end = exc.first_offset
-            batch = await self.store.read(TOPIC, exc.first_offset)
-        for index, data in enumerate(batch.records):
-            self.view.apply(batch.first + index, decode(data))
-        self.view.note_end(batch.next, self.clock.boot())
+        async with self._lock:
+            start = self.view.end or 0
+            try:
+                batch = await self.store.read(TOPIC, start)
+            except exceptions.ExpiredOffsetError as exc:
+                self.view.end = exc.first_offset
+                batch = await self.store.read(TOPIC, exc.first_offset)
+            for index, data in enumerate(batch.records):
+                self.view.apply(batch.first + index, decode(data))
+            self.view.note_end(batch.next, self.clock.boot())
 
     async def write(self, record):
         """Append a record where the log was read up to.
@@ -44,11 +49,12 @@
         :raises StoreConflictError: another host wrote since.
         :raises StoreError: no answer; the record may be written.
         """
-        sent_ms = self.clock.boot()
-        offset = await self.store.append(
-            TOPIC, [encode(record)], at=self.view.end
-        )
-        self.view.note_written(offset, record, sent_ms)
+        async with self._lock:
+            sent_ms = self.clock.boot()
+            offset = await self.store.append(
+                TOPIC, [encode(record)], at=self.view.end
+            )
+            self.view.note_written(offset, record, sent_ms)
 
 
 def encode(record):
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -150,10 +150,16 @@
 
     async def put(self, topic, key, value, call_ms=CALL_MS):
         """Write a key of a keyed topic; ``None`` removes it."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + (value or b'')
+        return await self.put_all(topic, [(key, value)], call_ms)
+
+    async def put_all(self, topic, pairs, call_ms=CALL_MS):
+        """Write several keys of a keyed topic, all of them or none.
+
+        :param pairs: keys and values; see :meth:`put`.
+        """
+        records = [join_key(key, value) for key, value in pairs]
         return await self.append(
-            KEYED_PREFIX + topic, [record], call_ms=call_ms
+            KEYED_PREFIX + topic, records, call_ms=call_ms
         )
 
     async def follow(self, topic, start, wait_ms):
@@ -233,6 +239,12 @@
     return records
 
 
+def join_key(key, value):
+    """Join key and value into a keyed record."""
+    name = key.encode()
+    return bytes([len(name)]) + name + (value or b'')
+
+
 def split_key(record):
     """Split a keyed record into key and value.
 
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -1,4 +1,8 @@
-"""The duties that one host performs for all: usage and scaling."""
+"""The duties that one host performs for all: usage and scaling.
+
+Each goes on by itself: calls that the platform answers slowly keep neither
+the lease from being renewed nor another duty from being done.
+"""
 
 import asyncio
 
@@ -9,6 +13,8 @@
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import RecordKind
 from pearrun.shared.term import Term
+from pearrun.shared.usagesaving import SAVE_MS
+from pearrun.shared.usagesaving import UsageSaving
 
 # How often the lease and the duties are looked at.
 TICK_MS = 250
@@ -17,6 +23,8 @@
 # a window's report is due 10 s after its end, store calls that take a third
 # of a second included; after 1.5 s it came too late behind a frozen holder.
 HOLDER_SILENT_MS = 700
+# Pause after counts could not be saved: the store may be away.
+SAVE_AGAIN_MS = 500
 # A watcher reads the log at most this often.
 WATCH_MS = 900
 # Time after a window's end at which all hosts' reports of it are in.
@@ -33,11 +41,13 @@
     :param calls: the :class:`DutyClient`.
     :param reports: the :class:`ReportBoard`, for news of the holder.
     :param scaler: the :class:`Scaler`, or ``None``.
+    :param usage_log: the :class:`UsageLog`.
     """
 
-    def __init__(self, host, lease_log, calls, reports, scaler):
+    def __init__(self, host, lease_log, calls, reports, scaler, usage_log):
         self.host = host
         self.log = lease_log
+        self.saving = UsageSaving(host.board, usage_log)
         self.view = lease_log.view
         self.clock = host.clock
         self.calls = calls
@@ -46,18 +56,30 @@
         self.delivered = set()
         self.read_ms = None
         self.held = False
+        self.term = None
 
     async def run(self):
-        """Look at the lease for the process's whole life."""
+        """Look at the lease and the duties for the process's whole life."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._repeat(self._tick, TICK_MS))
+            tasks.create_task(self._repeat(self._save_usage, SAVE_MS))
+            tasks.create_task(self._repeat(self._report_usage, TICK_MS))
+            tasks.create_task(self._repeat(self._scale, TICK_MS))
+
+    async def _repeat(self, step, pause_ms):
+        """Do a step again and again.
+
+        What the lease's log said before an error may be out of date.
+        """
         while True:
             try:
-                await self._tick()
+                await step()
             except exceptions.StoreConflictError:
                 await self._read_quietly()
             except exceptions.PearrunError as exc:
                 logger.bind(code=exc.code).info(f'lease: {exc.message}')
                 await self._read_quietly()
-            await asyncio.sleep(to_seconds(TICK_MS))
+            await asyncio.sleep(to_seconds(pause_ms))
 
     def holds(self):
         """Say whether this host may act now."""
@@ -77,8 +99,6 @@
             if self.view.should_renew(now):
                 await self.log.write(self._record(RecordKind.RENEW))
             self._note_held()
-            if self.holds():
-                await self._perform()
             return
         self._note_held()
         await self._watch()
@@ -126,11 +146,37 @@
                 'lease taken' if holds else 'lease lost'
             )
 
-    async def _perform(self):
-        await self._agree_usage()
-        term = Term(self.view, self.clock)
+    def _find_term(self):
+        """Return the :class:`Term` of this host; ``None`` without one."""
+        if self.host.stopping or not self.holds():
+            return None
+        if self.term is None or self.term.fencing != self.view.fencing:
+            self.term = Term(self.view, self.clock)
+        return self.term
+
+    async def _save_usage(self):
+        term = self._find_term()
+        if term is None:
+            return
+        try:
+            await self.saving.take_up(term)
+            await self.saving.save(max(self.view.reported, default=-1) + 1)
+        except exceptions.PearrunError as exc:
+            logger.bind(code=exc.code).info(f'usage not saved: {exc.message}')
+            await asyncio.sleep(to_seconds(SAVE_AGAIN_MS))
+
+    async def _report_usage(self):
+        term = self._find_term()
+        if term is None:
+            return
+        if self.saving.term is term:
+            # Else counts that a former holder saved would be left out.
+            await self._agree_usage()
         await self._deliver_usage(term)
-        if self.scaler is not None and term.holds():
+
+    async def _scale(self):
+        term = self._find_term()
+        if term is not None and self.scaler is not None:
             await self.scaler.act(term)
 
     async def _agree_usage(self):
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -139,8 +139,6 @@
     def _make(self):
         host = self.host
         self.number += 1
-        name = host.settings.name
-        host.board.put(name, self.run_id.started_ms, host.usage.windows)
         admitted = host.quotas.report()
         placed = host.selection.take_placed()
         own = self._report(
@@ -183,7 +181,9 @@
         if changes != usage.changes:
             windows = sorted(usage.windows)[-REPORTED_WINDOWS:]
             counts = {window: usage.windows[window] for window in windows}
-            encoded = reports.encode(reports.UsageNote(self.run_id, counts))
+            run = self.run_id
+            self.host.board.put(run.host, run.started_ms, counts)
+            encoded = reports.encode(reports.UsageNote(run, counts))
             self._usage = (usage.changes, encoded)
         return encoded
 
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -1,5 +1,7 @@
 """Orders endpoints as the load needs them; acts for the lease's holder."""
 
+import asyncio
+
 from loguru import logger
 
 from pearrun import exceptions
@@ -63,10 +65,11 @@
             if service.name not in self.needs:
                 # Configured since the needs were noted.
                 continue
-            for order in self._plan(service, now):
-                if not term.holds():
-                    return
-                await self._send(order, term, now)
+            orders = self._plan(service, now)
+            # Together: the platform may take a second for each.
+            await asyncio.gather(
+                *(self._send(order, term, now) for order in orders)
+            )
 
     def _scaled(self):
         """Return the services whose endpoints are ordered."""
--- a/pearrun/standins/platformapi.py
+++ b/pearrun/standins/platformapi.py
@@ -1,8 +1,10 @@
 """Stand-in of the platform's API that the duties call."""
 
+import asyncio
 import dataclasses
 import json
 
+from pearrun.clock import to_seconds
 from pearrun.http1.server import Server
 
 JSON = [(b'Content-Type', b'application/json')]
@@ -23,11 +25,15 @@
 
 
 class PlatformApi:
-    """Records the duties' calls; ``status`` is answered to each."""
+    """Records the duties' calls; ``status`` is answered to each.
+
+    ``answer_ms`` is how long an answer takes.
+    """
 
     def __init__(self):
         self.calls = []
         self.status = 200
+        self.answer_ms = 0
         self.server = Server(self._handle)
 
     async def listen(self, address):
@@ -57,4 +63,6 @@
                     body=json.loads(request.body),
                 )
             )
+        if self.answer_ms:
+            await asyncio.sleep(to_seconds(self.answer_ms))
         await caller.reply(self.status, JSON, b'{}')
