--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -15,6 +15,7 @@
 from pearrun.http1.limits import ServerLimits
 from pearrun.http1.server import Server
 from pearrun.platform import settings as settings_module
+from pearrun.platform import statelog
 from pearrun.platform.codec import EndpointCodec
 from pearrun.platform.decoding import decode_configuration
 from pearrun.platform.dutycalls import DutyClient
@@ -157,6 +158,7 @@
             self.reporter.run(),
             self.make_links().run(),
             self.watch_settings(),
+            statelog.log_state(self),
         ]
         if self.duties is not None:
             parts.append(self.duties.run())
@@ -216,7 +218,7 @@
 
     async def serve_metrics(self, request, caller):
         """Answer with this host's metrics as text."""
-        text = self.host.counters.render(self.gauges())
+        text = self.host.counters.render(self.gauges(), self.store.calls)
         headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
         await caller.reply(200, headers, text.encode())
 
@@ -233,7 +235,7 @@
             'endpoint_list_age_ms': self.host.list_age_ms(now) or -1,
             'hosts': self.host.count_hosts(),
             'lease_held': int(self.duties is not None and self.duties.held),
-            'store_calls_total': self.store.calls,
+            'store_calls_total': self.store.calls_total,
             'store_failures_total': self.store.failures,
             'log_lines_dropped_total': self.log_writer.dropped_total,
         }
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import collections
 import dataclasses
 import json
 import struct
@@ -62,11 +63,16 @@
 
     def __init__(self, settings):
         self.settings = settings
-        self.calls = 0
+        self.calls = collections.Counter()
         self.failures = 0
         self.failing = False
         self.pool = make_pool(settings.address)
 
+    @property
+    def calls_total(self):
+        """How many calls were made."""
+        return self.calls.total()
+
     def use(self, settings):
         """Take changed settings; a new address gets new connections."""
         if settings.address != self.settings.address:
@@ -171,7 +177,7 @@
         return [split_key(item) for item in batch.records], batch.next
 
     async def _call(self, method, path, query, body, call_ms):
-        self.calls += 1
+        self.calls[path.rpartition('-')[2], query['topic']] += 1
         target = f'{path}?{urllib.parse.urlencode(query)}'
         headers = [('Host', self.settings.address)]
         if method == 'POST':
--- a/pearrun/shared/counters.py
+++ b/pearrun/shared/counters.py
@@ -33,15 +33,20 @@
             record(self._of(self.first, route), trace.first_event_ms)
         record(self._of(self.total, route), now_ms - trace.begun_ms)
 
-    def render(self, gauges):
+    def render(self, gauges, store_calls=()):
         """Return all metrics as text, a line each.
 
         :param gauges: further values by name.
+        :param store_calls: calls to the store by call and topic.
         """
         lines = [f'pearrun_{name} {value}' for name, value in gauges.items()]
         lines.append(f'pearrun_sends_total {self.sends}')
         lines.append(f'pearrun_repeated_sends_total {self.repeats}')
         lines.append(f'pearrun_rejected_requests_total {self.rejected}')
+        for call, topic in sorted(store_calls):
+            labels = f'call="{call}",topic="{topic}"'
+            count = store_calls[call, topic]
+            lines.append(f'pearrun_store_calls{{{labels}}} {count}')
         for (route, ending, status), count in sorted(self.endings.items()):
             labels = f'route="{route}",ending="{ending}",status="{status}"'
             lines.append(f'pearrun_calls_total{{{labels}}} {count}')
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -278,6 +278,7 @@
                 link.abort()
             text = reply.body.decode()
             assert 'pearrun_ready 1' in text
+            assert 'store_calls{call="newest",topic="keyed.servers"}' in text
             assert 'ending="answered",status="200"} 1' in text
 
     asyncio.run(main())
