One host of a zone reads the list of hosts; hubs watch for a lost holder first

Cause: every host reads the list of hosts itself, and each host that starts or ends wakes all others. Change: changes of the list are passed on like those of the endpoints, by one reader a zone, which repeats where its read ended, so that a host whose link came up later notices what it missed. Hosts that are no hubs begin to watch the log of a silent holder 2 s later than hubs. Test (8 hosts, 3 added; 30 reads before, 18 allowed): test_one_host_of_a_zone_reads_the_list_of_hosts_for_the_others.

--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -1,17 +1,13 @@
 """The list of endpoints, as they write it to the store."""
 
 import asyncio
-import enum
 
 from loguru import logger
 
 from pearrun.clock import to_seconds
 from pearrun.platform import decoding
-from pearrun.platform.following import Follower
-from pearrun.platform.store import KeyedRecord
-from pearrun.shared.feed import Changes
+from pearrun.platform.following import SharedFollower
 
-ENDPOINT_TOPIC = 'servers'
 # Longest wait of a read for endpoints, as a part of the time in which a
 # drain must be acted on.  Two reads, the pauses between them and a round of
 # reports fit into the time after which the other hosts read for themselves.
@@ -32,63 +28,33 @@
 RETURN_SHARE = 0.75
 
 
-class Source(enum.Enum):
-    """Who told this host of a change."""
-
-    STORE = 'store'
-    PEER = 'peer'
-
-
-class EndpointFollower(Follower):
+class EndpointFollower(SharedFollower):
     """Keeps the list of endpoints."""
 
     def __init__(self, host, store):
         super().__init__(
             host,
             store,
-            ENDPOINT_TOPIC,
+            host.feed,
             int(host.settings.drain_ms * ENDPOINT_WAIT_SHARE),
             ENDPOINT_PAUSE_MS,
         )
-        self.feed = host.feed
-        self.source = Source.STORE
         self.removals = {}
         self.return_ms = int(host.settings.drain_ms * RETURN_SHARE)
         self.oldest_list_ms = int(host.settings.drain_ms * OLDEST_LIST_SHARE)
 
-    async def _read_once(self):
-        self.source = Source.STORE
-        if self.position is None or not self.feed.followed:
-            through_hubs = self.feed.through_hubs
-            self.pause_ms = HUB_PAUSE_MS if through_hubs else ENDPOINT_PAUSE_MS
-            await super()._read_once()
-            return
-        self.pause_ms = 0
-        # What counts is the age of the list, not the silence of the host
-        # that reads: a read that missed a drain is news too, and its wait
-        # and this host's would add up.
-        due_ms = self.host.fleet.listed_ms + self.oldest_list_ms
-        changes = await self.feed.wait(self.position, due_ms)
-        if changes is None:
-            # Only a read that does not wait misses nothing.
-            await self._read_changes(wait_ms=0)
-            return
-        self._take_passed_on(changes)
-
-    async def _read_changes(self, wait_ms):
-        """Read the store, also for the other hosts of the zone."""
-        start = self.position
-        asked_ms = self.host.clock.now()
-        records = await super()._read_changes(wait_ms)
-        pairs = tuple((record.key, record.value) for record in records)
-        self.feed.publish(Changes(start, self.position, pairs, asked_ms))
-
-    def _take_passed_on(self, changes):
-        """Take :class:`Changes` that another host read."""
-        self.position = changes.next
-        self.source = Source.PEER
-        records = [KeyedRecord(key, value) for key, value in changes.records]
-        self.take_changes(records, changes.asked_ms)
+    def due_ms(self):
+        """Return when the list is too old, whoever read it.
+
+        What counts is its age, not the silence of the host that reads: a
+        read that missed a drain is news too, and its wait and this host's
+        would add up.
+        """
+        return self.host.fleet.listed_ms + self.oldest_list_ms
+
+    def reading_pause_ms(self):
+        """See :class:`SharedFollower`."""
+        return HUB_PAUSE_MS if self.feed.through_hubs else ENDPOINT_PAUSE_MS
 
     def take_all(self, records, asked_ms):
         """See :class:`Follower`."""
--- a/pearrun/platform/following.py
+++ b/pearrun/platform/following.py
@@ -1,6 +1,7 @@
 """Following topics of the store; the operator's configuration."""
 
 import asyncio
+import enum
 
 from loguru import logger
 
@@ -8,6 +9,8 @@
 from pearrun.backoff import Backoff
 from pearrun.clock import to_seconds
 from pearrun.platform import decoding
+from pearrun.platform.store import KeyedRecord
+from pearrun.shared.feed import Changes
 
 CONFIG_TOPIC = 'op'
 CONFIG_KEY = 'config'
@@ -18,6 +21,8 @@
 # The same of a host that has no others, as a part of the time in which a
 # configuration must be in force.
 LONE_WAIT_SHARE = 0.4
+# How often a host that is told by another one looks whether it still is.
+FOLLOWED_MS = 2000
 RETRY_BASE_MS = 50
 RETRY_CAP_MS = 500
 
@@ -135,6 +140,67 @@
             )
 
 
+class Source(enum.Enum):
+    """Who told this host of a change."""
+
+    STORE = 'store'
+    PEER = 'peer'
+
+
+class SharedFollower(Follower):
+    """Follows a topic that one host of a zone reads for the others.
+
+    :param feed: the :class:`Feed` of the topic.
+    """
+
+    def __init__(self, host, store, feed, wait_ms, pause_ms):
+        super().__init__(host, store, feed.topic, wait_ms, pause_ms)
+        self.feed = feed
+        self.source = Source.STORE
+
+    async def _read_once(self):
+        self.source = Source.STORE
+        if self.position is None or not self.host.feed.followed:
+            self.pause_ms = self.reading_pause_ms()
+            await super()._read_once()
+            return
+        self.pause_ms = 0
+        self.feed.repeat(None)
+        due_ms = self.due_ms()
+        until_ms = min(due_ms, self.host.clock.now() + FOLLOWED_MS)
+        changes = await self.feed.wait(self.position, until_ms)
+        if changes is not None:
+            self._take_passed_on(changes)
+        elif self.feed.has_gap or self.host.clock.now() >= due_ms:
+            # Only a read that does not wait misses nothing.
+            await self._read_changes(wait_ms=0)
+
+    async def _read_changes(self, wait_ms):
+        """Read the store, also for the other hosts of the zone."""
+        start = self.position
+        asked_ms = self.host.clock.now()
+        records = await super()._read_changes(wait_ms)
+        pairs = tuple((record.key, record.value) for record in records)
+        changes = Changes(start, self.position, pairs, asked_ms)
+        self.feed.publish(changes)
+        self.feed.repeat(changes)
+
+    def _take_passed_on(self, changes):
+        """Take :class:`Changes` that another host read."""
+        self.position = changes.next
+        self.source = Source.PEER
+        records = [KeyedRecord(key, value) for key, value in changes.records]
+        self.take_changes(records, changes.asked_ms)
+
+    def due_ms(self):
+        """Return until when to wait for another host's reads."""
+        raise NotImplementedError
+
+    def reading_pause_ms(self):
+        """Return the pause between this host's own reads."""
+        raise NotImplementedError
+
+
 class ConfigFollower(Follower):
     """Brings the operator's configuration into force."""
 
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -4,14 +4,22 @@
 from loguru import logger
 
 from pearrun import exceptions
-from pearrun.platform.following import Follower
+from pearrun.platform.following import SharedFollower
+from pearrun.platform.following import WAIT_MS
 from pearrun.shared import cbor
 from pearrun.shared.members import Member
+from pearrun.shared.members import MEMBER_TOPIC
 
-TOPIC = 'hosts'
 # Pause between reads: hosts that start together announce themselves one
-# after the other, and each change would wake every other host.
+# after the other, and each change would wake the host that reads.
 PAUSE_MS = 300
+# A host that is told by another one reads the list itself once it is this
+# old: the other one's reads wait for WAIT_MS at the most.
+OLDEST_LIST_MS = WAIT_MS + 5000
+# It does so sooner, and this often, while nobody passes anything on: the
+# list of endpoints is passed on every second.
+UNHEARD_MS = 3000
+ALONE_PAUSE_MS = 3000
 # How long a host that ends waits for the removal of its entry: less than
 # the time it keeps free before the kill.
 LEAVE_MS = 400
@@ -22,7 +30,7 @@
 SILENT_MS = 600_000
 
 
-class MemberFollower(Follower):
+class MemberFollower(SharedFollower):
     """Keeps the list of hosts, and this host on it.
 
     :param own: this host's :class:`Member`.
@@ -30,17 +38,18 @@
     """
 
     def __init__(self, host, store, own, may_tidy):
-        super().__init__(host, store, TOPIC, pause_ms=PAUSE_MS)
+        super().__init__(host, store, host.member_feed, WAIT_MS, PAUSE_MS)
         self.own = own
         self.may_tidy = may_tidy
         self.announced = False
         self.leaving = False
+        self.listed_ms = 0
 
     async def leave(self):
         """Remove this host's entry; once, since it is about to end."""
         self.leaving = True
         try:
-            await self.store.put(TOPIC, self.own.name, None, LEAVE_MS)
+            await self.store.put(MEMBER_TOPIC, self.own.name, None, LEAVE_MS)
         except exceptions.PearrunError as exc:
             logger.bind(code=exc.code).info(
                 f'own entry not removed: {exc.message}'
@@ -48,7 +57,7 @@
 
     async def _read_once(self):
         if not self.announced and not self.leaving:
-            await self.store.put(TOPIC, self.own.name, encode(self.own))
+            await self.store.put(MEMBER_TOPIC, self.own.name, encode(self.own))
             self.announced = True
         if self.may_tidy():
             await self._remove_silent()
@@ -60,7 +69,24 @@
             logger.bind(host=name, silent_ms=SILENT_MS).warning(
                 'silent host taken off the list'
             )
-            await self.store.put(TOPIC, name, None)
+            await self.store.put(MEMBER_TOPIC, name, None)
+
+    def due_ms(self):
+        """See :class:`SharedFollower`."""
+        clock = self.host.clock
+        heard_ms = self.host.feed.heard_ms
+        if heard_ms is not None and clock.since(heard_ms) < UNHEARD_MS:
+            return self.listed_ms + OLDEST_LIST_MS
+        return self.listed_ms + ALONE_PAUSE_MS
+
+    def reading_pause_ms(self):
+        """See :class:`SharedFollower`."""
+        return PAUSE_MS
+
+    def take_changes(self, records, asked_ms):
+        """See :class:`Follower`."""
+        super().take_changes(records, asked_ms)
+        self.listed_ms = max(self.listed_ms, asked_ms)
 
     def take_all(self, records, asked_ms):
         """See :class:`Follower`."""
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -25,6 +25,8 @@
 HOLDER_SILENT_MS = 700
 # Pause after counts could not be saved: the store may be away.
 SAVE_AGAIN_MS = 500
+# So much later hosts that are no hubs begin, in a fleet that has some.
+STAND_BACK_MS = 2000
 # A watcher reads the log at most this often.
 WATCH_MS = 900
 # Time after a window's end at which all hosts' reports of it are in.
@@ -53,6 +55,7 @@
         self.calls = calls
         self.reports = reports
         self.scaler = scaler
+        self.started_ms = self.clock.now()
         self.delivered = set()
         self.read_ms = None
         self.held = False
@@ -108,9 +111,8 @@
         notice = self.reports.last_notice()
         if notice is not None:
             self.view.note_told(notice.log_end, self.clock.boot())
-        heard_ms = self.reports.heard_duty_ms()
         now = self.clock.now()
-        if heard_ms is not None and now - heard_ms < HOLDER_SILENT_MS:
+        if now < self._watch_from_ms():
             self.view.still_since_ms = None
             return
         if not self._is_read_due(now):
@@ -121,6 +123,19 @@
             await self.log.write(self._record(RecordKind.CLAIM))
             self._note_held()
 
+    def _watch_from_ms(self):
+        """Return when to begin to watch the log, without further news.
+
+        In a large fleet the hubs come first: if all hosts read the log of a
+        lost holder, each read costs, and one of them succeeds it.
+        """
+        heard_ms = self.reports.heard_duty_ms()
+        stands_back = self.host.feed.through_hubs and not self.reports.is_hub
+        if not stands_back:
+            return 0 if heard_ms is None else heard_ms + HOLDER_SILENT_MS
+        since_ms = self.started_ms if heard_ms is None else heard_ms
+        return since_ms + HOLDER_SILENT_MS + STAND_BACK_MS
+
     def _is_read_due(self, now):
         """Say whether the log is to be read: first, and before a claim."""
         if self.read_ms is not None and now - self.read_ms < WATCH_MS:
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -10,6 +10,7 @@
 from pearrun.shared.feed import Feed
 from pearrun.shared.fleet import Fleet
 from pearrun.shared.loads import Loads
+from pearrun.shared.members import MEMBER_TOPIC
 from pearrun.shared.members import Members
 from pearrun.shared.pools import EndpointPools
 from pearrun.shared.quotas import Quotas
@@ -34,6 +35,10 @@
         self.config = ConfigHistory(clock)
         self.fleet = Fleet()
         self.feed = Feed(clock)
+        self.member_feed = Feed(clock, MEMBER_TOPIC)
+        self.feeds = {
+            feed.topic: feed for feed in (self.feed, self.member_feed)
+        }
         self.loads = Loads(clock)
         self.demands = Demands(clock)
         self.engines = Engines(clock)
--- a/pearrun/shared/members.py
+++ b/pearrun/shared/members.py
@@ -4,6 +4,9 @@
 
 from pearrun.ids import HostName
 
+# Where hosts list themselves on the store.
+MEMBER_TOPIC = 'hosts'
+
 
 @dataclasses.dataclass(frozen=True)
 class Member:
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -83,8 +83,8 @@
                 case reports.UsageNote(run, counts):
                     self.host.members.note_heard(run.host)
                     self.host.board.put(run.host, run.started_ms, counts)
-                case reports.EndpointFeed():
-                    self.host.feed.offer(message)
+                case reports.TopicFeed():
+                    self._take_feed(message)
                 case reports.HostEnded(name):
                     self._forget_runs(name)
                 case reports.ConfigCopy(name, raw):
@@ -230,6 +230,11 @@
         self._drop(hub)
         return False
 
+    def _take_feed(self, batch):
+        feed = self.host.feeds.get(batch.topic)
+        if feed is not None:
+            feed.offer(batch)
+
     def _take_config(self, name, raw):
         try:
             config = self.decode_configuration(raw)
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -153,7 +153,9 @@
         self.board.own.keep(own)
         usage = self._encode_usage()
         feeds = tuple(
-            reports.encode(batch) for batch in host.feed.take_unsent()
+            reports.encode(batch)
+            for feed in host.feeds.values()
+            for batch in feed.take_unsent()
         )
         zone_reports, sums = self.board.take_fresh()
         ended = self.board.take_ended()
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -20,6 +20,8 @@
 from pearrun.shared.quotas import Admitted
 from pearrun.shared.run import Run
 
+ENDPOINT_TOPIC = 'servers'
+
 
 @dataclasses.dataclass(frozen=True)
 class DutyNotice:
@@ -92,20 +94,22 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class EndpointFeed:
-    """Changes of the list of endpoints, as read from the store.
+class TopicFeed:
+    """Changes of a topic, as read from the store.
 
     :param start: offset of the first record.
     :param next: offset after the last one.
-    :param records: pairs of an endpoint id and its entry, ``None`` where
-        it was removed.
+    :param records: pairs of a key and its entry, ``None`` where it was
+        removed.
     :param age_ms: how long ago the store was asked for them.
+    :param topic: the topic's name.
     """
 
     start: int
     next: int
     records: tuple[tuple[str, bytes | None], ...]
     age_ms: int
+    topic: str = ENDPOINT_TOPIC
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,7 +128,7 @@
 
 
 Message = (
-    HostReport | Coverage | UsageNote | EndpointFeed | HostEnded | ConfigCopy
+    HostReport | Coverage | UsageNote | TopicFeed | HostEnded | ConfigCopy
 )
 
 
@@ -177,8 +181,8 @@
             return cbor2.dumps(encode_report(message))
         case UsageNote(run, counts):
             return cbor2.dumps(['usage', *encode_run(run), counts])
-        case EndpointFeed(start, end, records, age_ms):
-            return cbor2.dumps(['endpoints', start, end, records, age_ms])
+        case TopicFeed(start, end, records, age_ms, topic):
+            return cbor2.dumps(['feed', start, end, records, age_ms, topic])
         case HostEnded(host):
             return cbor2.dumps(['ended', host])
         case Coverage(hub, numbers):
@@ -257,10 +261,10 @@
                 return decode_report(fields)
             case 'usage':
                 return UsageNote(Run(*fields[:4]), fields[4])
-            case 'endpoints':
-                start, end, records, age_ms = fields
+            case 'feed':
+                start, end, records, age_ms, topic = fields
                 pairs = tuple((key, value) for key, value in records)
-                return EndpointFeed(start, end, pairs, age_ms)
+                return TopicFeed(start, end, pairs, age_ms, topic)
             case 'ended':
                 return HostEnded(fields[0])
             case 'coverage':
--- a/tests/test_late_drains.py
+++ b/tests/test_late_drains.py
@@ -33,7 +33,7 @@
 from pearrun.clock import to_seconds
 from pearrun.platform.endpointlist import EndpointFollower
 from pearrun.platform.store import KeyedRecord
-from pearrun.shared.reports import EndpointFeed
+from pearrun.shared.reports import TopicFeed
 from pearrun.standins.platformsite import make_config
 from tests.platformsite import make_host_context
 from tests.platformsite import run_site
@@ -106,7 +106,7 @@
     waited_ms = follower.wait_ms
     store.drain()
     await asyncio.sleep(to_seconds(waited_ms))
-    follower.host.feed.offer(EndpointFeed(position, position, (), waited_ms))
+    follower.host.feed.offer(TopicFeed(position, position, (), waited_ms))
 
 
 def play(store, script=None):
--- a/tests/test_topology.py
+++ b/tests/test_topology.py
@@ -222,6 +222,35 @@
     play_with_hubs(scenario, monkeypatch)
 
 
+def test_one_host_of_a_zone_reads_the_list_of_hosts_for_the_others(
+    monkeypatch,
+):
+    """Hosts that start or end one by one do not wake all others."""
+
+    async def scenario(site, daemons):
+        await asyncio.sleep(1.5)
+        site.store.calls.clear()
+        for number in (11, 12, 13):
+            added = await site.add_host(number)
+            name = added.settings.name
+            for daemon in daemons:
+                await wait_until(
+                    lambda daemon=daemon, name=name: (
+                        name in daemon.host.members.members
+                    ),
+                    3,
+                )
+            await asyncio.sleep(0.5)
+        reads = sum(
+            path == '/log-read' and query['topic'] == 'keyed.hosts'
+            for path, query in site.store.calls
+        )
+        # Eight hosts that read for themselves make 30 of these.
+        assert reads <= 18
+
+    play_with_hubs(scenario, monkeypatch, hosts=8)
+
+
 def test_few_hosts_of_a_zone_read_the_endpoints_once():
     """Three hosts of a zone; two of them are told what the third reads."""
 
