Placement: calls answered within the reports' age are not unheard of; answer times learnt sooner

Cause: at FuelWatch grown a plain service that answers in 22 ms was expected to take 2.3 s ('expected_ms' of its calls): what the others had sent within 400 ms was all taken as still running, and a host with two calls a second still held most of the second that an answer is taken to last at first. Tests: tests/test_stale_placement.py, tests/test_demand.py (fail before).

--- a/pearrun/decisions/demand.py
+++ b/pearrun/decisions/demand.py
@@ -22,6 +22,8 @@
 # Time of an answered call until one was seen: a second, about that of the
 # shorter generations.
 FIRST_ANSWER_MS = 1000.0
+# Answers that it counts for: a host of a large fleet gets few of them.
+FIRST_WEIGHT = 2
 # A latency target counts if at least this part of the calls bear it.
 TARGET_SHARE = 0.1
 
@@ -66,6 +68,7 @@
 
     def __init__(self):
         self.answer_ms = FIRST_ANSWER_MS
+        self._answers = 0
         self._steps = collections.deque()
 
     def note_call(self, tokens, target_ms, now_ms):
@@ -84,7 +87,9 @@
 
     def note_answer(self, took_ms):
         """Note how long a call took that was answered whole."""
-        self.answer_ms = KEEP * self.answer_ms + (1 - KEEP) * took_ms
+        self._answers += 1
+        share = max(1 - KEEP, 1 / (self._answers + FIRST_WEIGHT))
+        self.answer_ms += share * (took_ms - self.answer_ms)
 
     def measure(self, now_ms):
         """Return the :class:`Demand` of the last span."""
--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -124,7 +124,8 @@
     :param model: the :class:`EngineModel` of the service.
     :returns: :class:`Unseen`.
     """
-    calls = others.busy / answer_ms * age_ms
+    # Calls that are answered sooner than they are heard of are gone again.
+    calls = others.busy / answer_ms * min(age_ms, answer_ms)
     tokens = others.tokens_per_s * age_ms / 1000.0
     work_ms = tokens / model.tokens_per_ms + calls * settings.call_ms
     return Unseen(calls, work_ms)
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -232,3 +232,11 @@
     needed = scaling.count_needed(asked, tokens_per_ms, 64, SCALING)
     wait = simulate_waits(needed, (calls_per_s, draw), tokens_per_ms)
     assert wait <= 0.5 * target_ms
+
+
+def test_a_host_with_few_calls_learns_soon_how_long_they_take():
+    """Some two calls a second come through each of many hosts."""
+    meter = DemandMeter()
+    for _ in range(40):
+        meter.note_answer(25)
+    assert meter.answer_ms < 100
--- a/tests/test_stale_placement.py
+++ b/tests/test_stale_placement.py
@@ -88,3 +88,10 @@
     unseen = placement.expect_unseen(others, 400, 1000.0, MODEL, SETTINGS)
     assert unseen.calls == 40.0
     assert unseen.work_ms == pytest.approx(840.0)
+
+
+def test_calls_that_have_ended_again_are_not_unheard_of():
+    """A plain service answers within 20 ms; reports are 400 ms old."""
+    others = Demand(busy=3.0)
+    unseen = placement.expect_unseen(others, 400, 20.0, MODEL, SETTINGS)
+    assert unseen.calls == 3.0
