After a loss of all hosts, links and quotas are back sooner

A host uses a small part of each limit until it has heard all others, three rounds of 200 ms through hubs; and hubs that listened 0.1 s later than others were taken to be down for 3 s, so that hosts chose other hubs and changed back. Change: rounds follow every 50 ms in the first 2 s after a start; for 1 s after its own start a host dials again at once what refuses a connection; once it has heard all, a host keeps its part of the limits. Ruled out: a larger part of the limits before hosts hear each other (a customer at seven times its limit before the loss would exceed its window). Tests: tests/test_peerlinks.py, tests/test_quota_cost.py.

--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -36,6 +36,11 @@
 # in a second or two, lost hosts never.
 DOWN_MS = 3000
 LONGEST_DOWN_MS = 60_000
+# For so long after its own start a host takes those it cannot reach to be
+# starting too, and dials them again soon: hosts that have lost power together
+# would else all choose other hubs.
+STARTING_MS = 1000
+STARTING_REDIAL_MS = 50
 # How often a peer with an older configuration is sent ours.
 CONFIG_COPY_MS = 1000
 
@@ -69,6 +74,7 @@
         self.copied_ms = {}
         self.down = {}
         self.roles = None
+        self.begun_ms = host.clock.now()
         self.planned = None
         self.planned_ms = 0
 
@@ -178,6 +184,9 @@
                 logger.bind(peer=member.name, cause=repr(e)).info(
                     'peer link down'
                 )
+            if self.host.clock.since(self.begun_ms) < STARTING_MS:
+                await asyncio.sleep(to_seconds(STARTING_REDIAL_MS))
+                continue
             self._note_down(member)
             await asyncio.sleep(to_seconds(REDIAL_MS))
 
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -39,6 +39,7 @@
         self.buckets = {}
         self.totals = {}
         self.rates = {}
+        self._settled = False
         self._heard = set()
         self._ended = {}
         self._averaged_totals = {}
@@ -151,15 +152,19 @@
     def _start_share(self, now):
         """Return the part of each limit that this host may use.
 
-        The other hosts are counted only while that part depends on them.
+        The other hosts are counted only while that part depends on them: a
+        host that has heard them all knows what they use from then on, also
+        while it hears them through other hubs.
         """
         age_ms = now - self.started_ms
-        if age_ms > quota.START_MS:
+        if self._settled or age_ms > quota.START_MS:
             return 1.0
         members = self.members
-        return quota.start_share(
+        share = quota.start_share(
             members.count_heard(), members.count() - 1, members.listed, age_ms
         )
+        self._settled = members.listed and share >= 1.0
+        return share
 
     def _refilled(self, customer, now, share):
         """Return a customer's bucket, filled up to now.
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -14,6 +14,10 @@
 # than this sends several calls to one endpoint; at five a second a host
 # spends about 2% of a core on nine hosts' reports.
 ROUND_MS = 200
+# The same after a start: until a host has heard the others, which takes three
+# rounds through hubs, it may use a small part of each customer's limit.
+FIRST_ROUND_MS = 50
+STARTING_MS = 2000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +59,7 @@
         self.make_notice = lambda: None
         self.plan = None
         self.number = 0
+        self.begun_ms = host.clock.now()
         self._usage = (None, b'')
         self._bundles = {}
         self._round = None
@@ -131,11 +136,16 @@
 
     async def _wait_for_news(self):
         try:
-            async with asyncio.timeout(to_seconds(ROUND_MS)):
+            async with asyncio.timeout(to_seconds(self._round_ms())):
                 await self._news.wait()
         except TimeoutError:
             return
 
+    def _round_ms(self):
+        """Return the time until the next round is made without news."""
+        age_ms = self.host.clock.since(self.begun_ms)
+        return FIRST_ROUND_MS if age_ms < STARTING_MS else ROUND_MS
+
     def _make(self):
         host = self.host
         self.number += 1
--- /dev/null
+++ b/tests/test_peerlinks.py
@@ -0,0 +1,66 @@
+"""Links of hosts that start together."""
+
+import asyncio
+import dataclasses
+
+from pearrun.shared import peerlinks
+from pearrun.shared import reporter
+from pearrun.standins.platformsite import make_config
+from tests.platformsite import make_host_context
+from tests.platformsite import run_site
+from tests.platformsite import wait_until
+from tests.test_topology import find_hubs
+from tests.test_topology import play_with_hubs
+
+
+def test_hosts_that_start_a_little_later_are_not_taken_to_be_down():
+    """After a loss of all hosts, hubs may be the last to listen again."""
+
+    async def main():
+        async with run_site(make_config(), hosts=2) as site:
+            first, second = site.hosts.values()
+            await wait_until(lambda: first.host.members.count() == 2)
+            member = first.host.members.members['host-2']
+            gone = dataclasses.replace(member, address='127.0.0.1:9')
+            links = first.make_links()
+            linking = asyncio.create_task(links._keep_link(gone))
+            await asyncio.sleep(0.5)
+            assert not links.down
+            await asyncio.sleep(peerlinks.STARTING_MS / 1000.0)
+            assert gone in links.down
+            linking.cancel()
+
+    asyncio.run(main())
+
+
+def test_rounds_follow_sooner_after_a_start():
+    async def main():
+        host = make_host_context()
+        made = reporter.Reporter(host, 1, None)
+        assert made._round_ms() == reporter.FIRST_ROUND_MS
+        made.begun_ms -= reporter.STARTING_MS
+        assert made._round_ms() == reporter.ROUND_MS
+
+    asyncio.run(main())
+
+
+def test_hubs_stay_hubs_when_all_hosts_have_ended_at_once(monkeypatch):
+    async def scenario(site, daemons):
+        names = {d.settings.name: d.settings.zone for d in daemons}
+        hubs = {d.settings.name for d in find_hubs(daemons)}
+        for name in names:
+            await site.hosts.pop(name).end()
+        # Those that were no hubs are up first.
+        for name in sorted(names, key=lambda name: name in hubs):
+            number = int(name.rpartition('-')[2])
+            await site.add_host(number, names[name])
+        started = list(site.hosts.values())
+        for daemon in started:
+            await wait_until(
+                lambda daemon=daemon: (
+                    daemon.host.members.count_heard() == len(started) - 1
+                ),
+                2,
+            )
+
+    play_with_hubs(scenario, monkeypatch)
--- a/tests/test_quota_cost.py
+++ b/tests/test_quota_cost.py
@@ -35,6 +35,19 @@
     return calls
 
 
+def test_a_host_that_has_heard_all_keeps_its_part_of_the_limits():
+    """Also while it hears some of them through another hub."""
+    host = make_large_fleet_host()
+    now = host.clock.now()
+    host.quotas.started_ms = now - 1000
+    assert host.quotas._start_share(now) < 0.1
+    for number in range(HOSTS):
+        host.members.note_heard(f'h{number}')
+    assert host.quotas._start_share(now) == 1.0
+    host.members.heard.clear()
+    assert host.quotas._start_share(now) == 1.0
+
+
 def put_report(host):
     """Take another host's report of all customers."""
     admitted = {name: Admitted(100.0, 10.0) for name in CUSTOMERS}
