Scaling: a fifth more reclaimable endpoints where hosts hear of each other late

Change: the need of reclaimable endpoints counts 1.2 times through hubs; that of lasting ones, which cost five times as much, as before.

--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -43,6 +43,9 @@
         times as much and boot in a few seconds.
     :param release_ms: how long fewer lasting endpoints must suffice
         before any are given back.
+    :param uneven: times the reclaimable endpoints that are needed where
+        hosts hear of each other's calls late, so that endpoints are loaded
+        less evenly; their calls find slots and short queues all the same.
     """
 
     fewest: int = 4
@@ -54,6 +57,7 @@
     hold_ms: int = 30_000
     lasting_hold_ms: int = 10_000
     release_ms: int = 1_500
+    uneven: float = 1.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,6 +98,23 @@
     reclaimable: int
 
 
+def hold_need(past, now_ms, settings, through_hubs=False):
+    """Return the :class:`Need` by what was needed lately.
+
+    :param past: how many endpoints the demand needed, by time.
+    :param through_hubs: whether hosts hear of each other through hubs.
+    """
+    lasting = max(
+        needed
+        for at_ms, needed in past.items()
+        if now_ms - at_ms <= settings.lasting_hold_ms
+    )
+    reclaimable = max(past.values())
+    if through_hubs:
+        reclaimable = math.ceil(reclaimable * settings.uneven)
+    return Need(lasting, reclaimable)
+
+
 def plan_orders(service, limits, zones, need, settings):
     """Plan the orders of one service.
 
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -147,14 +147,11 @@
 
     def _need(self, service_name, now):
         """Return the :class:`Need` by the demand of the last time."""
-        past = self.needs[service_name]
-        return scaling.Need(
-            lasting=max(
-                needed
-                for at, needed in past.items()
-                if now - at <= self.settings.lasting_hold_ms
-            ),
-            reclaimable=max(past.values()),
+        return scaling.hold_need(
+            self.needs[service_name],
+            now,
+            self.settings,
+            self.host.feed.through_hubs,
         )
 
     def _find_slots(self, service):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -92,6 +92,15 @@
     assert scaling.expect_needed(0, SCALING) == SCALING.fewest
 
 
+def test_hosts_that_hear_late_have_more_cheap_endpoints():
+    """Each endpoint gets more of some moments' calls than of others'."""
+    past = {0: 50, 25_000: 40}
+    near = scaling.hold_need(past, 26_000, SCALING)
+    late = scaling.hold_need(past, 26_000, SCALING, through_hubs=True)
+    assert near == scaling.Need(lasting=40, reclaimable=50)
+    assert late == scaling.Need(lasting=40, reclaimable=60)
+
+
 def test_without_endpoints_nothing_is_chosen():
     assert placement.choose([], placement.Demand(), MODEL, PLACEMENT) == (
         None,
