A read of the endpoints that hangs no longer makes a drain late

Change: a read that does not wait is given up after 300 ms, then after twice as long each time, up to 1000 ms: a slow store takes 200 ms. Tried before: a list that is read at 0.6 of the time, with shorter waits of the reader; costs a third more reads (test_few_hosts_of_a_zone_read_the_endpoints_once). Tests: test_late_drains, 'a read hung' (2643 ms before; 2000 allowed), and that a hung read is given up soon.

--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -13,7 +13,8 @@
 # reports fit into the time after which the other hosts read for themselves.
 ENDPOINT_WAIT_SHARE = 0.25
 # A host reads the endpoints itself once its list is older than this part of
-# the time in which a drain must be acted on; the rest is for that read.
+# the time in which a drain must be acted on; the rest is for that read, and
+# for another one if it hangs.
 OLDEST_LIST_SHARE = 0.8
 # Pause between reads of the endpoints' heartbeats, which come many
 # times a second: a drain has to be acted on within 2 s.
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -29,6 +29,11 @@
 CALL_MS = 1500
 # Added to a long poll's own time before it is given up.
 POLL_MARGIN_MS = 1000
+# How long a read that does not wait may take: more than a slow store takes.
+# What hangs leaves time for another one while a drain has to be acted on,
+# which may take twice as long, up to the margin above.
+READ_NOW_MS = 300
+MOST_DOUBLED = 2
 MAX_BODY_BYTES = 8 * 1024 * 1024
 LENGTH = struct.Struct('>I')
 BOUNDS = struct.Struct('>QQ')
@@ -66,6 +71,7 @@
         self.calls = collections.Counter()
         self.failures = 0
         self.failing = False
+        self._failed_in_row = 0
         self.pool = make_pool(settings.address)
 
     @property
@@ -118,7 +124,7 @@
         if wait_ms:
             query['wait_ms'] = wait_ms
         response = await self._call(
-            'GET', '/log-read', query, b'', wait_ms + POLL_MARGIN_MS
+            'GET', '/log-read', query, b'', self._limit_read(wait_ms)
         )
         if response.head.status == 410:
             first = parse_json(response.body).get('first', 0)
@@ -176,6 +182,15 @@
         batch = await self.read(KEYED_PREFIX + topic, start, wait_ms)
         return [split_key(item) for item in batch.records], batch.next
 
+    def _limit_read(self, wait_ms):
+        """Return how long a read may take, in milliseconds.
+
+        :param wait_ms: how long the store waits for records.
+        """
+        if wait_ms:
+            return wait_ms + POLL_MARGIN_MS
+        return min(POLL_MARGIN_MS, READ_NOW_MS << self._failed_in_row)
+
     async def _call(self, method, path, query, body, call_ms):
         self.calls[path.rpartition('-')[2], query['topic']] += 1
         target = f'{path}?{urllib.parse.urlencode(query)}'
@@ -189,6 +204,7 @@
                 )
         except (exceptions.PearrunError, TimeoutError) as exc:
             self.failures += 1
+            self._failed_in_row = min(MOST_DOUBLED, self._failed_in_row + 1)
             self.failing = True
             if exceptions.is_silence(exc):
                 # What silenced this connection may have silenced the idle
@@ -197,6 +213,7 @@
             raise exceptions.StoreUnavailableError(
                 f'{path}: {exc or "timed out"}'
             ) from exc
+        self._failed_in_row = 0
         if response.head.status < 500 and response.head.status != 429:
             self._note_answer()
         return response
--- a/tests/test_late_drains.py
+++ b/tests/test_late_drains.py
@@ -33,6 +33,7 @@
 from pearrun.clock import to_seconds
 from pearrun.platform.endpointlist import EndpointFollower
 from pearrun.platform.store import KeyedRecord
+from pearrun.platform.store import READ_NOW_MS
 from pearrun.shared.reports import TopicFeed
 from pearrun.standins.platformsite import make_config
 from tests.platformsite import make_host_context
@@ -46,10 +47,12 @@
 
     :param drain_at_read: the drain is appended as this read arrives, the
         first one being 1; 0 for never.
-    :param failing_reads: numbers of reads that get no answer.
+    :param failing_reads: numbers of reads that fail at once.
+    :param hung_reads: numbers of reads that get no answer.
     """
 
-    def __init__(self, drain_at_read=0, failing_reads=()):
+    def __init__(self, drain_at_read=0, failing_reads=(), hung_reads=()):
+        self.hung_reads = hung_reads
         self.clock = Clock()
         self.drain_at_read = drain_at_read
         self.failing_reads = failing_reads
@@ -66,6 +69,9 @@
         self.reads += 1
         if self.reads in self.failing_reads:
             raise exceptions.StoreUnavailableError('no answer')
+        if self.reads in self.hung_reads:
+            await asyncio.sleep(to_seconds(wait_ms + READ_NOW_MS))
+            raise exceptions.StoreUnavailableError('no answer')
         found = self.records[start:]
         if self.reads == self.drain_at_read:
             self.drain()
@@ -109,6 +115,14 @@
     follower.host.feed.offer(TopicFeed(position, position, (), waited_ms))
 
 
+async def fall_silent(follower, store):
+    """Have the host that reads fall silent just before a drain."""
+    await wait_until(lambda: follower.host.fleet.of_service('model'))
+    position = len(store.records)
+    follower.host.feed.offer(TopicFeed(position, position, (), 0))
+    store.drain()
+
+
 def play(store, script=None):
     """Run a follower until it has acted on the drain.
 
@@ -143,6 +157,9 @@
             None,
             id='a read failed',
         ),
+        pytest.param(
+            ScriptedStore(hung_reads=(1,)), fall_silent, id='a read hung'
+        ),
     ],
 )
 def test_a_drain_is_known_in_time_without_the_host_that_reads(store, script):
@@ -171,3 +188,22 @@
             assert all('wait_ms' in query for query in reads)
 
     asyncio.run(main())
+
+
+def test_a_read_that_hangs_is_given_up_soon():
+    """Another one follows, which may take longer: the store may be slow."""
+
+    async def main():
+        async with run_site(make_config(), [('p1', 'plain')]) as site:
+            (host,) = site.hosts.values()
+            site.store.faults.silent = True
+            limits = []
+            for _ in range(3):
+                began_ms = host.clock.now()
+                with pytest.raises(exceptions.StoreUnavailableError):
+                    await host.store.follow('servers', 0, 0)
+                limits.append(host.clock.since(began_ms))
+            assert limits[0] < 1.5 * READ_NOW_MS
+            assert limits[0] < limits[1] <= limits[2]
+
+    asyncio.run(main())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -214,7 +214,7 @@
     messages = [
         report,
         reports.UsageNote(RUN, {4: {'anna': 3}}),
-        reports.EndpointFeed(7, 9, (('e', b'entry'), ('f', None)), 30),
+        reports.TopicFeed(7, 9, (('e', b'entry'), ('f', None)), 30),
         reports.HostEnded(HostName('h')),
         reports.ConfigCopy(HostName('h'), b'raw'),
     ]
