--- a/pearrun/decisions/admission.py
+++ b/pearrun/decisions/admission.py
@@ -22,17 +22,13 @@
         expected; the rest is for the answer itself and for errors of
         the estimate.
     :param target_share: part of its latency target that a call may wait for
-        others; its own prompt takes the rest.  With engines that read 40
-        tokens a millisecond where 80 were needed, a tenth more of all
-        calls' credit was served than with waits bounded by the callers'
-        deadlines alone.
+        others; its own prompt takes the rest.
     :param least_return_ms: shortest time after which to come back.
     :param longest_return_ms: longest one; callers honour a third of
         the time they have left.
     :param least_away: with ``most_away`` the range of the longest time to
         stay away, as parts of the latency target; the rest is for the
-        answer.  Against times by the expected wait alone 0.4% more of the
-        credit owed was served (mean of eleven days at three customers).
+        answer.
     """
 
     share: float = 0.6
--- a/pearrun/decisions/demand.py
+++ b/pearrun/decisions/demand.py
@@ -2,17 +2,16 @@
 
 Load pattern: waves, bursts and one customer's surge, while endpoints are
 reclaimed or fall silent.  Calls under way are no measure of it: they pile
-up when endpoints are too few or cut off, and a need taken from them doubled
-(20 endpoints in place of 10) just when nothing more was asked.  So what
-counts is what comes: calls, their time as answered calls took it, and the
-tokens to read.
+up when endpoints are too few or cut off, and a need taken from them rises
+just when nothing more is asked.  So what counts is what comes: calls, their
+time as answered calls took it, and the tokens to read.
 """
 
 import collections
 import dataclasses
 
-# Length over which what comes is averaged: long prompts come 18 a second,
-# and their tokens' sum over this long varies by a fifth.
+# Length over which what comes is averaged: long prompts are few, and the sum
+# of their tokens varies much over less.
 SPAN_MS = 3000
 # What comes is added up in steps of this length.
 STEP_MS = 250
--- a/pearrun/decisions/enginemodel.py
+++ b/pearrun/decisions/enginemodel.py
@@ -8,7 +8,7 @@
 follows a change of the engines.
 
 The sums that a line is drawn through can be added up over hosts: each has
-seen a few answers a second, and a line through 12 answers was off by 45%.
+seen a few answers a second, too few for a line of its own.
 A first guess stands in for answers until some have come.  What is far off
 the line, such as the answer of a paused or faulty endpoint, is left out.
 """
@@ -22,7 +22,7 @@
     """First guess and memory of the learnt line.
 
     :param tokens_per_ms: prompt tokens read in a millisecond, as guessed:
-        the slower of two engines that were measured (55 and 112).
+        that of a slow engine.
     :param base_ms: milliseconds to a first token with nothing to read.
     :param guess_weight: answers that the guess counts for.
     :param keep: part of the weight of past answers left by each new one; at
--- a/pearrun/decisions/quota.py
+++ b/pearrun/decisions/quota.py
@@ -17,8 +17,7 @@
 HUB_LAG_S = 0.75
 # Part of the refill that is used through hubs.  Many hosts that hear late
 # of what the others admit all find the bucket filled at once and empty it
-# again: of what a window may hold, 45 hosts used up to 0.962 under six times
-# the limit and 1.005 under seven, in simulation (1.022 with all of it).
+# again.
 HUB_REFILL = 0.92
 # Largest part of the burst held back for what others have not reported.
 MOST_RESERVED = 0.7
@@ -27,9 +26,7 @@
 SMALL_SHARE = 0.002
 # How far below the level at which larger calls are refused small ones still
 # pass, as a part of the burst: a little more than one round of the other
-# hosts' reports takes.  Refusing them frees nothing: at six times a limit a
-# fifth of the calls were small and asked for 3% of the limit; 83% of them
-# were refused, as of the larger ones, and now 1 to 5%, in simulation.
+# hosts' reports takes.  Refusing them frees nothing.
 SMALL_DEPTH = 0.7
 # Debt beyond this much of the rate is forgotten, in seconds: calls that
 # were admitted too many are made up for within a quota's window.
@@ -37,15 +34,11 @@
 # Without a report for this long, a host is taken to go on as before.
 SILENT_MS = 600
 # Level at which a host starts, as a part of its share of the burst: what
-# was used before its start is not known.  With a tenth, 6.6% of the units
-# asked below a limit were refused in the 2 s after all hosts had started
-# again, and with half 4.4%; under six times the limit they use up to 0.94 of
-# what a window may hold, in simulation.
+# was used before its start is not known.  A lower one refuses customers below
+# their limits after all hosts have started again.
 FIRST_LEVEL = 0.5
 # After its start a host uses the limit's part of the hosts it has heard,
-# times this.  With the whole limit for each, nine hosts killed at once
-# under six times the limit used 1.33 times what a window may hold, in
-# simulation.
+# times this: hosts that were killed at once would else each use the whole.
 START_SHARE = 1.0
 # Until when a host that is listed and not heard is taken to be starting
 # too; links are up about a second after a start.
@@ -56,17 +49,13 @@
 # several hosts admit before they hear of each other's.
 TOLERANCE_USED = 0.15
 # Half-life of the average rate that others assume while they do not hear
-# a host: calls differ a hundredfold in size, and an average over one
-# second, taken at a bad moment, let two halves of a cut use the limit
-# 1.3 times in simulation.
+# a host: calls differ a hundredfold in size, so that an average over a second
+# tells little.
 RATE_HALF_LIFE_S = 4.0
 # Time without use that an average begins with.  A large call is told at
-# once: its units over the few milliseconds since the last report gave a rate
-# so high that the reserve for it refused nearly all calls of customers at
-# half of their limit, for 0.7 s after all hosts had started again; at 0.8 of
-# a limit 14.5% of the units asked in the first second, now 2.1%, in
-# simulation.  With twice this time two halves of a cut used 1.05 times what a
-# window may hold, with it 0.97.
+# once: its units over the few milliseconds since the last report would make a
+# rate whose reserve refuses nearly all calls for a while.  A longer time would
+# let the two halves of a cut use too much.
 IDLE_S = 1.3
 
 
@@ -190,10 +179,7 @@
         :param peer: the host's run; a new run counts from zero.
         :param total: units it admitted since its start.
         :param heard: whether the host was heard before.  If so, it had
-            admitted nothing for this customer until now; counted as past,
-            first calls let nine hosts that had started again use up to
-            0.999 of what a window may hold, in place of 0.901, in
-            simulation.
+            admitted nothing for this customer until now.
         """
         use = self.peers.get(peer)
         if use is None:
--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -30,10 +30,7 @@
     :param most_reading: largest part of an endpoint's time that goes into
         reading prompts; tokens of running calls come in the rest.
     :param limit_units_each: units a second of customers' limits for which
-        one endpoint is kept while no load has been seen yet: three
-        customers with limits of 700,000 needed 7 or 8.  A large one that
-        started with 4 served 0.59 of what was asked in its first 12 s, with
-        as many as this 0.81.
+        one endpoint is kept while no load has been seen yet.
     :param spare: reclaimable endpoints ordered beyond what is needed,
         in each zone: a boot takes seconds, a burst comes at once.
     :param hold_ms: how long the highest need of the past still counts
--- a/pearrun/decisions/topology.py
+++ b/pearrun/decisions/topology.py
@@ -2,10 +2,10 @@
 
 Load pattern: hosts tell each other several times a second what they
 sent where and what they admitted.  While there are few, each tells all
-others.  With n hosts that is n * (n - 1) messages a round: at 63 hosts
-they took 16% of a core on each.  A larger fleet has hubs, some in each
-zone: a host tells its zone's hubs, these tell each other sums for their
-zones, and tell the hosts of their zone everything.  Nothing is elected:
+others.  With n hosts that is n * (n - 1) messages a round, too many for a
+large fleet.  It has hubs, some in each zone: a host tells its zone's hubs,
+these tell each other sums for their zones, and tell the hosts of their zone
+the sums of all zones, their own included.  Nothing is elected:
 every host ranks the hosts of a zone alike, leaves out those it cannot
 reach, and a host that is told as a hub acts as one.
 
@@ -17,9 +17,7 @@
 
 from pearrun.ids import HostName
 
-# Up to this many hosts every host tells all others.  At 9 hosts that
-# takes 3 to 4% of a core on each, growing with their number; the users'
-# small sites have 12 at the most, and some that ended on the list.
+# Up to this many hosts every host tells all others.
 MESH_HOSTS = 16
 # So many, so that the loss of one leaves its zone's hosts in touch.
 HUBS_EACH_ZONE = 2
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -19,9 +19,8 @@
 # How often the lease and the duties are looked at.
 TICK_MS = 250
 # Without news of a holder for this long, a host begins to watch the log:
-# three rounds of reports.  A successor may claim 3.8 s after it began, and
-# a window's report is due 10 s after its end, store calls that take a third
-# of a second included; after 1.5 s it came too late behind a frozen holder.
+# three rounds of reports.  A successor may claim seconds after it began, and
+# has to report the window that ended meanwhile in time.
 HOLDER_SILENT_MS = 700
 # Pause after counts could not be saved: the store may be away.
 SAVE_AGAIN_MS = 500
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -11,8 +11,8 @@
 # Windows of usage in each note; the last ones may still change.
 REPORTED_WINDOWS = 3
 # Time between rounds without news: placement by a load that is older
-# than this sends several calls to one endpoint; at five a second a host
-# spends about 2% of a core on nine hosts' reports.
+# than this sends several calls to one endpoint; each round takes processor
+# time on all hosts that are told.
 ROUND_MS = 200
 # The same after a start: until a host has heard the others, which takes three
 # rounds through hubs, it may use a small part of each customer's limit.
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -41,8 +41,8 @@
         """Note what the demand needs now, also where another host orders.
 
         A host that takes the duties over goes on from the needs of the last
-        time.  One that knew none kept ten endpoints, by the customers'
-        limits, where four were needed.
+        time; one that knows none keeps as many as the customers' limits allow
+        for.
         """
         now = self.clock.now()
         if self.watched_ms is not None and now - self.watched_ms < PLAN_MS:
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -9,9 +9,9 @@
 from pearrun.shared.loads import NO_LOAD
 from pearrun.shared.prompts import Placed
 
-# Prompts from this size on are told to the other hosts at once: reading
-# 4,000 tokens takes 70 ms, and within a report period of 200 ms the
-# others would send two short calls behind each of them.
+# Prompts from this size on are told to the other hosts at once: reading one
+# takes a good part of a report period, in which the others would send short
+# calls behind it.
 LARGE_TOKENS = 4000
 # Mean age of other hosts' reports as they are used where these come through
 # hubs: the rounds of the host and of two hubs.
