A host that stops does not wait for peers that do not answer

Change: links wait for 100 ms. Test: test_a_host_ends_soon_beside_a_peer_that_answers_nothing (fails before).

--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -29,6 +29,9 @@
 PING_MS = 1000
 SILENCE_MS = 1500
 REDIAL_MS = 200
+# How long the end of a link waits for the other end's: a host that stops is
+# killed soon after, and must not wait for one that is cut off.
+CLOSE_MS = 100
 # A report larger than this is no report.
 MAX_MESSAGE_BYTES = 1024 * 1024
 # A host that could not be reached is no hub for this long, then for twice
@@ -89,6 +92,7 @@
             max_size=MAX_MESSAGE_BYTES,
             ping_interval=to_seconds(PING_MS),
             ping_timeout=to_seconds(SILENCE_MS),
+            close_timeout=to_seconds(CLOSE_MS),
         ):
             try:
                 while True:
@@ -171,6 +175,7 @@
                     open_timeout=to_seconds(CONNECT_MS),
                     ping_interval=to_seconds(PING_MS),
                     ping_timeout=to_seconds(SILENCE_MS),
+                    close_timeout=to_seconds(CLOSE_MS),
                     max_size=MAX_MESSAGE_BYTES,
                     proxy=None,
                 ) as link:
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+from websockets.asyncio.client import connect
+
 from pearrun.shared import peerlinks
 from pearrun.shared import reporter
 from pearrun.standins.platformsite import make_config
@@ -64,3 +66,21 @@
             )
 
     play_with_hubs(scenario, monkeypatch)
+
+
+def test_a_host_ends_soon_beside_a_peer_that_answers_nothing():
+    """Hosts that stop beside a cut-off one were killed in the end."""
+
+    async def main():
+        async with run_site(make_config(), hosts=1) as site:
+            (daemon,) = site.hosts.values()
+            settings = daemon.settings
+            address = f'ws://{settings.ip}:{settings.first_port}/'
+            link = await connect(address, proxy=None)
+            link.transport.pause_reading()
+            began_ms = daemon.clock.now()
+            await daemon.end()
+            assert daemon.clock.since(began_ms) < 1000
+            link.transport.abort()
+
+    asyncio.run(main())
