Ages of lists and configurations count their way over a link

Change: the receiving end adds the link's last measured round trip. Test: test_the_age_of_a_list_counts_its_way_over_a_full_link (fails before).

--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -232,7 +232,8 @@
         """Take one peer's bundles until its link ends."""
         try:
             async for data in link:
-                self.board.take_encoded(data)
+                delay_ms = round(link.latency * 1000)
+                self.board.take_encoded(data, delay_ms)
         except exceptions.WireFormatError as exc:
             logger.bind(code=exc.code).warning(exc.message)
         except websockets.ConnectionClosedError as exc:
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -50,6 +50,7 @@
         self._hubs_heard = {}
         self._coverage = {}
         self._asked_ms = None
+        self._delay_ms = 0
         self._fresh = {}
         self._fresh_sums = {}
         self._remembered = collections.OrderedDict()
@@ -58,19 +59,22 @@
 
     # taking messages
 
-    def take_encoded(self, data):
+    def take_encoded(self, data, delay_ms=0):
         """Take an encoded :class:`Bundle`.
 
         Every hub of a zone passes on the same reports; those that another
         one has told already are not decoded again, to spare processor time.
 
+        :param delay_ms: how long what comes on its link may have been on its
+            way; what it says of its own age leaves that out.
         :raises WireFormatError: it is none.
         """
         bundle = reports.decode_bundle(data, self._remembered.__contains__)
-        self.take(bundle)
+        self.take(bundle, delay_ms)
 
-    def take(self, bundle):
-        """Take a :class:`Bundle`."""
+    def take(self, bundle, delay_ms=0):
+        """Take a :class:`Bundle`; see :meth:`take_encoded`."""
+        self._delay_ms = delay_ms
         if bundle.from_hub:
             self._hubs_heard[bundle.sender] = self.clock.now()
         for message, encoded in bundle.messages:
@@ -172,7 +176,8 @@
         if report.run.whole_zone:
             self.versions[report.run.host] = report.config_version
         if report.config_version == host.config.version:
-            host.config.confirm(now - report.config_age_ms)
+            age_ms = report.config_age_ms + self._delay_ms
+            host.config.confirm(now - age_ms)
         if report.duty is not None:
             self._note_duty(report.duty, now)
         if report.run.zone == host.settings.zone:
@@ -233,7 +238,8 @@
     def _take_feed(self, batch):
         feed = self.host.feeds.get(batch.topic)
         if feed is not None:
-            feed.offer(batch)
+            age_ms = batch.age_ms + self._delay_ms
+            feed.offer(dataclasses.replace(batch, age_ms=age_ms))
 
     def _take_config(self, name, raw):
         try:
--- a/tests/test_reportboard.py
+++ b/tests/test_reportboard.py
@@ -1,5 +1,6 @@
 """Reports that reach a host more than once."""
 
+import asyncio
 import dataclasses
 import time
 
@@ -101,3 +102,19 @@
     tell(board, 'hub', reports.encode(report))
     time.sleep(0.05)
     return board.find_notice()
+
+
+def test_the_age_of_a_list_counts_its_way_over_a_full_link():
+    """A call reached an endpoint 3.8 s after it had said that it leaves.
+
+    Bundles of many reports filled a slow link.  What queued there was taken
+    to be as fresh as when it was sent.
+    """
+    board = make_board()
+    feed = reports.TopicFeed(4, 4, (), 100)
+    data = reports.encode_bundle('hub-1', True, [reports.encode(feed)])
+    began_ms = board.clock.now()
+    board.take_encoded(data, delay_ms=900)
+    until_ms = board.clock.now() + 100
+    changes = asyncio.run(board.host.feed.wait(4, until_ms))
+    assert changes.asked_ms <= began_ms + 50 - 1000
