Hubs keep to a quarter of their link; bundles are compressed

Change: a round waits until the one before has had time on a quarter of the host's own link; bundles of more than 2 KB are compressed. Tests: tests/test_peerlinks.py (a hub with 5 Mbit/s; fails before), compressed, damaged and oversized bundles.

--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -18,6 +18,10 @@
 # rounds through hubs, it may use a small part of each customer's limit.
 FIRST_ROUND_MS = 50
 STARTING_MS = 2000
+# Largest part of a host's link that its rounds may take.  A host with a slow
+# link that becomes the hub of its zone would else fill it, and lose the store,
+# the other hosts and its callers.
+LINK_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,6 +66,8 @@
         self.begun_ms = host.clock.now()
         self._usage = (None, b'')
         self._bundles = {}
+        self._sent_bytes = 0
+        self._made_ms = 0
         self._round = None
         self._made = asyncio.Event()
         self._news = asyncio.Event()
@@ -76,6 +82,8 @@
             await self._wait_for_news()
             self._news.clear()
             self._bundles = {}
+            self._sent_bytes = 0
+            self._made_ms = self.host.clock.now()
             self._round = self._make()
             self._made.set()
             self._made = asyncio.Event()
@@ -124,7 +132,8 @@
     def bundle(self, messages):
         """Return a bundle of encoded messages from this host.
 
-        Links that carry the same of a round share one.
+        Links that carry the same of a round share one.  Each call counts as
+        one sending of it.
         """
         key = tuple(messages)
         bundle = self._bundles.get(key)
@@ -132,14 +141,30 @@
             bundle = self._bundles[key] = reports.encode_bundle(
                 self.host.settings.name, self.plan.is_hub, messages
             )
+        self._sent_bytes += len(bundle)
         return bundle
 
     async def _wait_for_news(self):
+        """Wait until a round is due, or until there is news.
+
+        Also with news, the link gets time to carry the round before.
+        """
         try:
             async with asyncio.timeout(to_seconds(self._round_ms())):
                 await self._news.wait()
         except TimeoutError:
-            return
+            pass
+        carried_ms = self._made_ms + self._sending_ms()
+        left_ms = carried_ms - self.host.clock.now()
+        if left_ms > 0:
+            await asyncio.sleep(to_seconds(left_ms))
+
+    def _sending_ms(self):
+        """Return how long the last round takes this host's link."""
+        link_mbps = self.host.settings.link_mbps * LINK_SHARE
+        if not link_mbps:
+            return 0
+        return self._sent_bytes * 8 / (link_mbps * 1000.0)
 
     def _round_ms(self):
         """Return the time until the next round is made without news."""
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import zlib
 
 import cbor2
 
@@ -21,6 +22,13 @@
 from pearrun.shared.run import Run
 
 ENDPOINT_TOPIC = 'servers'
+# Bundles from this size on are compressed.
+COMPRESSED_BYTES = 2048
+# The first byte of compressed data; a bundle itself begins with that of a
+# list.
+COMPRESSED_START = b'x'
+# A bundle larger than this is none.
+MAX_BUNDLE_BYTES = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,9 +157,32 @@
 def encode_bundle(sender, from_hub, encoded):
     """Encode a bundle.
 
+    Larger ones are compressed: sums of several zones name the same
+    endpoints and customers, and a hub sends them to its whole zone.
+
     :param encoded: encoded messages; see :func:`encode`.
     """
-    return cbor2.dumps([sender, from_hub, list(encoded)])
+    data = cbor2.dumps([sender, from_hub, list(encoded)])
+    if len(data) < COMPRESSED_BYTES:
+        return data
+    return zlib.compress(data, level=1)
+
+
+def expand(data):
+    """Return a bundle's bytes as they were before compression.
+
+    :raises WireFormatError: they are damaged, or too many.
+    """
+    if data[:1] != COMPRESSED_START:
+        return data
+    expander = zlib.decompressobj()
+    try:
+        plain = expander.decompress(data, MAX_BUNDLE_BYTES)
+    except zlib.error as exc:
+        raise exceptions.WireFormatError(f'peer: {exc}') from exc
+    if not expander.eof:
+        raise exceptions.WireFormatError('peer: bundle cut or too large')
+    return plain
 
 
 def decode_bundle(data, is_known=lambda encoded: False):
@@ -161,7 +192,7 @@
     :raises WireFormatError: it is none, or holds an unknown message.
     """
     try:
-        sender, from_hub, encoded = cbor.load(data, 'peer')
+        sender, from_hub, encoded = cbor.load(expand(data), 'peer')
         messages = [
             (decode(item), item) for item in encoded if not is_known(item)
         ]
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import dataclasses
+import random
+import zlib
 
+import pytest
 from websockets.asyncio.client import connect
 
+from pearrun import exceptions
+from pearrun.decisions.topology import LinkPlan
 from pearrun.shared import peerlinks
 from pearrun.shared import reporter
+from pearrun.shared import reports
 from pearrun.standins.platformsite import make_config
 from tests.platformsite import make_host_context
 from tests.platformsite import run_site
@@ -84,3 +90,55 @@
             link.transport.abort()
 
     asyncio.run(main())
+
+
+def test_a_hub_with_a_slow_link_makes_fewer_rounds():
+    """A host with a link of 5 Mbit/s followed its zone's hubs, which ended.
+
+    It sent 40 KB to 26 hosts five times a second, 42 Mbit/s.  For 5 s it
+    reached neither the store nor the other hosts, and passed calls on to
+    endpoints that had left.
+
+        43.23 front-pnw-portland-17 role among hosts is_hub=true targets=26
+        45.79 front-pnw-portland-17 peer link down: keepalive ping timeout
+        48.20 front-pnw-portland-17 store lost: /log-read
+        51.32 front-pnw-portland-17 endpoint removed (44.92 elsewhere)
+    """
+
+    async def main():
+        host = make_host_context()
+        host.settings = dataclasses.replace(host.settings, link_mbps=5.0)
+        made = reporter.Reporter(host, 1, None)
+        made.begun_ms -= reporter.STARTING_MS
+        made.plan = LinkPlan(False, True, True, frozenset())
+        made._make = object
+        told = asyncio.create_task(made.run())
+        rounds = 0
+        began_ms = host.clock.now()
+        while host.clock.since(began_ms) < 1500:
+            await made.next_round()
+            rounds += 1
+            for _ in range(20):
+                made.bundle([random.randbytes(4000)])
+            made.tell_at_once()
+        told.cancel()
+        sent_bytes = rounds * 20 * 4000
+        allowed_bytes = 5.0 * reporter.LINK_SHARE * 1e6 / 8 * 1.5
+        # One round may be sent before the first wait, one at the end.
+        assert sent_bytes <= allowed_bytes + 2 * 20 * 4100
+
+    asyncio.run(main())
+
+
+def test_a_large_bundle_is_compressed_and_a_damaged_one_refused():
+    message = reports.encode(reports.HostEnded('front-zone-a-1' * 400))
+    data = reports.encode_bundle('h', True, [message])
+    assert len(data) < 1000
+    ((ended, _),) = reports.decode_bundle(data).messages
+    assert ended == reports.HostEnded('front-zone-a-1' * 400)
+    for damaged in (data[:-9], data[:20] + b'xx' + data[22:]):
+        with pytest.raises(exceptions.WireFormatError):
+            reports.decode_bundle(damaged)
+    bomb = zlib.compress(bytes(reports.MAX_BUNDLE_BYTES + 1))
+    with pytest.raises(exceptions.WireFormatError):
+        reports.decode_bundle(bomb)
