--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,10 +5,12 @@
 
 import asyncio
 import signal
+import sys
 
 import pytest
 
 from tests.soak import checks
+from tests.soak import process
 from tests.soak.play import play_seed
 from tests.soak.process import Exit
 from tests.soak.process import HostProcess
@@ -64,7 +66,20 @@
 MOST_STARTS = 20
 
 
-def test_an_early_signal_is_told_from_one_that_the_program_ignores(tmp_path):
+# An interpreter that reaches the program late, as on a machine that is busy:
+# the test must go on before it does.
+SLOW_START = (
+    'import runpy, time; time.sleep(0.15); '
+    "runpy.run_path('deploy/run_host.py', run_name='__main__')"
+)
+
+
+def test_an_early_signal_is_told_from_one_that_the_program_ignores(
+    tmp_path, monkeypatch
+):
+    usual = process.COMMAND
+    slow = (sys.executable, '-S', '-c', SLOW_START)
+    monkeypatch.setattr(process, 'COMMAND', slow)
     settings = tmp_path / 'boot.toml'
     settings.write_text('node = 1')
 
@@ -73,7 +88,7 @@
         running = asyncio.create_task(host.run())
         for _ in range(MOST_STARTS):
             while host.process is None:
-                await asyncio.sleep(0)
+                await asyncio.sleep(0.001)
             host.send(signal.SIGHUP)
             if host.too_early:
                 break
@@ -81,6 +96,7 @@
             host.process, started = None, host.process
             started.kill()
         assert host.too_early
+        monkeypatch.setattr(process, 'COMMAND', usual)
         ended = len(host.exits)
         while len(host.exits) == ended or host.process.returncode is not None:
             await asyncio.sleep(0.01)
