A lease's log that was deleted has not stood still; agreed windows are not agreed again

It agrees windows anew that host-3 has reported. Change: what was deleted unread ends the stillness; renewals say the last window that was agreed; after a log that is empty, windows that had ended by then are not agreed again (missed is better than two reports). Found beside it by reading: with duties that go on by themselves, a record that waited for another one was written behind what it had not seen; it is refused.

--- a/pearrun/decisions/lease.py
+++ b/pearrun/decisions/lease.py
@@ -37,7 +37,8 @@
     """One record of the log.
 
     :param run: the writer's host name and start time.
-    :param window: number of a usage window; with ``counts``.
+    :param window: number of a usage window: that of ``counts``, or the last
+        one that was agreed before a renewal.
     """
 
     kind: RecordKind
@@ -53,6 +54,8 @@
     :param quiet_ms: how long the log must stand still before a claim.
 
     Times are milliseconds of a clock that counts suspended time.
+    ``agreed_until`` is the last usage window that any holder agreed on, and
+    ``lost_ms`` when this host found that the log was deleted.
     """
 
     def __init__(self, run, quiet_ms=QUIET_MS):
@@ -66,6 +69,8 @@
         self.reported = {}
         self.told_end = None
         self.told_ms = None
+        self.agreed_until = -1
+        self.lost_ms = None
 
     def apply(self, offset, record):
         """Take a record read from, or appended to, the log."""
@@ -74,12 +79,27 @@
                 self.holder = record.run
                 self.fencing = offset + 1
                 self.valid_until_ms = None
+            case RecordKind.RENEW:
+                self.agreed_until = max(self.agreed_until, record.window)
             case RecordKind.USAGE:
                 if record.run == self.holder:
                     self.reported[record.window] = record.counts
+                    self.agreed_until = max(self.agreed_until, record.window)
         self.end = offset + 1
         self.still_since_ms = None
 
+    def note_expired(self, first):
+        """Note that records up to an offset were deleted unread.
+
+        Another host may have written them: the log has not stood still.
+        """
+        self.end = first
+        self.still_since_ms = None
+
+    def note_history_lost(self, now_ms):
+        """Note that nothing is left of the log: what was agreed is unknown."""
+        self.lost_ms = now_ms
+
     def note_end(self, end, now_ms):
         """Note that the log ended at an offset at a time.
 
--- a/pearrun/platform/leaselog.py
+++ b/pearrun/platform/leaselog.py
@@ -37,8 +37,10 @@
             try:
                 batch = await self.store.read(TOPIC, start)
             except exceptions.ExpiredOffsetError as exc:
-                self.view.end = exc.first_offset
+                self.view.note_expired(exc.first_offset)
                 batch = await self.store.read(TOPIC, exc.first_offset)
+                if not batch.records:
+                    self.view.note_history_lost(self.clock.boot())
             for index, data in enumerate(batch.records):
                 self.view.apply(batch.first + index, decode(data))
             self.view.note_end(batch.next, self.clock.boot())
@@ -49,7 +51,12 @@
         :raises StoreConflictError: another host wrote since.
         :raises StoreError: no answer; the record may be written.
         """
+        decided_at = self.view.end
         async with self._lock:
+            if self.view.end != decided_at:
+                raise exceptions.StoreConflictError(
+                    'log has grown meanwhile', self.view.end
+                )
             sent_ms = self.clock.boot()
             offset = await self.store.append(
                 TOPIC, [encode(record)], at=self.view.end
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -99,7 +99,9 @@
         now = self.clock.boot()
         if self.view.holder == self.view.run and self.view.valid_until_ms:
             if self.view.should_renew(now):
-                await self.log.write(self._record(RecordKind.RENEW))
+                await self.log.write(
+                    self._record(RecordKind.RENEW, self.view.agreed_until)
+                )
             self._note_held()
             return
         self._note_held()
@@ -174,7 +176,7 @@
             return
         try:
             await self.saving.take_up(term)
-            await self.saving.save(max(self.view.reported, default=-1) + 1)
+            await self.saving.save(self.view.agreed_until + 1)
         except exceptions.PearrunError as exc:
             logger.bind(code=exc.code).info(f'usage not saved: {exc.message}')
             await asyncio.sleep(to_seconds(SAVE_AGAIN_MS))
@@ -204,7 +206,7 @@
         board = self.host.board
         oldest = last - (settings.due_ms + LATE_MS) // settings.window_ms
         for window in range(oldest, last + 1):
-            if window in self.view.reported or not self._covers(window):
+            if self._may_be_agreed(window) or not self._covers(window):
                 continue
             counts = board.total(window)
             for name in self.host.config.current.customers:
@@ -213,6 +215,22 @@
                 self._record(RecordKind.USAGE, window, counts)
             )
 
+    def _may_be_agreed(self, window):
+        """Say whether a holder agreed on a window, or may have.
+
+        A second report with other counts is worse than none.
+        """
+        view = self.view
+        if window <= view.agreed_until or window in view.reported:
+            return True
+        if view.lost_ms is None:
+            return False
+        lost_wall_ms = self.host.time.wall() - (
+            self.clock.boot() - view.lost_ms
+        )
+        end_ms = (window + 1) * self.host.settings.usage.window_ms
+        return end_ms <= lost_wall_ms
+
     def _covers(self, window):
         """Say whether calls of a window can have been counted."""
         windows = self.host.board.windows
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,8 @@
         # SIGHUP while a host was starting ended it, both.
         1,
         20261203,
+        # The lease's log was deleted: a second holder, two usage reports.
+        31203403,
     ],
 )
 def test_a_seed_breaks_no_promise(seed, tmp_path):
--- a/tests/test_usage_saving.py
+++ b/tests/test_usage_saving.py
@@ -11,6 +11,8 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
+from pearrun import exceptions
+from pearrun.decisions import lease
 from pearrun.platform import usagelog
 from pearrun.shared.usageboard import UsageBoard
 from pearrun.shared.usagesaving import UsageSaving
@@ -231,3 +233,54 @@
             assert len(orders) == 2 * len(zones)
 
     asyncio.run(main())
+
+
+def test_a_log_that_was_deleted_has_not_stood_still():
+    """A host claimed the lease beside its holder (soak, seed 31203403).
+
+    It had read the log 4 s before; the holder's records were deleted since.
+    """
+    view = lease.LeaseView('h2/1')
+    view.note_end(8, 1000)
+    view.note_expired(16)
+    view.note_end(16, 6000)
+    assert not view.may_claim(6000)
+    assert not view.may_claim(6000 + lease.QUIET_MS - 1)
+    assert view.may_claim(6000 + lease.QUIET_MS)
+
+
+def test_windows_that_may_have_been_reported_are_not_agreed_again():
+    async def main():
+        async with run_site(make_config(), PLAIN) as site:
+            (host,) = site.hosts.values()
+            await wait_until(lambda: find_holders(site), 8)
+            duties = host.duties
+            now = duties.host.time.wall() // 1000
+            duties.view.agreed_until = now - 3
+            assert duties._may_be_agreed(now - 3)
+            assert not duties._may_be_agreed(now - 2)
+            duties.view.note_history_lost(duties.clock.boot())
+            assert duties._may_be_agreed(now - 2)
+            assert not duties._may_be_agreed(now + 1)
+
+    asyncio.run(main())
+
+
+def test_a_record_is_not_written_behind_records_that_came_meanwhile():
+    """Two duties write at once; the second one decided on an older log."""
+
+    async def main():
+        async with run_site(make_config(), PLAIN) as site:
+            (host,) = site.hosts.values()
+            await wait_until(lambda: find_holders(site), 8)
+            log = host.duties.log
+            record = lease.LeaseRecord(lease.RecordKind.RENEW, log.view.run)
+            done = await asyncio.gather(
+                log.write(record), log.write(record), return_exceptions=True
+            )
+            failed = [item for item in done if item is not None]
+            assert [type(item) for item in failed] == [
+                exceptions.StoreConflictError
+            ]
+
+    asyncio.run(main())
