Read again: what is saved, agreed and kept is said once

Behaviour as before. - usagesaving: a run's key has a name, and what is written is one condition in place of two that spelt it out. - duties: reported windows are never after agreed_until, so the second look was of no use. - placement: the endpoint that keeps a beginning is the first of one list. - store: the sum of its calls is taken where it is shown.

--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -214,10 +214,8 @@
         if cost.candidate.cached_tokens * 2 >= demand.shared_tokens
     ]
     first = [cost for cost in costs if cost.candidate.id == favourite]
-    return next(
-        (cost for cost in first if cost in holders),
-        next(iter([*holders, *first]), None),
-    )
+    both = [cost for cost in first if cost in holders]
+    return next(iter([*both, *holders, *first]), None)
 
 
 def find_level(costs, work_ms):
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -235,7 +235,7 @@
             'endpoint_list_age_ms': self.host.list_age_ms(now) or -1,
             'hosts': self.host.count_hosts(),
             'lease_held': int(self.duties is not None and self.duties.held),
-            'store_calls_total': self.store.calls_total,
+            'store_calls_total': self.store.calls.total(),
             'store_failures_total': self.store.failures,
             'log_lines_dropped_total': self.log_writer.dropped_total,
         }
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -74,11 +74,6 @@
         self._failed_in_row = 0
         self.pool = make_pool(settings.address)
 
-    @property
-    def calls_total(self):
-        """How many calls were made."""
-        return self.calls.total()
-
     def use(self, settings):
         """Take changed settings; a new address gets new connections."""
         if settings.address != self.settings.address:
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -221,7 +221,7 @@
         A second report with other counts is worse than none.
         """
         view = self.view
-        if window <= view.agreed_until or window in view.reported:
+        if window <= view.agreed_until:
             return True
         if view.lost_ms is None:
             return False
--- a/pearrun/shared/usagesaving.py
+++ b/pearrun/shared/usagesaving.py
@@ -32,6 +32,11 @@
     started_ms: int
     windows: dict[int, dict[str, int]]
 
+    @property
+    def key(self):
+        """The run, as a :class:`UsageBoard` names it."""
+        return self.host, self.started_ms
+
 
 class UsageSaving:
     """Saves a board's counts, and takes up those saved before.
@@ -56,7 +61,7 @@
         runs = await self.log.read()
         for run in runs:
             self.board.put(run.host, run.started_ms, run.windows)
-        self._saved = {(run.host, run.started_ms) for run in runs}
+        self._saved = {run.key for run in runs}
         self.board.mark_changed(self.board.list_runs())
         self.term = term
         logger.bind(runs=len(runs), fencing=term.fencing).info(
@@ -80,21 +85,20 @@
             self.board.mark_changed(changed)
             raise
         for run in runs:
-            key = (run.host, run.started_ms)
             if run.windows:
-                self._saved.add(key)
+                self._saved.add(run.key)
             else:
-                self._saved.discard(key)
+                self._saved.discard(run.key)
 
     def _select(self, changed, least_window):
-        """Return the :class:`SavedRun` objects to write now."""
+        """Return the :class:`SavedRun` objects to write now.
+
+        Those that have changed, and those that have nothing left.
+        """
         runs = [
             SavedRun(*key, self.board.counts_of(key, least_window))
             for key in changed | self._saved
         ]
         return [
-            run
-            for run in runs
-            if ((run.host, run.started_ms) in changed and run.windows)
-            or not (run.windows or (run.host, run.started_ms) in changed)
+            run for run in runs if bool(run.windows) == (run.key in changed)
         ]
