Logs say which calls an endpoint's crash broke, by fingerprint

What the incident's logs could not tell: whether calls with the same customer and size are one request that came again, and whether an endpoint ended or spoilt one answer. A call that an endpoint broke has the fingerprint of its method, host, path, customer and body in its line, and a host looks by a connection of its own whether anything listens there any more ('endpoint crashed', with the fingerprints and how long each call had run). No decision rests on it yet.

--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -236,6 +236,12 @@
     code = 1507
 
 
+class EndpointDownError(EndpointUnreachableError):
+    """Nothing listens at the endpoint's address."""
+
+    code = 1508
+
+
 class ConnectionBrokenError(BackendError):
     """A connection ended before the response on it was complete.
 
--- /dev/null
+++ b/pearrun/fingerprints.py
@@ -0,0 +1,23 @@
+"""Fingerprints, by which requests with the same content are known."""
+
+import hashlib
+
+from pearrun.ids import Fingerprint
+
+DIGEST_BYTES = 12
+# Bytes in which the length of each part is written before it.
+LENGTH_BYTES = 8
+
+
+def make_fingerprint(*parts):
+    """Return the fingerprint of a request.
+
+    :param parts: what requests are told apart by, as bytes, in an order
+        that the caller keeps to.
+    :returns: a :class:`Fingerprint`.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(LENGTH_BYTES, 'big'))
+        digest.update(part)
+    return Fingerprint(digest.hexdigest())
--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -271,6 +271,8 @@
         raise exceptions.EndpointSilentError(
             f'{address}: connect timed out'
         ) from exc
+    except ConnectionRefusedError as exc:
+        raise exceptions.EndpointDownError(f'{address}: {exc}') from exc
     except OSError as exc:
         raise exceptions.EndpointUnreachableError(f'{address}: {exc}') from exc
     sockets.detect_silence(transport.get_extra_info('socket'), silence_ms)
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -234,6 +234,7 @@
             'endpoints': len(self.host.fleet.endpoints),
             'endpoint_list_age_ms': self.host.list_age_ms(now) or -1,
             'hosts': self.host.count_hosts(),
+            'endpoint_crashes_total': self.host.crashes.total,
             'lease_held': int(self.duties is not None and self.duties.held),
             'store_calls_total': self.store.calls.total(),
             'store_failures_total': self.store.failures,
--- a/pearrun/relay/call.py
+++ b/pearrun/relay/call.py
@@ -1,7 +1,9 @@
 """One caller's request as the relay sees it."""
 
 import dataclasses
+import functools
 
+from pearrun.fingerprints import make_fingerprint
 from pearrun.http1.messages import Request
 from pearrun.ids import RequestId
 from pearrun.shared.configuration import Customer
@@ -30,3 +32,16 @@
     units: float
     prompt: Prompt
     last_event_id: str | None = None
+
+    @functools.cached_property
+    def fingerprint(self):
+        """What a repeat of this request by its caller has in common."""
+        request = self.request
+        customer = self.customer.name if self.customer else ''
+        return make_fingerprint(
+            request.method,
+            (request.get(b'host') or '').encode(),
+            request.target,
+            customer.encode(),
+            request.body,
+        )
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -56,6 +56,8 @@
         except exceptions.EndpointUnreachableError as exc:
             silent = isinstance(exc, exceptions.EndpointSilentError)
             self._note_failure(refused=True, silent=silent)
+            if isinstance(exc, exceptions.EndpointDownError):
+                self.host.crashes.note_down(endpoint.id)
             return NotRun(exc.message, arrived=False)
         self.connection = connection
         head = None
@@ -125,6 +127,7 @@
     async def _take_refusal(self, head, verdict):
         status = head.status
         if verdict is Verdict.WRONG_ENDPOINT:
+            self.host.crashes.note_down(self.selected.endpoint.id)
             self.host.drop_endpoint(self.selected.endpoint, 'wrong endpoint')
         try:
             _, complete = await self.connection.read_body(REFUSAL_BYTES)
@@ -160,6 +163,7 @@
             while (chunk := await self.connection.read_chunk()) is not None:
                 await self.caller.write(chunk)
         except exceptions.ConnectionBrokenError as exc:
+            self._note_broken(exc)
             return Cut(exc.message), None
         self.caller.finish()
         return Answered(head.status), head
@@ -226,6 +230,13 @@
             # The idle connections may have gone silent with this one, and
             # each would cost a call that may not be repeated.
             self.host.pools.close_idle(self.selected.endpoint.id)
+            return
+        ran_ms = self.host.clock.since(self.sent_ms)
+        fingerprint = self.call.fingerprint
+        self.trace.fingerprint = fingerprint
+        self.host.crash_check.note_broken(
+            self.selected.endpoint, fingerprint, ran_ms
+        )
 
     def _note_failure(self, refused=False, silent=False):
         endpoint = self.selected.endpoint
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -49,6 +49,7 @@
         self.first_event_ms = None
         self.expected_ms = 0.0
         self.reason = ''
+        self.fingerprint = None
         self.ending = None
         self.status = 0
 
@@ -113,4 +114,5 @@
             quota_left=host.quotas.level(call),
             config=host.config.version,
             list_age_ms=host.list_age_ms(now_ms),
+            fingerprint=self.fingerprint,
         ).info('call')
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -5,6 +5,8 @@
 from pearrun.shared.clocksync import CorrectedClock
 from pearrun.shared.confighistory import ConfigHistory
 from pearrun.shared.counters import Counters
+from pearrun.shared.crashcheck import CrashCheck
+from pearrun.shared.crashes import Crashes
 from pearrun.shared.demands import Demands
 from pearrun.shared.engines import Engines
 from pearrun.shared.feed import Feed
@@ -34,6 +36,8 @@
         self.counters = Counters()
         self.config = ConfigHistory(clock)
         self.fleet = Fleet()
+        self.crashes = Crashes(clock, self.fleet)
+        self.crash_check = CrashCheck(self.crashes)
         self.feed = Feed(clock)
         self.member_feed = Feed(clock, MEMBER_TOPIC)
         self.feeds = {
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -27,6 +27,8 @@
     :param unsealed: leave the signature out.
     :param extra: send a second answer after a complete one.
     :param stray_first: send an answer to another request first.
+    :param crash_on: crash when a request with this body begins to run.
+    :param crash_after: events that such a stream sends before.
     """
 
     full: bool = False
@@ -39,6 +41,8 @@
     unsealed: bool = False
     extra: bool = False
     stray_first: bool = False
+    crash_on: bytes | None = None
+    crash_after: int = 0
 
 
 @dataclasses.dataclass
@@ -71,6 +75,7 @@
         self.work_ms = 2
         self.event_count = 5
         self.state = 'ready'
+        self.crashed = False
         self.server = Server(self._handle)
 
     async def listen(self, address):
@@ -78,6 +83,12 @@
         self.address = address
         await self.server.listen(address)
 
+    def crash(self):
+        """End at once, as a killed process does."""
+        self.crashed = True
+        self.server.close()
+        self.server.abort()
+
     def entry(self):
         """Return the entry that the endpoint writes to the store."""
         return {
@@ -123,6 +134,10 @@
         if not self.faults.unsealed:
             seal = f'seal.{self.id}.{attempt}'.encode()
             headers.append((b'Pearrun-Runner-Seal', seal))
+        if self._is_crashed_by(request) and not self.faults.crash_after:
+            await asyncio.sleep(to_seconds(self.work_ms))
+            self.crash()
+            return
         if self.faults.stray_first:
             caller.transport.write(stray_answer(b'someone-else'))
         if request.get(b'pearrun-token-count') is not None:
@@ -130,6 +145,10 @@
         else:
             await self._answer(request, caller, headers)
 
+    def _is_crashed_by(self, request):
+        crash_on = self.faults.crash_on
+        return crash_on is not None and request.body == crash_on
+
     async def _answer(self, request, caller, headers):
         await asyncio.sleep(to_seconds(self.work_ms))
         body = b'answer to ' + request.target
@@ -167,6 +186,11 @@
                 return
             await caller.write(make_event(number))
             run.events += 1
+            if self._is_crashed_by(request) and (
+                run.events >= faults.crash_after
+            ):
+                self.crash()
+                return
         caller.finish()
 
 
