Requests that crash endpoints are kept from them

Cause: a request was known by its attempt's id alone, so that nothing learnt in one attempt was there in the next. A limit on the tries of one attempt does not limit the request.

Now: a broken call whose endpoint does not listen any more is a crash under the call's fingerprint (method, host, path, customer, body). Hosts tell each other at once; after three endpoints a request is refused for ten minutes (503, 1409, Retry-After) before its quota is counted, and not sent on by a host that is in the middle of it. Each crash is held against one request only, that under which most endpoints crashed; answers within 30 s before count as proof that endpoints survive it; a call that had run well for a second counts half. Hosts that saw the crashes save it on the store 0.3 s later, so that it outlasts all of them. What is kept is bounded in size (256 requests, 32 crashes each; 4,096 answered ones) and lifetime (20 minutes).

--- /dev/null
+++ b/pearrun/decisions/quarantine.py
@@ -0,0 +1,250 @@
+"""Which requests are kept from endpoints because they crash them.
+
+Load pattern: a request crashes each endpoint that begins to run it, and its
+caller sends it again and again, to any host.  Each crash breaks the good
+calls beside it too, many of them several times in a row, and endpoints also
+crash for reasons of their own, many at once.
+
+A request is quarantined when enough endpoints have crashed under it and none
+of its runs was answered shortly before: one that endpoints survive has not
+crashed them.  A crash is held against one request only, the one under which
+most endpoints crashed, so that calls which were beside it by chance go on.
+"""
+
+import dataclasses
+
+from pearrun.ids import EndpointId
+from pearrun.ids import Fingerprint
+
+# What a crash counts against a call that had been answered well for a while:
+# what crashes an endpoint seldom takes so long.
+WELL_RUN_WEIGHT = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class QuarantineSettings:
+    """Limits of the quarantine.
+
+    :param min_crashes: endpoints that must have crashed under a request.
+    :param trust_ms: how long after an answer crashes do not count.
+    :param hold_ms: time in quarantine, from the last crash on.
+    :param keep_ms: time from the last crash until a request is forgotten;
+        after the quarantine one crash begins it anew.
+    :param max_suspects: requests remembered.
+    :param max_crashes: crashes remembered of each.
+    """
+
+    min_crashes: int = 3
+    trust_ms: int = 30_000
+    hold_ms: int = 600_000
+    keep_ms: int = 1_200_000
+    max_suspects: int = 256
+    max_crashes: int = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Crash:
+    """An endpoint's crash while a request was running there.
+
+    :param at_ms: monotonic time.
+    :param ran_ms: milliseconds since the request was sent there.
+    :param ran_well: whether it had been answered well for a while.
+    """
+
+    endpoint_id: EndpointId
+    at_ms: int
+    ran_ms: int
+    ran_well: bool = False
+
+    @property
+    def weight(self):
+        """How much it counts against the request."""
+        return WELL_RUN_WEIGHT if self.ran_well else 1.0
+
+
+@dataclasses.dataclass
+class Suspect:
+    """A request under which endpoints crashed.
+
+    :param crashes: :class:`Crash` by endpoint id.
+    :param answered_ms: when one of its runs was answered last.
+    """
+
+    fingerprint: Fingerprint
+    crashes: dict[EndpointId, Crash] = dataclasses.field(default_factory=dict)
+    answered_ms: int | None = None
+
+    @property
+    def last_ms(self):
+        """When an endpoint crashed under it last."""
+        return max(crash.at_ms for crash in self.crashes.values())
+
+    @property
+    def touched_ms(self):
+        """When it crashed an endpoint or was answered last."""
+        times = [crash.at_ms for crash in self.crashes.values()]
+        if self.answered_ms is not None:
+            times.append(self.answered_ms)
+        return max(times)
+
+    def to_ages(self, now_ms):
+        """Return it with ages, in milliseconds, in place of times.
+
+        Times that lie ahead, by another clock, count as now.
+        """
+        return self._shift(lambda at_ms: max(0, now_ms - at_ms))
+
+    def to_times(self, now_ms):
+        """Return it with times in place of ages; see :meth:`to_ages`."""
+        return self._shift(lambda age_ms: now_ms - age_ms)
+
+    def _shift(self, convert):
+        crashes = {
+            crash.endpoint_id: dataclasses.replace(
+                crash, at_ms=convert(crash.at_ms)
+            )
+            for crash in self.crashes.values()
+        }
+        answered_ms = self.answered_ms
+        if answered_ms is not None:
+            answered_ms = convert(answered_ms)
+        return Suspect(self.fingerprint, crashes, answered_ms)
+
+    def weigh(self, explained=frozenset()):
+        """Return how much its crashes count.
+
+        :param explained: ids of endpoints that another request crashed.
+        """
+        return sum(
+            crash.weight
+            for endpoint_id, crash in self.crashes.items()
+            if endpoint_id not in explained
+        )
+
+    def mean_run_ms(self):
+        """Return how long it had run when endpoints crashed."""
+        total_ms = sum(crash.ran_ms for crash in self.crashes.values())
+        return total_ms / max(1, len(self.crashes))
+
+
+class Suspects:
+    """What is known of requests under which endpoints crashed.
+
+    What several hosts know can be merged in any order, and again.
+
+    ``quarantined`` has the end of each quarantine, by fingerprint.
+    """
+
+    def __init__(self, settings=None):
+        self.settings = settings or QuarantineSettings()
+        self.suspects = {}
+        self.quarantined = {}
+
+    def note_crash(self, fingerprint, crash):
+        """Note that an endpoint crashed under a request.
+
+        :param crash: the :class:`Crash`; known ones change nothing.
+        :returns: whether it was news.
+        """
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            suspect = self.suspects[fingerprint] = Suspect(fingerprint)
+        if crash.endpoint_id in suspect.crashes:
+            return False
+        if self._is_trusted(suspect, crash):
+            return False
+        suspect.crashes[crash.endpoint_id] = crash
+        while len(suspect.crashes) > self.settings.max_crashes:
+            oldest = min(suspect.crashes.values(), key=lambda c: c.at_ms)
+            del suspect.crashes[oldest.endpoint_id]
+        return True
+
+    def note_answered(self, fingerprint, at_ms):
+        """Note that an endpoint answered a request and went on.
+
+        :returns: whether it was news.
+        """
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            return False
+        if suspect.answered_ms is not None and at_ms <= suspect.answered_ms:
+            return False
+        suspect.answered_ms = at_ms
+        suspect.crashes = {
+            crash.endpoint_id: crash
+            for crash in suspect.crashes.values()
+            if not self._is_trusted(suspect, crash)
+        }
+        return True
+
+    def judge(self, now_ms):
+        """Forget what is old and find out what is quarantined now."""
+        self._forget_old(now_ms)
+        least = self.settings.min_crashes
+        open_cases = [
+            suspect
+            for suspect in self.suspects.values()
+            if suspect.weigh() >= least
+        ]
+        explained = set()
+        quarantined = {}
+        while open_cases:
+            worst = max(open_cases, key=lambda item: rank(item, explained))
+            if worst.weigh(explained) < least:
+                break
+            open_cases.remove(worst)
+            explained.update(worst.crashes)
+            until_ms = worst.last_ms + self.settings.hold_ms
+            if now_ms < until_ms:
+                quarantined[worst.fingerprint] = until_ms
+        self.quarantined = quarantined
+
+    def select(self, count):
+        """Return the suspects that are worth most to be known elsewhere.
+
+        :returns: at most ``count`` :class:`Suspect` objects.
+        """
+        if len(self.suspects) <= count:
+            return list(self.suspects.values())
+        ranked = sorted(
+            self.suspects.values(),
+            key=lambda item: (item.weigh(), item.touched_ms),
+            reverse=True,
+        )
+        return ranked[:count]
+
+    def _is_trusted(self, suspect, crash):
+        answered_ms = suspect.answered_ms
+        if answered_ms is None:
+            return False
+        return crash.at_ms <= answered_ms + self.settings.trust_ms
+
+    def _forget_old(self, now_ms):
+        settings = self.settings
+        for suspect in list(self.suspects.values()):
+            keep_ms = (
+                settings.keep_ms if suspect.crashes else settings.trust_ms
+            )
+            if now_ms - suspect.touched_ms > keep_ms:
+                del self.suspects[suspect.fingerprint]
+        excess = len(self.suspects) - self.settings.max_suspects
+        if excess > 0:
+            ranked = sorted(
+                self.suspects.values(),
+                key=lambda item: (item.weigh(), item.touched_ms),
+            )
+            for suspect in ranked[:excess]:
+                del self.suspects[suspect.fingerprint]
+
+
+def rank(suspect, explained):
+    """Return the key by which crashes are held against requests.
+
+    Of two that were under the same crashes, the one that had just begun goes
+    first; the fingerprint makes the order the same on every host.
+    """
+    return (
+        suspect.weigh(explained),
+        -suspect.mean_run_ms(),
+        suspect.fingerprint,
+    )
--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -177,6 +177,12 @@
     code = 1408
 
 
+class QuarantinedError(CapacityError):
+    """The request is kept from endpoints: several crashed under it."""
+
+    code = 1409
+
+
 class RequestMovingError(PearrunError):
     """Its host is out of reach or being taken over; ask again."""
 
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -25,6 +25,7 @@
 from pearrun.platform.front import Readiness
 from pearrun.platform.leaselog import LeaseLog
 from pearrun.platform.membership import MemberFollower
+from pearrun.platform.quarantinelog import QuarantineFollower
 from pearrun.platform.store import StoreClient
 from pearrun.platform.usagelog import UsageLog
 from pearrun.relay.relay import Relay
@@ -76,6 +77,7 @@
         self.reporter = Reporter(self.host, self.started_ms, self.reports)
         self.host.forget_host = self.reports.forget
         self.host.selection.tell_others = self.reporter.tell_at_once
+        self.host.quarantine.tell_others = self.reporter.tell_at_once
         self.duties = self.make_duties()
         self.members = MemberFollower(
             self.host, self.store, self.own_entry(), self.holds_lease
@@ -155,6 +157,7 @@
             ConfigFollower(self.host, self.store).run(),
             EndpointFollower(self.host, self.store).run(),
             self.members.run(),
+            QuarantineFollower(self.host, self.store).run(),
             self.reporter.run(),
             self.make_links().run(),
             self.watch_settings(),
@@ -236,6 +239,8 @@
             'hosts': self.host.count_hosts(),
             'endpoint_crashes_total': self.host.crashes.total,
             'lease_held': int(self.duties is not None and self.duties.held),
+            'quarantined': len(self.host.quarantine.known.quarantined),
+            'quarantine_refusals_total': self.host.quarantine.refused,
             'store_calls_total': self.store.calls.total(),
             'store_failures_total': self.store.failures,
             'log_lines_dropped_total': self.log_writer.dropped_total,
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -9,6 +9,7 @@
 from pearrun.relay.outcomes import Unknown
 from pearrun.relay.verdicts import Verdict
 from pearrun.shared.configuration import CallKind
+from pearrun.shared.crashes import BrokenCall
 
 # Answers of plain services are read whole up to this size before they
 # are passed on, so that a broken one can still become an error.
@@ -17,6 +18,8 @@
 REFUSAL_BYTES = 16 * 1024
 # Stray responses read past before the connection is given up.
 MOST_STRAYS = 3
+# An answer that has been coming for this long ran well.
+RAN_WELL_MS = 1000
 
 
 class Exchange:
@@ -37,6 +40,7 @@
         self.selected = None
         self.reading = False
         self.sent_ms = 0
+        self.passed_ms = None
 
     async def run(self, selected, resume):
         """Send the call.
@@ -215,7 +219,11 @@
             self.host.selection.mark_read(self.selected)
 
     def _note_first(self):
-        self.trace.note_first(self.host.clock.now())
+        """Note that this endpoint's answer begins to be passed on."""
+        now = self.host.clock.now()
+        if self.passed_ms is None:
+            self.passed_ms = now
+        self.trace.note_first(now)
 
     def _note_answered(self):
         """Note that the endpoint answered, and how long it took."""
@@ -231,12 +239,15 @@
             # each would cost a call that may not be repeated.
             self.host.pools.close_idle(self.selected.endpoint.id)
             return
-        ran_ms = self.host.clock.since(self.sent_ms)
-        fingerprint = self.call.fingerprint
-        self.trace.fingerprint = fingerprint
-        self.host.crash_check.note_broken(
-            self.selected.endpoint, fingerprint, ran_ms
+        self.trace.fingerprint = self.call.fingerprint
+        now = self.host.clock.now()
+        ran_well = (
+            self.passed_ms is not None and now - self.passed_ms >= RAN_WELL_MS
         )
+        broken = BrokenCall(
+            self.call.fingerprint, now - self.sent_ms, now, ran_well
+        )
+        self.host.crash_check.note_broken(self.selected.endpoint, broken)
 
     def _note_failure(self, refused=False, silent=False):
         endpoint = self.selected.endpoint
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -20,6 +20,8 @@
 # Most endpoints that one call is offered to when each says that it has
 # not run it; more would spend the shared budget on one call.
 MOST_OFFERS = 4
+# Reason in the log line of a call that is kept from endpoints.
+QUARANTINED = 'quarantined'
 # How soon callers may come back when no endpoint is known: endpoints are
 # listed again within about 2 s, so a part of that.
 NO_ENDPOINT_RETURN_MS = 500
@@ -57,6 +59,10 @@
             trace.log(self.host, self.clock.now())
 
     async def _relay(self, call, caller, trace):
+        left_ms = self.host.quarantine.left_ms(call)
+        if left_ms:
+            await self._refuse_quarantined(call, caller, trace, left_ms)
+            return
         if not self.host.quotas.admit(call):
             trace.reason = 'quota'
             await self._refuse(
@@ -105,6 +111,9 @@
             (tried if arrived else unreached).add(selected.endpoint.id)
             if not await self._go_on(call, service, caller, trace, outcome):
                 return
+            if self.host.quarantine.left_ms(call):
+                await self._give_up(call, caller, trace, QUARANTINED)
+                return
 
     def _choose(self, call, service, trace, tried, unreached):
         """Choose the next endpoint for a call.
@@ -126,6 +135,7 @@
         """
         match outcome:
             case Answered(status):
+                self.host.quarantine.note_answered(call)
                 trace.end(Ending.ANSWERED, status)
                 return False
             case NotRun(reason, arrived):
@@ -138,6 +148,7 @@
                 if self._may_run_again(call, service, trace):
                     return True
             case FailedAnswer(head):
+                self.host.quarantine.note_answered(call)
                 trace.note_run(f'endpoint answered {head.status}')
                 if self._may_run_again(call, service, trace):
                     trace.failed_answer = outcome
@@ -241,6 +252,20 @@
         error.retry_after_s = round(return_ms / 1000.0, 3)
         await self._reply_error(caller, error, status)
 
+    async def _refuse_quarantined(self, call, caller, trace, left_ms):
+        """Refuse a call that would crash the endpoint that runs it.
+
+        Its caller is told the whole time: to come back sooner is useless.
+        """
+        self.host.quarantine.refused += 1
+        trace.reason = QUARANTINED
+        trace.fingerprint = call.fingerprint
+        trace.end(Ending.REFUSED, 503)
+        error = exceptions.QuarantinedError(
+            'endpoints crashed under this request', to_seconds(left_ms)
+        )
+        await self._reply_error(caller, error, 503)
+
     async def _reply_error(self, caller, error, status):
         body, headers = self.host.codec.encode_error(error)
         await caller.reply(status, headers, body)
--- a/pearrun/shared/crashcheck.py
+++ b/pearrun/shared/crashcheck.py
@@ -23,9 +23,9 @@
         self.crashes = crashes
         self._tasks = {}
 
-    def note_broken(self, endpoint, fingerprint, ran_ms):
+    def note_broken(self, endpoint, broken):
         """Note a broken call; see :meth:`Crashes.note_broken`."""
-        unknown = self.crashes.note_broken(endpoint, fingerprint, ran_ms)
+        unknown = self.crashes.note_broken(endpoint, broken)
         if not unknown or endpoint.id in self._tasks:
             return
         task = asyncio.create_task(self._check(endpoint.record))
--- a/pearrun/shared/crashes.py
+++ b/pearrun/shared/crashes.py
@@ -27,11 +27,13 @@
 
     :param ran_ms: milliseconds since it was sent there.
     :param at_ms: monotonic time of the break.
+    :param ran_well: whether it had been answered well for a while.
     """
 
     fingerprint: Fingerprint
     ran_ms: int
     at_ms: int
+    ran_well: bool = False
 
 
 class Crashes:
@@ -51,17 +53,17 @@
         self._broken = collections.OrderedDict()
         self._down_ms = collections.OrderedDict()
 
-    def note_broken(self, endpoint, fingerprint, ran_ms):
+    def note_broken(self, endpoint, broken):
         """Note that a call's connection was closed before its answer ended.
 
         :param endpoint: the :class:`Endpoint`.
+        :param broken: the :class:`BrokenCall`.
         :returns: whether it has to be found out if the endpoint crashed.
         """
         now = self.clock.now()
         known = self.fleet.endpoints.get(endpoint.id)
         if known is None or known.record.state is not EndpointState.LIVE:
             return False
-        broken = BrokenCall(fingerprint, ran_ms, now)
         down_ms = self._down_ms.get(endpoint.id)
         if down_ms is not None and now - down_ms < CONFIRM_MS:
             self._report(endpoint.id, [broken])
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -15,6 +15,7 @@
 from pearrun.shared.members import MEMBER_TOPIC
 from pearrun.shared.members import Members
 from pearrun.shared.pools import EndpointPools
+from pearrun.shared.quarantine import Quarantine
 from pearrun.shared.quotas import Quotas
 from pearrun.shared.selection import Selection
 from pearrun.shared.usage import UsageCounts
@@ -57,6 +58,7 @@
             self.demands,
             self.feed,
         )
+        self.quarantine = Quarantine(clock, self.crashes)
         self.quotas = Quotas(
             clock, self.config, settings.quota, self.members, self.feed
         )
--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -197,6 +197,9 @@
 
     async def _send_rounds(self, link, member):
         told_usage = None
+        known = self.reporter.encode_known()
+        if known:
+            await link.send(self.reporter.bundle(known))
         while True:
             made = await self.reporter.next_round()
             messages = self.reporter.select(made, member, told_usage)
--- /dev/null
+++ b/pearrun/shared/quarantine.py
@@ -0,0 +1,184 @@
+"""Requests that this host keeps from endpoints because they crash them.
+
+See :mod:`pearrun.decisions.quarantine` for how they are found.  Hosts tell
+each other what they know of such requests, and those that saw the crashes
+save it on the store, so that it outlasts the loss of all hosts.
+"""
+
+import collections
+
+from loguru import logger
+
+from pearrun.decisions.quarantine import Crash
+from pearrun.decisions.quarantine import Suspects
+
+# Answered requests remembered, and suspects told to other hosts.
+MAX_ANSWERED = 4096
+MAX_TOLD = 64
+# How often all is told again to hosts that have been told before.
+REPEAT_MS = 5000
+# A request is saved this long after its quarantine began: until then other
+# hosts' crashes may show that another request is behind it.
+SETTLE_MS = 300
+
+
+class Quarantine:
+    """Takes crashes and answers, and says which calls to refuse.
+
+    :param crashes: the :class:`Crashes` of this host's calls.
+    """
+
+    def __init__(self, clock, crashes):
+        self.clock = clock
+        self.known = Suspects()
+        self.refused = 0
+        self.tell_others = lambda: None
+        self._answered = collections.OrderedDict()
+        self._own = set()
+        self._news = set()
+        self._told_ms = clock.now()
+        self._begun_ms = {}
+        self._saved_ms = {}
+        crashes.take_crash = self.take_crash
+
+    def left_ms(self, call):
+        """Return for how long a call is quarantined; 0 if it is not.
+
+        While nothing is quarantined, the call is not looked at.
+        """
+        if not self.known.quarantined:
+            return 0
+        until_ms = self.known.quarantined.get(call.fingerprint, 0)
+        return max(0, until_ms - self.clock.now())
+
+    def note_answered(self, call):
+        """Note that an endpoint answered a call and went on."""
+        fingerprint = call.fingerprint
+        now = self.clock.now()
+        self._answered[fingerprint] = now
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+        if self.known.note_answered(fingerprint, now):
+            self._news.add(fingerprint)
+            self._judge('answer')
+
+    def take_crash(self, endpoint_id, calls):
+        """Take an endpoint's crash; see :class:`Crashes`."""
+        for call in calls:
+            crash = Crash(endpoint_id, call.at_ms, call.ran_ms, call.ran_well)
+            if self._note_crash(call.fingerprint, crash):
+                self._own.add(call.fingerprint)
+                self._news.add(call.fingerprint)
+        self._judge('own calls')
+        if self._news:
+            self.tell_others()
+
+    def merge(self, suspects, source, pass_on):
+        """Take what is known elsewhere.
+
+        :param suspects: :class:`Suspect` objects, their times by this
+            host's clock.
+        :param source: who says so, for the log.
+        :param pass_on: whether to tell other hosts what is news.
+        """
+        news = {
+            suspect.fingerprint for suspect in suspects if self._take(suspect)
+        }
+        if not news:
+            return
+        if pass_on:
+            self._news |= news
+        self._judge(source)
+
+    def take_told(self):
+        """Return the suspects to be told to other hosts now.
+
+        :returns: :class:`Suspect` objects: those with news, and now and
+            then all that are worth it.
+        """
+        if not self.known.suspects:
+            return []
+        now = self.clock.now()
+        if now - self._told_ms >= REPEAT_MS:
+            self._told_ms = now
+            self._news.clear()
+            self._judge('time')
+            return self.list_known()
+        suspects = self.known.suspects
+        told = [suspects[key] for key in self._news if key in suspects]
+        self._news.clear()
+        return told[:MAX_TOLD]
+
+    def list_known(self):
+        """Return what another host should know that was told nothing yet.
+
+        :returns: :class:`Suspect` objects.
+        """
+        return self.known.select(MAX_TOLD)
+
+    def list_unsaved(self):
+        """Return the suspects that this host has to save on the store."""
+        now = self.clock.now()
+        return [
+            self.known.suspects[fingerprint]
+            for fingerprint, begun_ms in self._begun_ms.items()
+            if fingerprint in self._own
+            and now - begun_ms >= SETTLE_MS
+            and self._saved_ms.get(fingerprint, -1) < begun_ms
+        ]
+
+    def note_saved(self, suspects):
+        """Note that suspects are on the store."""
+        for suspect in suspects:
+            self._saved_ms[suspect.fingerprint] = self.clock.now()
+
+    def _take(self, suspect):
+        """Merge one suspect; say whether something was news."""
+        fingerprint = suspect.fingerprint
+        news = [
+            self._note_crash(fingerprint, crash)
+            for crash in suspect.crashes.values()
+        ]
+        if suspect.answered_ms is not None:
+            news.append(
+                self.known.note_answered(fingerprint, suspect.answered_ms)
+            )
+        return any(news)
+
+    def _note_crash(self, fingerprint, crash):
+        """Note a crash; an answer that this host remembers comes with it."""
+        news = self.known.note_crash(fingerprint, crash)
+        answered_ms = self._answered.get(fingerprint)
+        if answered_ms is not None:
+            news |= self.known.note_answered(fingerprint, answered_ms)
+        return news
+
+    def _judge(self, source):
+        """Find out what is quarantined now; log what has changed."""
+        now = self.clock.now()
+        self.known.judge(now)
+        quarantined = self.known.quarantined
+        for fingerprint in set(self._begun_ms) - set(quarantined):
+            del self._begun_ms[fingerprint]
+            logger.bind(fingerprint=fingerprint, source=source).info(
+                'quarantine ended'
+            )
+        for fingerprint in set(quarantined) - set(self._begun_ms):
+            self._begun_ms[fingerprint] = now
+            self._log_begin(fingerprint, source, now)
+        self._own.intersection_update(self.known.suspects)
+        for fingerprint in set(self._saved_ms) - set(self.known.suspects):
+            del self._saved_ms[fingerprint]
+
+    def _log_begin(self, fingerprint, source, now):
+        crashes = self.known.suspects[fingerprint].crashes.values()
+        logger.bind(
+            fingerprint=fingerprint,
+            source=source,
+            left_ms=self.known.quarantined[fingerprint] - now,
+            crashes=[
+                (crash.endpoint_id, now - crash.at_ms, crash.ran_ms)
+                for crash in crashes
+            ],
+        ).warning('request quarantined')
--- a/pearrun/shared/reportboard.py
+++ b/pearrun/shared/reportboard.py
@@ -91,6 +91,8 @@
                     self._take_feed(message)
                 case reports.HostEnded(name):
                     self._forget_runs(name)
+                case reports.SuspectNote(name, suspects):
+                    self._take_suspects(name, suspects)
                 case reports.ConfigCopy(name, raw):
                     self._take_config(name, raw)
 
@@ -241,6 +243,14 @@
             age_ms = batch.age_ms + self._delay_ms
             feed.offer(dataclasses.replace(batch, age_ms=age_ms))
 
+    def _take_suspects(self, name, suspects):
+        now = self.clock.now() - self._delay_ms
+        self.host.quarantine.merge(
+            [suspect.to_times(now) for suspect in suspects],
+            name,
+            pass_on=self.host.feed.through_hubs,
+        )
+
     def _take_config(self, name, raw):
         try:
             config = self.decode_configuration(raw)
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -31,6 +31,8 @@
     :param own: this host's report.
     :param usage: its counts of calls.
     :param feeds: changes of the list of endpoints that this host read.
+    :param suspects: requests under which endpoints crashed, if there is
+        news of them.
     :param zone: sums for its zone; ``None`` if it is no hub.
     :param coverage: which reports they hold; ``None`` if it is no hub.
     :param zone_reports: reports of its zone's hosts, for its other hubs.
@@ -40,6 +42,7 @@
     own: bytes
     usage: bytes
     feeds: tuple[bytes, ...] = ()
+    suspects: tuple[bytes, ...] = ()
     zone: bytes | None = None
     coverage: bytes | None = None
     zone_reports: tuple[bytes, ...] = ()
@@ -106,10 +109,11 @@
         plan = self.plan
         usage = [] if made.usage is told_usage else [made.usage]
         if plan.mesh:
-            return [made.own, *usage, *made.feeds]
+            return [made.own, *usage, *made.feeds, *made.suspects]
         messages = []
         if member.name in plan.targets:
             messages.extend(self._select(made, member))
+            messages.extend(made.suspects)
         if member.name == self.board.find_holder():
             # No more than that: a host that is told as a hub acts as one,
             # and the holder's link may be too slow for it.
@@ -195,13 +199,16 @@
         zone_reports, sums = self.board.take_fresh()
         ended = self.board.take_ended()
         zone_placed = self.board.take_zone_placed()
+        told = host.quarantine.take_told()
+        suspects = self._encode_suspects(told)
         if self.plan is None or not self.plan.is_hub:
-            return Round(reports.encode(own), usage, feeds)
+            return Round(reports.encode(own), usage, feeds, suspects)
         passed_on = [*sums, *(reports.encode(item) for item in ended)]
         return Round(
             reports.encode(own),
             usage,
             feeds,
+            suspects,
             reports.encode(self._sum_zone(own, zone_placed)),
             reports.encode(self.board.cover()),
             tuple(zone_reports),
@@ -224,6 +231,19 @@
             self._usage = (usage.changes, encoded)
         return encoded
 
+    def encode_known(self):
+        """Return what a host is told first: encoded messages."""
+        return self._encode_suspects(self.host.quarantine.list_known())
+
+    def _encode_suspects(self, suspects):
+        """Return a note of requests under which endpoints crashed, if any."""
+        if not suspects:
+            return ()
+        now = self.host.clock.now()
+        aged = tuple(suspect.to_ages(now) for suspect in suspects)
+        note = reports.SuspectNote(self.host.settings.name, aged)
+        return (reports.encode(note),)
+
     def _report(self, run, hosts, loads, admitted, placed, demands, engines):
         """Return a report: of this host, or of its zone's hosts together."""
         host = self.host
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -12,10 +12,12 @@
 from pearrun import exceptions
 from pearrun.decisions.demand import Demand
 from pearrun.decisions.enginemodel import LineSums
+from pearrun.decisions.quarantine import Suspect
 from pearrun.ids import EndpointId
 from pearrun.ids import HostName
 from pearrun.ids import ServiceName
 from pearrun.shared import cbor
+from pearrun.shared import suspects as suspect_codec
 from pearrun.shared.loads import Load
 from pearrun.shared.prompts import Placed
 from pearrun.shared.quotas import Admitted
@@ -127,6 +129,19 @@
     host: HostName
 
 
+@dataclasses.dataclass(frozen=True)
+class SuspectNote:
+    """Requests under which endpoints crashed, as the sender knows them.
+
+    :param host: the sender.
+    :param suspects: :class:`Suspect` objects whose times are ages, in
+        milliseconds, at the time of sending.
+    """
+
+    host: HostName
+    suspects: tuple[Suspect, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class ConfigCopy:
     """The configuration in force at the sender, as the store had it."""
@@ -136,7 +151,13 @@
 
 
 Message = (
-    HostReport | Coverage | UsageNote | TopicFeed | HostEnded | ConfigCopy
+    HostReport
+    | Coverage
+    | UsageNote
+    | TopicFeed
+    | HostEnded
+    | SuspectNote
+    | ConfigCopy
 )
 
 
@@ -218,6 +239,9 @@
             return cbor2.dumps(['ended', host])
         case Coverage(hub, numbers):
             return cbor2.dumps(['coverage', hub, numbers])
+        case SuspectNote(host, suspects):
+            fields = [suspect_codec.to_fields(item) for item in suspects]
+            return cbor2.dumps(['suspects', host, fields])
         case ConfigCopy(host, raw):
             return cbor2.dumps(['config', host, raw])
 
@@ -307,6 +331,11 @@
                         for name, (started, last) in numbers.items()
                     },
                 )
+            case 'suspects':
+                host, suspects = fields
+                return SuspectNote(
+                    host, tuple(map(suspect_codec.from_fields, suspects))
+                )
             case 'config':
                 return ConfigCopy(*fields)
     except (ValueError, TypeError, IndexError, AttributeError) as exc:
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -7,6 +7,7 @@
 from tests.platformsite import call
 from tests.platformsite import make_prompt
 from tests.platformsite import run_site
+from tests.platformsite import wait_until
 
 CRASHING = b'a body that crashes endpoints'
 STREAMS = ('/short/', '/long/')
@@ -30,9 +31,21 @@
     async with run_site(make_config(), runners, hosts) as site:
         for runner in site.runners.values():
             runner.faults.crash_on = CRASHING
+        await wait_until_heard(site)
         yield site
 
 
+async def wait_until_heard(site):
+    """Wait until every host has heard all others."""
+    for daemon in site.hosts.values():
+        members = daemon.host.members
+        await wait_until(
+            lambda members=members: (
+                members.count_heard() == len(site.hosts) - 1
+            )
+        )
+
+
 def count_crashed(site):
     """Return how many endpoints have crashed."""
     return sum(runner.crashed for runner in site.runners.values())
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,255 @@
+"""Which requests are quarantined, and which are not."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from benchmarks.bystanders import LOADS
+from benchmarks.bystanders import Play
+from pearrun import exceptions
+from pearrun.clock import Clock
+from pearrun.decisions.quarantine import Crash
+from pearrun.decisions.quarantine import QuarantineSettings
+from pearrun.decisions.quarantine import Suspect
+from pearrun.decisions.quarantine import Suspects
+from pearrun.platform import quarantinelog
+from pearrun.shared import quarantine as quarantine_module
+from pearrun.shared import reports
+from pearrun.shared.quarantine import Quarantine
+from tests.crashes import count_crashed
+from tests.crashes import run_crashing_site
+from tests.crashes import send
+from tests.crashes import send_often
+
+NOW_MS = 10_000_000
+SECONDS = 60
+
+
+def make_suspects(*crashes, now_ms=NOW_MS):
+    """Return judged suspects of crashes: fingerprint, endpoint, ran_ms."""
+    suspects = Suspects()
+    for fingerprint, endpoint_id, ran_ms in crashes:
+        suspects.note_crash(fingerprint, Crash(endpoint_id, NOW_MS, ran_ms))
+    suspects.judge(now_ms)
+    return suspects
+
+
+def test_three_crashed_endpoints_are_enough_and_two_are_not():
+    crashes = [('bad', f'e{number}', 50) for number in range(3)]
+    assert 'bad' in make_suspects(*crashes).quarantined
+    assert not make_suspects(*crashes[:2]).quarantined
+    assert not make_suspects(*crashes[:2], *crashes[:2]).quarantined
+
+
+def test_a_call_beside_the_one_that_crashes_endpoints_goes_on():
+    crashes = [('bad', f'e{number}', 50) for number in range(4)]
+    beside = [('good', f'e{number}', 20) for number in range(3)]
+    assert set(make_suspects(*beside, *crashes).quarantined) == {'bad'}
+
+
+def test_of_two_under_the_same_crashes_the_one_just_begun_is_quarantined():
+    crashes = [('bad', f'e{number}', 50) for number in range(3)]
+    beside = [('good', f'e{number}', 900) for number in range(3)]
+    assert set(make_suspects(*beside, *crashes).quarantined) == {'bad'}
+
+
+def test_a_request_that_is_answered_goes_on():
+    suspects = make_suspects(('hot', 'e0', 50), ('hot', 'e1', 50))
+    suspects.note_answered('hot', NOW_MS)
+    for number in range(2, 9):
+        suspects.note_crash('hot', Crash(f'e{number}', NOW_MS + 1000, 50))
+    suspects.judge(NOW_MS + 1000)
+    assert not suspects.quarantined
+
+
+def test_a_request_answered_long_ago_is_quarantined():
+    suspects = make_suspects(('bad', 'e0', 50))
+    suspects.note_answered('bad', NOW_MS)
+    later_ms = NOW_MS + suspects.settings.trust_ms + 1
+    for number in range(3):
+        suspects.note_crash('bad', Crash(f'n{number}', later_ms, 50))
+    suspects.judge(later_ms)
+    assert 'bad' in suspects.quarantined
+
+
+def test_answers_that_ran_well_count_half():
+    suspects = Suspects()
+    for number in range(5):
+        suspects.note_crash('long', Crash(f'e{number}', NOW_MS, 4000, True))
+    suspects.judge(NOW_MS)
+    assert not suspects.quarantined
+    suspects.note_crash('long', Crash('e5', NOW_MS, 4000, True))
+    suspects.judge(NOW_MS)
+    assert 'long' in suspects.quarantined
+
+
+def test_a_quarantine_ends_and_one_crash_begins_it_anew():
+    crashes = [('bad', f'e{number}', 50) for number in range(3)]
+    suspects = make_suspects(*crashes)
+    after_ms = NOW_MS + suspects.settings.hold_ms
+    suspects.judge(after_ms)
+    assert not suspects.quarantined
+    suspects.note_crash('bad', Crash('e9', after_ms, 50))
+    suspects.judge(after_ms)
+    assert 'bad' in suspects.quarantined
+
+
+def test_a_request_that_does_not_come_again_is_forgotten():
+    suspects = make_suspects(('once', 'e0', 50))
+    suspects.judge(NOW_MS + suspects.settings.keep_ms + 1)
+    assert not suspects.suspects
+
+
+def test_what_is_remembered_is_bounded_and_the_worst_stay():
+    limits = QuarantineSettings(max_suspects=16, max_crashes=4)
+    suspects = Suspects(limits)
+    for number in range(9):
+        suspects.note_crash('bad', Crash(f'e{number}', NOW_MS, 50))
+    for number in range(100):
+        crash = Crash('other', NOW_MS + number, 50)
+        suspects.note_crash(f'once-{number}', crash)
+        suspects.judge(NOW_MS + number)
+    assert len(suspects.suspects) == 16
+    assert len(suspects.suspects['bad'].crashes) == 4
+    assert 'bad' in suspects.quarantined
+
+
+TOLD = st.lists(
+    st.one_of(
+        st.tuples(
+            st.sampled_from('abcd'),
+            st.integers(0, 9),
+            st.integers(0, 5000),
+        ),
+        st.tuples(st.sampled_from('abcd'), st.none(), st.integers(0, 5000)),
+    ),
+    max_size=30,
+)
+
+
+def take_all(told):
+    """Return what is quarantined once all of it is known."""
+    suspects = Suspects()
+    for fingerprint, endpoint, at_ms in told:
+        if endpoint is None:
+            suspects.note_answered(fingerprint, NOW_MS + at_ms)
+        else:
+            crash = Crash(f'e{endpoint}', NOW_MS + endpoint, 50)
+            suspects.note_crash(fingerprint, crash)
+    suspects.judge(NOW_MS + 5000)
+    return suspects.quarantined
+
+
+@settings(deadline=None)
+@given(told=TOLD, seed=st.randoms())
+def test_hosts_that_know_the_same_crashes_quarantine_the_same(told, seed):
+    crashes = [item for item in told if item[1] is not None]
+    mixed = [*crashes, *crashes]
+    seed.shuffle(mixed)
+    assert take_all(mixed) == take_all(crashes)
+
+
+@settings(deadline=None)
+@given(told=TOLD)
+def test_suspects_pass_unchanged_between_hosts(told):
+    suspects = Suspects()
+    for fingerprint, endpoint, at_ms in told:
+        crash = Crash(f'e{endpoint}', NOW_MS + at_ms, 50, at_ms % 2 == 0)
+        suspects.note_crash(fingerprint, crash)
+    aged = tuple(
+        suspect.to_ages(NOW_MS + 5000)
+        for suspect in suspects.suspects.values()
+    )
+    note = reports.SuspectNote('host-1', aged)
+    taken = reports.decode(reports.encode(note))
+    assert taken == note
+    for suspect in taken.suspects:
+        known = suspects.suspects[suspect.fingerprint]
+        assert suspect.to_times(NOW_MS + 5000) == known
+
+
+def test_a_malformed_suspect_is_left_aside():
+    for data in (b'', b'x', b'\x83\x01\x02\x03', b'\x83aaaa\xf6\x80'):
+        with pytest.raises(exceptions.WireFormatError):
+            quarantinelog.decode('f', data)
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'endpoints crash one by one',
+        'half of them crash at once',
+        'all of them crash at once',
+    ],
+)
+def test_good_calls_are_refused_because_endpoints_crash(name):
+    for seed in range(3):
+        counts = Play(LOADS[name], seed).run(SECONDS)
+        assert counts.good > 1000
+        assert counts.refused == 0
+
+
+def test_requests_that_crash_endpoints_are_stopped_and_others_go_on():
+    for seed in range(3):
+        counts = Play(LOADS['three requests crash them'], seed).run(SECONDS)
+        assert len(counts.crashes) == 3
+        # One or two more may be on their way when the third crash is known.
+        assert max(counts.crashes.values()) <= 5
+        assert counts.refused * 1000 <= counts.good
+
+
+class FakeCrashes:
+    """Stands where crashes are found."""
+
+    take_crash = None
+
+
+def make_quarantine():
+    """Return a quarantine without a host."""
+    return Quarantine(Clock(), FakeCrashes())
+
+
+def make_known(count):
+    """Return suspects as other hosts tell them, each with three crashes."""
+    now = Clock().now()
+    known = []
+    for number in range(count):
+        ids = [f'e{number}-{crash}' for crash in range(3)]
+        crashes = {name: Crash(name, now, 50) for name in ids}
+        known.append(Suspect(f'f{number}', crashes))
+    return known
+
+
+def test_what_hosts_tell_each_other_is_bounded():
+    quarantine = make_quarantine()
+    quarantine.merge(make_known(1000), 'host-2', pass_on=True)
+    assert len(quarantine.take_told()) <= quarantine_module.MAX_TOLD
+    assert len(quarantine.list_known()) <= quarantine_module.MAX_TOLD
+    assert not quarantine.take_told()
+
+
+def test_hosts_that_tell_all_others_do_not_pass_on_what_they_hear():
+    quarantine = make_quarantine()
+    quarantine.merge(make_known(3), 'host-2', pass_on=False)
+    assert len(quarantine.known.quarantined) == 3
+    assert not quarantine.take_told()
+
+
+def test_good_requests_of_the_same_customer_go_on_beside_the_quarantine():
+    async def main():
+        async with run_crashing_site() as site:
+            await send_often(site, '/once/x', 4)
+            crashed = count_crashed(site)
+            host = site.hosts['host-1']
+            for number in range(5):
+                answer = await send(host, '/once/x', f'g{number}', b'good')
+                assert answer.status == 200
+            # The same body on another path is another request.
+            answer = await send(host, '/once/x', 'g9', b'a body that crashes')
+            assert answer.status == 200
+            assert count_crashed(site) == crashed
+
+    asyncio.run(main())
