Jobs of /v1 whose request crashes endpoints fail; its repeats are refused

Now a broken job's endpoint is looked at; three crashes without an answer end the job (1509), repeats of its request are refused before they are accepted (1409, Retry-After), also by other daemons, which hear of it in beats on the log, and by those that start later. Jobs that got tokens for a second before each crash count half.

--- a/pearrun/api/calls.py
+++ b/pearrun/api/calls.py
@@ -6,6 +6,7 @@
 from pearrun.api import backends
 from pearrun.api import claims as claims_module
 from pearrun.backoff import Backoff
+from pearrun.clock import Clock
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,15 +32,20 @@
     :param journal: the daemon's :class:`Journal`.
     :param membership: the daemon's :class:`Membership`.
     :param places: a :class:`Placement` that picks endpoints.
+    :param crashes: the daemon's :class:`JobCrashes`.
     """
 
-    def __init__(self, settings, session, claims, journal, membership, places):
+    def __init__(
+        self, settings, session, claims, journal, membership, places, crashes
+    ):
         self.settings = settings
         self.session = session
         self.claims = claims
         self.journal = journal
         self.membership = membership
         self.places = places
+        self.crashes = crashes
+        self.clock = Clock()
 
     async def call(self, job, service):
         """Make a job's call, or learn what became of it elsewhere.
@@ -97,6 +103,7 @@
         backoff = Backoff()
         while True:
             endpoint = await self.places.choose(job, service, tried, backoff)
+            begun_ms = self.clock.now()
             try:
                 with self.places.occupy(job, endpoint):
                     return await backends.call_service(
@@ -105,3 +112,7 @@
             except exceptions.EndpointUnreachableError:
                 tried.add(endpoint.id)
                 await backoff.pause()
+            except exceptions.BackendError:
+                ran_ms = self.clock.since(begun_ms)
+                self.crashes.note_broken(job, endpoint, ran_ms, False)
+                raise
--- /dev/null
+++ b/pearrun/api/crashes.py
@@ -0,0 +1,128 @@
+"""Jobs under which endpoints crash, and requests refused because of them.
+
+An endpoint keeps its id when it is started again, so a crash is known by the
+endpoint and the time.
+"""
+
+import asyncio
+import urllib.parse
+
+from loguru import logger
+
+from pearrun import exceptions
+from pearrun.clock import Clock
+from pearrun.clock import to_seconds
+from pearrun.shared import suspects
+from pearrun.shared.crashcheck import is_down
+from pearrun.shared.crashes import BrokenCall
+from pearrun.shared.quarantine import Quarantine
+from pearrun.states import EndpointState
+
+# Broken jobs of one endpoint within this time are of one crash.
+SAME_CRASH_MS = 2000
+# A job that got tokens for so long ran well.
+RAN_WELL_MS = 1000
+# How long a job waits to know of a crash before it goes on elsewhere.
+CHECK_WAIT_MS = 50
+# Suspects in a beat, and crashes whose times are remembered.
+MAX_TOLD = 16
+MAX_CRASHES = 256
+
+
+class JobCrashes:
+    """Finds crashes under this daemon's jobs; tells and hears of them."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.quarantine = Quarantine(self.clock)
+        self._crashed_ms = {}
+        self._tasks = set()
+
+    def check_request(self, request):
+        """Refuse a request under which endpoints crash.
+
+        :param request: a :class:`Job`, or what has its fingerprint.
+        :raises QuarantinedError: it is quarantined; it has not run.
+        """
+        left_ms = self.quarantine.left_ms(request)
+        if left_ms:
+            self.quarantine.refused += 1
+            raise exceptions.QuarantinedError(
+                'endpoints crashed under this request', to_seconds(left_ms)
+            )
+
+    def check_job(self, job):
+        """Give up an accepted job under which endpoints crash.
+
+        :raises CrashedEndpointsError: it is quarantined.
+        """
+        if self.quarantine.left_ms(job):
+            raise exceptions.CrashedEndpointsError(
+                'endpoints crashed under this request'
+            )
+
+    def note_answered(self, job):
+        """Note that an endpoint answered a job."""
+        self.quarantine.note_answered(job)
+
+    def note_broken(self, job, endpoint, ran_ms, progressed):
+        """Begin to find out whether an endpoint crashed under a job.
+
+        :param ran_ms: how long the job ran there.
+        :param progressed: whether it got tokens there.
+        :returns: the task.
+        """
+        task = asyncio.create_task(
+            self._check(job, endpoint, ran_ms, progressed)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def wait_briefly(self, task):
+        """Wait for a check, but not for an endpoint that goes on."""
+        await asyncio.wait({task}, timeout=to_seconds(CHECK_WAIT_MS))
+
+    async def _check(self, job, endpoint, ran_ms, progressed):
+        leaves = endpoint.reclaim_at_ms is not None
+        if leaves or endpoint.state is not EndpointState.LIVE:
+            return
+        if not await is_down(urllib.parse.urlsplit(endpoint.url).netloc):
+            return
+        now = self.clock.now()
+        ran_well = progressed and ran_ms >= RAN_WELL_MS
+        broken = BrokenCall(job.fingerprint, ran_ms, now, ran_well)
+        crash_id = self._name_crash(endpoint.id, now)
+        self.quarantine.take_crash(crash_id, [broken])
+
+    def describe(self):
+        """Return what other daemons are told: JSON-ready."""
+        now = self.clock.now()
+        wall = self.clock.wall()
+        return [
+            suspects.to_fields(item.to_ages(now).to_times(wall))
+            for item in self.quarantine.known.select(MAX_TOLD)
+        ]
+
+    def receive(self, told):
+        """Take what another daemon told; malformed suspects are left aside."""
+        now = self.clock.now()
+        wall = self.clock.wall()
+        try:
+            known = [suspects.from_fields(item) for item in told]
+        except (ValueError, TypeError) as exc:
+            logger.warning('suspects left aside', error=str(exc))
+            return
+        dated = [item.to_ages(wall).to_times(now) for item in known]
+        self.quarantine.merge(dated, 'beat', pass_on=False)
+
+    def _name_crash(self, endpoint_id, now):
+        """Return the name of an endpoint's crash that was noticed now."""
+        before_ms = self._crashed_ms.get(endpoint_id)
+        if before_ms is None or now - before_ms > SAME_CRASH_MS:
+            self._crashed_ms.pop(endpoint_id, None)
+            self._crashed_ms[endpoint_id] = before_ms = now
+        while len(self._crashed_ms) > MAX_CRASHES:
+            del self._crashed_ms[next(iter(self._crashed_ms))]
+        wall = self.clock.wall() - (now - before_ms)
+        return f'{endpoint_id}@{wall // SAME_CRASH_MS}'
--- a/pearrun/api/daemon.py
+++ b/pearrun/api/daemon.py
@@ -21,6 +21,7 @@
 from pearrun.api import web
 from pearrun.api.claims import KeyClaims
 from pearrun.api.config import ConfigFollower
+from pearrun.api.crashes import JobCrashes
 from pearrun.api.departure import Departure
 from pearrun.api.dispatcher import Dispatcher
 from pearrun.api.hosts import HostWatcher
@@ -58,6 +59,7 @@
         self.router = Router.from_settings(settings)
         self.peers = None
         self.metrics = MetricsTable()
+        self.crashes = JobCrashes()
         self.session = None
         self.journal = None
         self.config = None
@@ -83,8 +85,13 @@
         pace = Pace(settings.platform.appends_per_s, self.count_daemons)
         self.journal = Journal(log, settings, self.on_sealed, pace)
         self.membership = Membership(
-            log, settings, self.describe, self.hear_leaving
+            log,
+            settings,
+            self.describe,
+            self.hear_leaving,
+            self.crashes.receive,
         )
+        self.crashes.quarantine.tell_others = self.membership.beat_now.set
         runner = Runner(
             settings,
             self.session,
@@ -93,6 +100,7 @@
             self.journal,
             self.membership,
             self.metrics,
+            self.crashes,
         )
         self.dispatcher = Dispatcher(
             settings,
@@ -101,6 +109,7 @@
             self.config,
             runner,
             self.metrics,
+            self.crashes,
         )
         self.lookup = Lookup(
             settings,
@@ -213,6 +222,7 @@
             state=self.departure.state,
             config_version=self.config.tree.version,
             leaving=tuple(self.router.leaving()),
+            suspects=self.crashes.describe(),
         )
 
     def on_config(self):
--- a/pearrun/api/dispatcher.py
+++ b/pearrun/api/dispatcher.py
@@ -6,6 +6,7 @@
 
 from pearrun import exceptions
 from pearrun.api import journal as journal_module
+from pearrun.api.crashes import JobCrashes
 from pearrun.api.saving import describe_acceptance
 from pearrun.api.saving import describe_end
 from pearrun.api.saving import Saver
@@ -32,15 +33,26 @@
     :param config: a :class:`ConfigFollower` holding the tree in force.
     :param runner: a :class:`Runner`.
     :param metrics: a :class:`MetricsTable`.
+    :param crashes: the daemon's :class:`JobCrashes`.
     """
 
-    def __init__(self, settings, router, journal, config, runner, metrics):
+    def __init__(
+        self,
+        settings,
+        router,
+        journal,
+        config,
+        runner,
+        metrics,
+        crashes=None,
+    ):
         self.settings = settings
         self.router = router
         self.journal = journal
         self.config = config
         self.runner = runner
         self.metrics = metrics
+        self.crashes = crashes or JobCrashes()
         self.clock = Clock()
         self.saver = Saver(settings, journal)
         self.jobs = {}
@@ -116,6 +128,7 @@
             accepted_ms=self.clock.now(),
             idempotency_key=scoped,
         )
+        self.crashes.check_request(job)
         if promise or not service.idempotent:
             work = self.accept(job, service)
         else:
--- a/pearrun/api/members.py
+++ b/pearrun/api/members.py
@@ -31,6 +31,7 @@
 
     ``missed`` counts this daemon's own beats since then; ``replaced``
     says that a later run of the same host has announced itself.
+    ``suspects`` are the requests under which endpoints crashed.
     """
 
     name: str
@@ -40,6 +41,7 @@
     state: MemberState
     config_version: int = 0
     leaving: tuple = ()
+    suspects: list = dataclasses.field(default_factory=list)
     missed: int = 0
     replaced: bool = False
 
@@ -54,6 +56,7 @@
             state=MemberState(beat['state']),
             config_version=int(beat['config_version']),
             leaving=tuple(beat['leaving']),
+            suspects=list(beat.get('suspects', ())),
         )
 
     def to_beat(self):
@@ -66,6 +69,7 @@
             'state': self.state.value,
             'config_version': self.config_version,
             'leaving': list(self.leaving),
+            'suspects': self.suspects,
         }
 
 
@@ -77,13 +81,18 @@
     :param describe: returns this daemon's own :class:`Member`.
     :param on_leaving: called with each endpoint id that another
         daemon reports as leaving.
+    :param on_suspects: called with what another daemon tells of requests
+        under which endpoints crashed.
     """
 
-    def __init__(self, log, settings, describe, on_leaving=None):
+    def __init__(
+        self, log, settings, describe, on_leaving=None, on_suspects=None
+    ):
         self.log = log
         self.settings = settings
         self.describe = describe
         self.on_leaving = on_leaving
+        self.on_suspects = on_suspects
         self.members = {}
         self.next_offset = None
         self.beat_now = asyncio.Event()
@@ -151,6 +160,8 @@
         if not is_own and self.on_leaving is not None:
             for endpoint in member.leaving:
                 self.on_leaving(endpoint)
+        if not is_own and self.on_suspects is not None and member.suspects:
+            self.on_suspects(member.suspects)
 
     async def beat(self, extra=False):
         """Append one beat; a beat that does not land is skipped.
--- a/pearrun/api/runner.py
+++ b/pearrun/api/runner.py
@@ -1,9 +1,10 @@
 """The runner of jobs: from an accepted request to its final state.
 
-An accepted request is never given up: when no endpoint can serve it,
-or one fails in the middle, the job pauses and goes on elsewhere, from
-the last token it has.  A non-idempotent call is the exception: once
-it may have run, it is not made again (see :mod:`pearrun.api.calls`).
+An accepted request is not given up when no endpoint can serve it, or one
+fails in the middle: the job pauses and goes on elsewhere, from the last
+token it has.  There are two exceptions: a non-idempotent call that may have
+run is not made again (see :mod:`pearrun.api.calls`), and a request that
+crashes the endpoints which run it fails (see :mod:`pearrun.api.crashes`).
 """
 
 import contextlib
@@ -14,6 +15,7 @@
 from pearrun import metrics as metrics_module
 from pearrun.api import backends
 from pearrun.api.calls import OnceCaller
+from pearrun.api.crashes import JobCrashes
 from pearrun.api.handoff import move_cache
 from pearrun.api.placement import Placement
 from pearrun.backoff import Backoff
@@ -34,10 +36,19 @@
     :param journal: the daemon's :class:`Journal`.
     :param membership: the daemon's :class:`Membership`.
     :param metrics: a :class:`MetricsTable`.
+    :param crashes: the daemon's :class:`JobCrashes`.
     """
 
     def __init__(
-        self, settings, session, router, claims, journal, membership, metrics
+        self,
+        settings,
+        session,
+        router,
+        claims,
+        journal,
+        membership,
+        metrics,
+        crashes=None,
     ):
         self.settings = settings
         self.session = session
@@ -45,8 +56,15 @@
         self.metrics = metrics
         self.clock = Clock()
         self.places = Placement(router)
+        self.crashes = crashes or JobCrashes()
         self.once = OnceCaller(
-            settings, session, claims, journal, membership, self.places
+            settings,
+            session,
+            claims,
+            journal,
+            membership,
+            self.places,
+            self.crashes,
         )
 
     async def run(self, job, service):
@@ -75,6 +93,7 @@
         await job.publish(state=RequestState.DONE, finish_reason=finish_reason)
         counters = self.metrics.of(job.service)
         counters.done += 1
+        self.crashes.note_answered(job)
         counters.tokens += len(job.tokens)
         metrics_module.record(
             counters.total, self.clock.since(job.accepted_ms)
@@ -102,17 +121,20 @@
 
         :raises EndpointRefusedError: the engine refuses the request
             itself; no other engine would take it.
+        :raises CrashedEndpointsError: endpoints crash under it.
         """
         counters = self.metrics.of(job.service)
         tried = set()
         backoff = Backoff()
         refuge = await self.revisit(job, service)
         while True:
+            self.crashes.check_job(job)
             endpoint = refuge or await self.places.choose(
                 job, service, tried, backoff
             )
             refuge = None
             progress = len(job.tokens)
+            begun_ms = self.clock.now()
             try:
                 refuge = await self.run_on(job, service, endpoint)
             except exceptions.EndpointRefusedError:
@@ -123,6 +145,14 @@
                     'endpoint failed', error=exc.message, **job.labels()
                 )
                 tried.add(endpoint.id)
+                if not isinstance(exc, exceptions.EndpointUnreachableError):
+                    check = self.crashes.note_broken(
+                        job,
+                        endpoint,
+                        self.clock.since(begun_ms),
+                        len(job.tokens) > progress,
+                    )
+                    await self.crashes.wait_briefly(check)
                 if len(job.tokens) > progress:
                     backoff = Backoff()
                 await backoff.pause()
--- a/pearrun/api/structures.py
+++ b/pearrun/api/structures.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import functools
 
 from pearrun.clock import Millis
+from pearrun.fingerprints import make_fingerprint
 from pearrun.ids import CustomerId
 from pearrun.ids import EndpointId
 from pearrun.ids import IdempotencyKey
@@ -51,6 +53,14 @@
         return self.in_flight + self.reported_load
 
 
+def fingerprint_request(service, customer, prompt, max_tokens, seed):
+    """Return the fingerprint of a request to a service."""
+    parts = (service, customer, prompt, str(max_tokens), str(seed))
+    return make_fingerprint(
+        *(part.encode('utf-8', 'surrogatepass') for part in parts)
+    )
+
+
 @dataclasses.dataclass
 class Job:
     """One accepted request and what has been answered so far.
@@ -90,6 +100,17 @@
         default_factory=asyncio.Condition
     )
 
+    @functools.cached_property
+    def fingerprint(self):
+        """What a repeat of this request by its customer has in common."""
+        return fingerprint_request(
+            self.service,
+            self.customer,
+            self.prompt,
+            self.max_tokens,
+            self.seed,
+        )
+
     @property
     def finished(self):
         """Whether the job has reached a final state."""
--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -248,6 +248,12 @@
     code = 1508
 
 
+class CrashedEndpointsError(BackendError):
+    """Endpoints crashed under the request; it is given up."""
+
+    code = 1509
+
+
 class ConnectionBrokenError(BackendError):
     """A connection ended before the response on it was complete.
 
--- a/pearrun/shared/crashcheck.py
+++ b/pearrun/shared/crashcheck.py
@@ -33,15 +33,24 @@
         task.add_done_callback(lambda done: self._tasks.pop(endpoint.id))
 
     async def _check(self, record):
-        try:
-            for _ in range(CHECKS):
-                connection = await client.connect(
-                    record.address, CONNECT_MS, SILENCE_MS
-                )
-                connection.abort()
-                await asyncio.sleep(to_seconds(RECHECK_MS))
-        except exceptions.EndpointDownError:
+        if await is_down(record.address):
             self.crashes.note_down(record.id)
-        except exceptions.EndpointUnreachableError:
-            # Out of reach; after a crash it would refuse the connection.
-            return
+
+
+async def is_down(address):
+    """Find out whether nothing listens at an address any more.
+
+    :param address: ``IP:PORT``.
+    :returns: ``False`` also where the address is out of reach: after a crash
+        it would refuse the connection.
+    """
+    try:
+        for _ in range(CHECKS):
+            connection = await client.connect(address, CONNECT_MS, SILENCE_MS)
+            connection.abort()
+            await asyncio.sleep(to_seconds(RECHECK_MS))
+    except exceptions.EndpointDownError:
+        return True
+    except exceptions.EndpointUnreachableError:
+        return False
+    return False
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -58,7 +58,8 @@
             self.demands,
             self.feed,
         )
-        self.quarantine = Quarantine(clock, self.crashes)
+        self.quarantine = Quarantine(clock)
+        self.crashes.take_crash = self.quarantine.take_crash
         self.quotas = Quotas(
             clock, self.config, settings.quota, self.members, self.feed
         )
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -25,10 +25,10 @@
 class Quarantine:
     """Takes crashes and answers, and says which calls to refuse.
 
-    :param crashes: the :class:`Crashes` of this host's calls.
+    A call is whatever has a ``fingerprint``.
     """
 
-    def __init__(self, clock, crashes):
+    def __init__(self, clock):
         self.clock = clock
         self.known = Suspects()
         self.refused = 0
@@ -39,7 +39,6 @@
         self._told_ms = clock.now()
         self._begun_ms = {}
         self._saved_ms = {}
-        crashes.take_crash = self.take_crash
 
     def left_ms(self, call):
         """Return for how long a call is quarantined; 0 if it is not.
--- a/tests/test_job_crashes.py
+++ b/tests/test_job_crashes.py
@@ -2,9 +2,13 @@
 
 import asyncio
 
+import pytest
+
 from pearrun import exceptions
 from pearrun.api import backends
+from pearrun.api import crashes as crashes_module
 from pearrun.api.claims import KeyClaims
+from pearrun.api.crashes import JobCrashes
 from pearrun.api.journal import Journal
 from pearrun.api.router import Router
 from pearrun.api.runner import Runner
@@ -34,9 +38,17 @@
     )
 
 
-def make_job(request_id='h.1.a'):
+def make_job(request_id='h.1.a', prompt='crash'):
     """Return a job of an engine."""
-    return Job(request_id, 'c', 'pearrun-oficina', 'crash', 8, 0, 0)
+    return Job(request_id, 'c', 'pearrun-oficina', prompt, 8, 0, 0)
+
+
+async def crash_engines(crashes, numbers):
+    """Have engines crash under a job, one after the other."""
+    for number in numbers:
+        engine = builders.endpoint(number)
+        engine.url = f'http://127.0.0.1:{builders.free_port()}'
+        await crashes.note_broken(make_job(), engine, 5, False)
 
 
 def test_a_job_that_crashes_engines_crashes_them_all(monkeypatch):
@@ -62,3 +74,74 @@
     assert len(crashed) <= 3
     assert job.state == RequestState.FAILED
     assert job.failure.code == 1509
+
+
+def test_a_job_that_gets_tokens_before_each_crash_is_finished(monkeypatch):
+    async def crash_later(session, endpoint, job, priority, host):
+        yield len(job.tokens), 'token'
+        if len(job.tokens) < job.max_tokens:
+            raise exceptions.BackendError('stream broke')
+        yield None, 'length'
+
+    monkeypatch.setattr(backends, 'stream_tokens', crash_later)
+    monkeypatch.setattr(crashes_module, 'RAN_WELL_MS', 0)
+
+    async def main():
+        runner = make_runner()
+        job = make_job()
+        job.max_tokens = 5
+        service = builders.team_tree().find_service('pearrun-oficina')
+        async with asyncio.timeout(5):
+            await runner.run(job, service)
+        return job
+
+    job = asyncio.run(main())
+    assert job.state == RequestState.DONE
+    assert len(job.tokens) == 5
+
+
+def test_a_request_that_crashed_engines_is_refused_by_every_daemon():
+    async def main():
+        daemons = [JobCrashes() for _ in range(3)]
+        for number, daemon in enumerate(daemons):
+            await crash_engines(daemon, [number])
+            for other in daemons:
+                other.receive(daemon.describe())
+        # One that starts now reads the beats of daemons that have ended.
+        daemons.append(JobCrashes())
+        daemons[-1].receive(daemons[0].describe())
+        for daemon in daemons:
+            with pytest.raises(exceptions.QuarantinedError) as caught:
+                daemon.check_request(make_job('h.2.b'))
+            assert caught.value.retry_after_s > 60
+            assert caught.value.not_run
+            daemon.check_request(make_job('h.2.c', 'another prompt'))
+
+    asyncio.run(main())
+
+
+def test_a_job_taken_over_fails_when_its_request_is_quarantined(monkeypatch):
+    async def run_nothing(*args):
+        raise AssertionError('a quarantined job was sent')
+        yield
+
+    monkeypatch.setattr(backends, 'stream_tokens', run_nothing)
+
+    async def main():
+        runner = make_runner()
+        await crash_engines(runner.crashes, range(3))
+        job = make_job('other.1.a')
+        service = builders.team_tree().find_service('pearrun-oficina')
+        async with asyncio.timeout(5):
+            await runner.run(job, service)
+        return job
+
+    job = asyncio.run(main())
+    assert job.state == RequestState.FAILED
+    assert job.failure.code == 1509
+
+
+def test_malformed_suspects_in_a_beat_are_left_aside():
+    crashes = JobCrashes()
+    crashes.receive([['f', None, [['e', 'no number', 1, False]]], 7])
+    assert not crashes.quarantine.known.suspects
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -201,17 +201,6 @@
         assert counts.refused * 1000 <= counts.good
 
 
-class FakeCrashes:
-    """Stands where crashes are found."""
-
-    take_crash = None
-
-
-def make_quarantine():
-    """Return a quarantine without a host."""
-    return Quarantine(Clock(), FakeCrashes())
-
-
 def make_known(count):
     """Return suspects as other hosts tell them, each with three crashes."""
     now = Clock().now()
@@ -224,7 +213,7 @@
 
 
 def test_what_hosts_tell_each_other_is_bounded():
-    quarantine = make_quarantine()
+    quarantine = Quarantine(Clock())
     quarantine.merge(make_known(1000), 'host-2', pass_on=True)
     assert len(quarantine.take_told()) <= quarantine_module.MAX_TOLD
     assert len(quarantine.list_known()) <= quarantine_module.MAX_TOLD
@@ -232,7 +221,7 @@
 
 
 def test_hosts_that_tell_all_others_do_not_pass_on_what_they_hear():
-    quarantine = make_quarantine()
+    quarantine = Quarantine(Clock())
     quarantine.merge(make_known(3), 'host-2', pass_on=False)
     assert len(quarantine.known.quarantined) == 3
     assert not quarantine.take_told()
