Long calls under many crashes at once are not quarantined

A call that is repeated all the time and runs for seconds, without an answer in the last 30 s, was quarantined when three or more of its endpoints crashed at the same moment (power of a rack, a fault that they share). Crashes under calls that ran well now count half, and once for each moment.

--- a/benchmarks/bystanders.py
+++ b/benchmarks/bystanders.py
@@ -19,14 +19,13 @@
 from absl import flags
 
 from pearrun.decisions.quarantine import Crash
+from pearrun.decisions.quarantine import runs_well
 from pearrun.decisions.quarantine import Suspects
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer('seeds', 20, 'how many runs')
 flags.DEFINE_integer('seconds', 120, 'simulated seconds of a run')
 
-# A call that has run for so long was answered well.
-RAN_WELL_MS = 1000
 # How long after its begin a crashing request ends its endpoint.
 CRASH_MS = (5, 150)
 
@@ -212,7 +211,7 @@
         broken = self.running.pop(name).values()
         for run in broken:
             ran_ms = self.now - run.begun_ms
-            crash = Crash(name, self.now, ran_ms, ran_ms >= RAN_WELL_MS)
+            crash = Crash(name, self.now, ran_ms, runs_well(ran_ms, ran_ms))
             self.suspects.note_crash(run.fingerprint, crash)
             answered_ms = self.answered_ms.get(run.fingerprint)
             if answered_ms is not None:
--- a/pearrun/api/crashes.py
+++ b/pearrun/api/crashes.py
@@ -12,6 +12,8 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
+from pearrun.decisions.quarantine import runs_well
+from pearrun.decisions.quarantine import select_worst
 from pearrun.shared import suspects
 from pearrun.shared.crashcheck import is_down
 from pearrun.shared.crashes import BrokenCall
@@ -20,8 +22,6 @@
 
 # Broken jobs of one endpoint within this time are of one crash.
 SAME_CRASH_MS = 2000
-# A job that got tokens for so long ran well.
-RAN_WELL_MS = 1000
 # How long a job waits to know of a crash before it goes on elsewhere.
 CHECK_WAIT_MS = 50
 # Suspects in a beat, and crashes whose times are remembered.
@@ -90,7 +90,7 @@
         if not await is_down(urllib.parse.urlsplit(endpoint.url).netloc):
             return
         now = self.clock.now()
-        ran_well = progressed and ran_ms >= RAN_WELL_MS
+        ran_well = runs_well(ran_ms, ran_ms if progressed else 0)
         broken = BrokenCall(job.fingerprint, ran_ms, now, ran_well)
         crash_id = self._name_crash(endpoint.id, now)
         self.quarantine.take_crash(crash_id, [broken])
@@ -99,9 +99,10 @@
         """Return what other daemons are told: JSON-ready."""
         now = self.clock.now()
         wall = self.clock.wall()
+        known = self.quarantine.known.suspects.values()
         return [
             suspects.to_fields(item.to_ages(now).to_times(wall))
-            for item in self.quarantine.known.select(MAX_TOLD)
+            for item in select_worst(known, MAX_TOLD)
         ]
 
     def receive(self, told):
--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -16,9 +16,14 @@
 from pearrun.ids import EndpointId
 from pearrun.ids import Fingerprint
 
-# What a crash counts against a call that had been answered well for a while:
-# what crashes an endpoint seldom takes so long.
+# A call that was being answered for so long, or under way for so long at all,
+# ran well: what crashes an endpoint seldom takes that time.
+ANSWERED_WELL_MS = 1000
+UNDER_WAY_WELL_MS = 5000
+# What crashes count against a call that ran well, and the time within which
+# they count as one: endpoints that crash at once have another cause.
 WELL_RUN_WEIGHT = 0.5
+SAME_MOMENT_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,7 +53,7 @@
 
     :param at_ms: monotonic time.
     :param ran_ms: milliseconds since the request was sent there.
-    :param ran_well: whether it had been answered well for a while.
+    :param ran_well: see :func:`runs_well`.
     """
 
     endpoint_id: EndpointId
@@ -56,11 +61,6 @@
     ran_ms: int
     ran_well: bool = False
 
-    @property
-    def weight(self):
-        """How much it counts against the request."""
-        return WELL_RUN_WEIGHT if self.ran_well else 1.0
-
 
 @dataclasses.dataclass
 class Suspect:
@@ -115,11 +115,14 @@
 
         :param explained: ids of endpoints that another request crashed.
         """
-        return sum(
-            crash.weight
+        left = [
+            crash
             for endpoint_id, crash in self.crashes.items()
             if endpoint_id not in explained
-        )
+        ]
+        sudden = sum(not crash.ran_well for crash in left)
+        moments = count_moments(item.at_ms for item in left if item.ran_well)
+        return sudden + WELL_RUN_WEIGHT * moments
 
     def mean_run_ms(self):
         """Return how long it had run when endpoints crashed."""
@@ -199,20 +202,6 @@
                 quarantined[worst.fingerprint] = until_ms
         self.quarantined = quarantined
 
-    def select(self, count):
-        """Return the suspects that are worth most to be known elsewhere.
-
-        :returns: at most ``count`` :class:`Suspect` objects.
-        """
-        if len(self.suspects) <= count:
-            return list(self.suspects.values())
-        ranked = sorted(
-            self.suspects.values(),
-            key=lambda item: (item.weigh(), item.touched_ms),
-            reverse=True,
-        )
-        return ranked[:count]
-
     def _is_trusted(self, suspect, crash):
         answered_ms = suspect.answered_ms
         if answered_ms is None:
@@ -227,14 +216,42 @@
             )
             if now_ms - suspect.touched_ms > keep_ms:
                 del self.suspects[suspect.fingerprint]
-        excess = len(self.suspects) - self.settings.max_suspects
-        if excess > 0:
-            ranked = sorted(
-                self.suspects.values(),
-                key=lambda item: (item.weigh(), item.touched_ms),
-            )
-            for suspect in ranked[:excess]:
-                del self.suspects[suspect.fingerprint]
+        if len(self.suspects) > settings.max_suspects:
+            worst = select_worst(self.suspects.values(), settings.max_suspects)
+            self.suspects = {item.fingerprint: item for item in worst}
+
+
+def select_worst(suspects, count):
+    """Return the suspects that are worth most to be known.
+
+    :param suspects: :class:`Suspect` objects.
+    :returns: a list of at most ``count`` of them.
+    """
+    suspects = list(suspects)
+    if len(suspects) <= count:
+        return suspects
+    suspects.sort(key=lambda item: (item.weigh(), item.touched_ms))
+    return suspects[-count:]
+
+
+def runs_well(ran_ms, answered_ms):
+    """Say whether a call that has just broken had run well until then.
+
+    :param ran_ms: milliseconds since it was sent.
+    :param answered_ms: milliseconds since its answer began.
+    """
+    return ran_ms >= UNDER_WAY_WELL_MS or answered_ms >= ANSWERED_WELL_MS
+
+
+def count_moments(times_ms):
+    """Return how many times there are, those close together once."""
+    count = 0
+    last_ms = None
+    for at_ms in sorted(times_ms):
+        if last_ms is None or at_ms - last_ms > SAME_MOMENT_MS:
+            count += 1
+            last_ms = at_ms
+    return count
 
 
 def rank(suspect, explained):
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -1,6 +1,7 @@
 """One send of a call to one endpoint."""
 
 from pearrun import exceptions
+from pearrun.decisions.quarantine import runs_well
 from pearrun.relay.events import EventCutter
 from pearrun.relay.outcomes import Answered
 from pearrun.relay.outcomes import Cut
@@ -18,8 +19,6 @@
 REFUSAL_BYTES = 16 * 1024
 # Stray responses read past before the connection is given up.
 MOST_STRAYS = 3
-# An answer that has been coming for this long ran well.
-RAN_WELL_MS = 1000
 
 
 class Exchange:
@@ -241,12 +240,10 @@
             return
         self.trace.fingerprint = self.call.fingerprint
         now = self.host.clock.now()
-        ran_well = (
-            self.passed_ms is not None and now - self.passed_ms >= RAN_WELL_MS
-        )
-        broken = BrokenCall(
-            self.call.fingerprint, now - self.sent_ms, now, ran_well
-        )
+        ran_ms = now - self.sent_ms
+        answered_ms = 0 if self.passed_ms is None else now - self.passed_ms
+        ran_well = runs_well(ran_ms, answered_ms)
+        broken = BrokenCall(self.call.fingerprint, ran_ms, now, ran_well)
         self.host.crash_check.note_broken(self.selected.endpoint, broken)
 
     def _note_failure(self, refused=False, silent=False):
--- a/pearrun/shared/crashes.py
+++ b/pearrun/shared/crashes.py
@@ -27,7 +27,7 @@
 
     :param ran_ms: milliseconds since it was sent there.
     :param at_ms: monotonic time of the break.
-    :param ran_well: whether it had been answered well for a while.
+    :param ran_well: see :func:`pearrun.decisions.quarantine.runs_well`.
     """
 
     fingerprint: Fingerprint
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from pearrun.decisions.quarantine import Crash
+from pearrun.decisions.quarantine import select_worst
 from pearrun.decisions.quarantine import Suspects
 
 # Answered requests remembered, and suspects told to other hosts.
@@ -107,14 +108,14 @@
         suspects = self.known.suspects
         told = [suspects[key] for key in self._news if key in suspects]
         self._news.clear()
-        return told[:MAX_TOLD]
+        return select_worst(told, MAX_TOLD)
 
     def list_known(self):
         """Return what another host should know that was told nothing yet.
 
         :returns: :class:`Suspect` objects.
         """
-        return self.known.select(MAX_TOLD)
+        return select_worst(self.known.suspects.values(), MAX_TOLD)
 
     def list_unsaved(self):
         """Return the suspects that this host has to save on the store."""
