A path that is cut by resets is not taken for crashes

While the list cannot be read, only endpoints of the host's own zone can be told. A heartbeat that comes later takes the crash back, on every host. One call that met several endpoints of a zone counts at most twice. Soak and tests have heartbeats now.

--- a/pearrun/api/crashes.py
+++ b/pearrun/api/crashes.py
@@ -12,11 +12,11 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
+from pearrun.decisions.quarantine import Crash
 from pearrun.decisions.quarantine import runs_well
 from pearrun.decisions.quarantine import select_worst
 from pearrun.shared import suspects
 from pearrun.shared.crashcheck import is_down
-from pearrun.shared.crashes import BrokenCall
 from pearrun.shared.quarantine import Quarantine
 from pearrun.states import EndpointState
 
@@ -91,9 +91,9 @@
             return
         now = self.clock.now()
         ran_well = runs_well(ran_ms, ran_ms if progressed else 0)
-        broken = BrokenCall(job.fingerprint, ran_ms, now, ran_well)
         crash_id = self._name_crash(endpoint.id, now)
-        self.quarantine.take_crash(crash_id, [broken])
+        crash = Crash(crash_id, now, ran_ms, ran_well)
+        self.quarantine.take_crashes([(job.fingerprint, crash)])
 
     def describe(self):
         """Return what other daemons are told: JSON-ready."""
--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -11,6 +11,7 @@
 most endpoints crashed, so that calls which were beside it by chance go on.
 """
 
+import collections
 import dataclasses
 
 from pearrun.ids import EndpointId
@@ -20,10 +21,14 @@
 # ran well: what crashes an endpoint seldom takes that time.
 ANSWERED_WELL_MS = 1000
 UNDER_WAY_WELL_MS = 5000
-# What crashes count against a call that ran well, and the time within which
-# they count as one: endpoints that crash at once have another cause.
+# What crashes count against a call that ran well, and those within this time
+# count as one: endpoints that crash at once have another cause.
 WELL_RUN_WEIGHT = 0.5
 SAME_MOMENT_MS = 1000
+# What further crashes of one group count, and all of them at the most: a call
+# may meet several endpoints of a failure domain that is lost as a whole.
+FURTHER_WEIGHT = 0.5
+GROUP_WEIGHT = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +42,7 @@
         after the quarantine one crash begins it anew.
     :param max_suspects: requests remembered.
     :param max_crashes: crashes remembered of each.
+    :param max_alive: endpoints remembered whose crash was taken back.
     """
 
     min_crashes: int = 3
@@ -45,6 +51,7 @@
     keep_ms: int = 1_200_000
     max_suspects: int = 256
     max_crashes: int = 32
+    max_alive: int = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,12 +61,14 @@
     :param at_ms: monotonic time.
     :param ran_ms: milliseconds since the request was sent there.
     :param ran_well: see :func:`runs_well`.
+    :param group: names the call and the endpoint's failure domain.
     """
 
     endpoint_id: EndpointId
     at_ms: int
     ran_ms: int
     ran_well: bool = False
+    group: str = ''
 
 
 @dataclasses.dataclass
@@ -120,9 +129,16 @@
             for endpoint_id, crash in self.crashes.items()
             if endpoint_id not in explained
         ]
-        sudden = sum(not crash.ran_well for crash in left)
-        moments = count_moments(item.at_ms for item in left if item.ran_well)
-        return sudden + WELL_RUN_WEIGHT * moments
+        sudden = [crash for crash in left if not crash.ran_well]
+        well_run = [crash for crash in left if crash.ran_well]
+        groups = collections.Counter(
+            crash.group or crash.endpoint_id for crash in sudden
+        )
+        weight = WELL_RUN_WEIGHT * count_moments(well_run)
+        for size in groups.values():
+            group_weight = 1.0 + FURTHER_WEIGHT * (size - 1)
+            weight += min(GROUP_WEIGHT, group_weight)
+        return weight
 
     def mean_run_ms(self):
         """Return how long it had run when endpoints crashed."""
@@ -142,6 +158,8 @@
         self.settings = settings or QuarantineSettings()
         self.suspects = {}
         self.quarantined = {}
+        self._crashed_ms = {}
+        self._alive = collections.OrderedDict()
 
     def note_crash(self, fingerprint, crash):
         """Note that an endpoint crashed under a request.
@@ -149,6 +167,8 @@
         :param crash: the :class:`Crash`; known ones change nothing.
         :returns: whether it was news.
         """
+        if crash.endpoint_id in self._alive:
+            return False
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
             suspect = self.suspects[fingerprint] = Suspect(fingerprint)
@@ -180,9 +200,28 @@
         }
         return True
 
+    def find_crash_ms(self, endpoint_id):
+        """Return when an endpoint crashed; ``None`` if it has not."""
+        return self._crashed_ms.get(endpoint_id)
+
+    def rule_out(self, endpoint_id):
+        """Take back an endpoint's crash: it is still there."""
+        self._alive[endpoint_id] = None
+        while len(self._alive) > self.settings.max_alive:
+            self._alive.popitem(last=False)
+        for suspect in list(self.suspects.values()):
+            suspect.crashes.pop(endpoint_id, None)
+            if not suspect.crashes and suspect.answered_ms is None:
+                del self.suspects[suspect.fingerprint]
+
     def judge(self, now_ms):
         """Forget what is old and find out what is quarantined now."""
         self._forget_old(now_ms)
+        self._crashed_ms = {
+            crash.endpoint_id: crash.at_ms
+            for suspect in self.suspects.values()
+            for crash in suspect.crashes.values()
+        }
         least = self.settings.min_crashes
         open_cases = [
             suspect
@@ -243,11 +282,11 @@
     return ran_ms >= UNDER_WAY_WELL_MS or answered_ms >= ANSWERED_WELL_MS
 
 
-def count_moments(times_ms):
-    """Return how many times there are, those close together once."""
+def count_moments(crashes):
+    """Return how many crashes there are, those close together once."""
     count = 0
     last_ms = None
-    for at_ms in sorted(times_ms):
+    for at_ms in sorted(crash.at_ms for crash in crashes):
         if last_ms is None or at_ms - last_ms > SAME_MOMENT_MS:
             count += 1
             last_ms = at_ms
--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -7,6 +7,7 @@
 from pearrun.clock import to_seconds
 from pearrun.platform import decoding
 from pearrun.platform.following import SharedFollower
+from pearrun.states import EndpointState
 
 # Longest wait of a read for endpoints, as a part of the time in which a
 # drain must be acted on.  Two reads, the pauses between them and a round of
@@ -60,6 +61,7 @@
     def take_all(self, records, asked_ms):
         """See :class:`Follower`."""
         listed = {record.key for record in records}
+        self.host.crashes.note_missed()
         for record in records:
             self._put(record)
         for endpoint in list(self.host.fleet.endpoints.values()):
@@ -70,6 +72,10 @@
     def take_changes(self, records, asked_ms):
         """See :class:`Follower`."""
         super().take_changes(records, asked_ms)
+        for record in records:
+            endpoint = self.host.fleet.find(record.key)
+            if endpoint is not None and record.value is not None:
+                self.host.note_heartbeat(endpoint.id, asked_ms)
         self._confirm(asked_ms)
 
     def _confirm(self, asked_ms):
@@ -86,6 +92,8 @@
             self._cancel_removal(known.id)
             self.host.drop_endpoint(known, 'started again')
         self._cancel_removal(entry.id)
+        if entry.state is not EndpointState.LIVE:
+            self.host.crashes.note_leaving(entry.id)
         if self.host.fleet.put(entry):
             logger.bind(
                 endpoint=entry.id,
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -9,6 +9,9 @@
 from pearrun.ids import HostName
 from pearrun.ids import ZoneName
 
+# Time between heartbeats of endpoints where the file does not say.
+BEAT_MS = 1200
+
 PATH_VARIABLE = 'PEARRUN_BOOT'
 
 
@@ -63,6 +66,7 @@
     :param config_ms: milliseconds until a configuration must be in force.
     :param lease_ms: milliseconds in which duties must not alternate
         between two holders.
+    :param beat_ms: milliseconds between an endpoint's heartbeats.
     """
 
     name: HostName
@@ -83,6 +87,7 @@
     drain_ms: int
     config_ms: int
     lease_ms: int
+    beat_ms: int
 
 
 def load(path=None):
@@ -142,6 +147,7 @@
         drain_ms=int(bounds.get('drain_ms', 2000)),
         config_ms=int(bounds.get('config_ms', 2000)),
         lease_ms=int(bounds.get('lease_ms', 3000)),
+        beat_ms=int(fields.get('beat_ms', BEAT_MS)),
     )
 
 
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -243,7 +243,9 @@
         ran_ms = now - self.sent_ms
         answered_ms = 0 if self.passed_ms is None else now - self.passed_ms
         ran_well = runs_well(ran_ms, answered_ms)
-        broken = BrokenCall(self.call.fingerprint, ran_ms, now, ran_well)
+        broken = BrokenCall(
+            self.call.fingerprint, ran_ms, now, ran_well, self.call.id
+        )
         self.host.crash_check.note_broken(self.selected.endpoint, broken)
 
     def _note_failure(self, refused=False, silent=False):
--- a/pearrun/shared/crashcheck.py
+++ b/pearrun/shared/crashcheck.py
@@ -9,8 +9,8 @@
 from pearrun.shared.pools import SILENCE_MS
 
 # A process that ends may close its connections before it stops listening.
-RECHECK_MS = 200
-CHECKS = 2
+RECHECK_MS = 50
+CHECKS = 3
 
 
 class CrashCheck:
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -37,7 +37,9 @@
         self.counters = Counters()
         self.config = ConfigHistory(clock)
         self.fleet = Fleet()
-        self.crashes = Crashes(clock, self.fleet)
+        self.crashes = Crashes(
+            clock, self.fleet, settings.zone, settings.beat_ms
+        )
         self.crash_check = CrashCheck(self.crashes)
         self.feed = Feed(clock)
         self.member_feed = Feed(clock, MEMBER_TOPIC)
@@ -59,7 +61,7 @@
             self.feed,
         )
         self.quarantine = Quarantine(clock)
-        self.crashes.take_crash = self.quarantine.take_crash
+        self.crashes.take_crashes = self.quarantine.take_crashes
         self.quotas = Quotas(
             clock, self.config, settings.quota, self.members, self.feed
         )
@@ -90,9 +92,18 @@
         listed_ms = self.fleet.listed_ms
         return None if listed_ms is None else now_ms - listed_ms
 
+    def note_heartbeat(self, endpoint_id, asked_ms):
+        """Note that an endpoint goes on.
+
+        :param asked_ms: when the read that told it was begun.
+        """
+        self.crashes.note_heard(endpoint_id, asked_ms)
+        self.quarantine.note_heard(endpoint_id, asked_ms)
+
     def drop_endpoint(self, endpoint, reason):
         """Stop using an endpoint that has left."""
         removed = self.fleet.remove(endpoint.id)
+        self.crashes.note_removed(endpoint.id)
         self.pools.remove(endpoint.id)
         if removed is not None:
             logger.bind(
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -9,9 +9,9 @@
 
 from loguru import logger
 
-from pearrun.decisions.quarantine import Crash
 from pearrun.decisions.quarantine import select_worst
 from pearrun.decisions.quarantine import Suspects
+from pearrun.shared.crashes import READ_MARGIN_MS
 
 # Answered requests remembered, and suspects told to other hosts.
 MAX_ANSWERED = 4096
@@ -63,17 +63,26 @@
             self._news.add(fingerprint)
             self._judge('answer')
 
-    def take_crash(self, endpoint_id, calls):
-        """Take an endpoint's crash; see :class:`Crashes`."""
-        for call in calls:
-            crash = Crash(endpoint_id, call.at_ms, call.ran_ms, call.ran_well)
-            if self._note_crash(call.fingerprint, crash):
-                self._own.add(call.fingerprint)
-                self._news.add(call.fingerprint)
+    def take_crashes(self, crashes):
+        """Take crashes under this host's calls.
+
+        :param crashes: pairs of a fingerprint and a :class:`Crash`.
+        """
+        for fingerprint, crash in crashes:
+            if self._note_crash(fingerprint, crash):
+                self._own.add(fingerprint)
+                self._news.add(fingerprint)
         self._judge('own calls')
         if self._news:
             self.tell_others()
 
+    def note_heard(self, endpoint_id, asked_ms):
+        """Note an endpoint's heartbeat; see :meth:`Crashes.note_heard`."""
+        crashed_ms = self.known.find_crash_ms(endpoint_id)
+        if crashed_ms is not None and asked_ms >= crashed_ms + READ_MARGIN_MS:
+            self.known.rule_out(endpoint_id)
+            self._judge('heartbeat')
+
     def merge(self, suspects, source, pass_on):
         """Take what is known elsewhere.
 
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -199,6 +199,7 @@
         zone_reports, sums = self.board.take_fresh()
         ended = self.board.take_ended()
         zone_placed = self.board.take_zone_placed()
+        host.crashes.check()
         told = host.quarantine.take_told()
         suspects = self._encode_suspects(told)
         if self.plan is None or not self.plan.is_hub:
--- a/pearrun/shared/suspects.py
+++ b/pearrun/shared/suspects.py
@@ -7,7 +7,13 @@
 def to_fields(suspect):
     """Return a suspect's fields: plain values."""
     crashes = [
-        [crash.endpoint_id, crash.at_ms, crash.ran_ms, crash.ran_well]
+        [
+            crash.endpoint_id,
+            crash.at_ms,
+            crash.ran_ms,
+            crash.ran_well,
+            crash.group,
+        ]
         for crash in suspect.crashes.values()
     ]
     return [suspect.fingerprint, suspect.answered_ms, crashes]
@@ -21,8 +27,8 @@
     """
     fingerprint, answered_ms, items = fields
     crashes = [
-        Crash(str(endpoint_id), int(at_ms), int(ran_ms), bool(ran_well))
-        for endpoint_id, at_ms, ran_ms, ran_well in items
+        Crash(str(name), int(at_ms), int(ran_ms), bool(ran_well), str(group))
+        for name, at_ms, ran_ms, ran_well, group in items
     ]
     if answered_ms is not None:
         answered_ms = int(answered_ms)
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -75,7 +75,8 @@
         self.work_ms = 2
         self.event_count = 5
         self.state = 'ready'
-        self.crashed = False
+        self.crashed_by = None
+        self.ended = False
         self.server = Server(self._handle)
 
     async def listen(self, address):
@@ -83,9 +84,17 @@
         self.address = address
         await self.server.listen(address)
 
-    def crash(self):
-        """End at once, as a killed process does."""
-        self.crashed = True
+    def crash(self, target):
+        """End at once, as a killed process does.
+
+        :param target: that of the request which brought it about.
+        """
+        self.crashed_by = target.decode()
+        self.end()
+
+    def end(self):
+        """Stop serving; what still runs breaks off."""
+        self.ended = True
         self.server.close()
         self.server.abort()
 
@@ -136,7 +145,7 @@
             headers.append((b'Pearrun-Runner-Seal', seal))
         if self._is_crashed_by(request) and not self.faults.crash_after:
             await asyncio.sleep(to_seconds(self.work_ms))
-            self.crash()
+            self.crash(request.target)
             return
         if self.faults.stray_first:
             caller.transport.write(stray_answer(b'someone-else'))
@@ -189,7 +198,7 @@
             if self._is_crashed_by(request) and (
                 run.events >= faults.crash_after
             ):
-                self.crash()
+                self.crash(request.target)
                 return
         caller.finish()
 
--- a/pearrun/standins/platformsite.py
+++ b/pearrun/standins/platformsite.py
@@ -12,6 +12,7 @@
 from absl import app as absl_app
 from absl import flags
 
+from pearrun.clock import to_seconds
 from pearrun.standins.platformapi import PlatformApi
 from pearrun.standins.platformrunner import PlatformRunner
 from pearrun.standins.platformstore import PlatformStore
@@ -24,6 +25,8 @@
 ZONES = ('zone-a', 'zone-b')
 FIRST_PORT = 8600
 HOSTS = 3
+# Time between heartbeats of endpoints.
+BEAT_MS = 200
 
 
 def make_route(name, prefix, service, kind='non_idempotent', **fields):
@@ -105,6 +108,7 @@
             'front': f'{ip}:{ports["front"]}',
             'ready_addr': f'{ip}:{ports["ready"]}',
         },
+        'beat_ms': BEAT_MS,
         'limits': {'memory_mb': 300, 'max_fds': 4100},
         'bounds': {'grace_s': 4, 'window_s': 1, 'usage_late_s': 3, **bounds},
         'platform': {'addr': site.store_address},
@@ -143,6 +147,15 @@
         """Write an endpoint's entry to the store."""
         self.store.put('servers', runner.id, runner.entry())
 
+    async def keep_beating(self):
+        """Send the heartbeats of all listed endpoints, without an end."""
+        while True:
+            await asyncio.sleep(to_seconds(BEAT_MS))
+            listed = self.store.topic('keyed.servers').newest
+            for runner in list(self.runners.values()):
+                if runner.id in listed and not runner.ended:
+                    self.list_runner(runner)
+
     def configure(self, config):
         """Write a configuration to the store."""
         self.store.put('op', 'config', config)
@@ -203,7 +216,7 @@
         path = pathlib.Path(directory) / f'host-{number}.toml'
         path.write_text(render_settings(fields))
     print(f'serving; settings files are in {directory}', flush=True)
-    await asyncio.Event().wait()
+    await site.keep_beating()
 
 
 def main(argv):
