--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -83,6 +83,9 @@
         """
         while True:
             await self._wait_for_news()
+            # News of its own belongs to this round: one made right after it
+            # would take its place before the links have sent it.
+            self.host.crashes.check()
             self._news.clear()
             self._bundles = {}
             self._sent_bytes = 0
@@ -199,7 +202,6 @@
         zone_reports, sums = self.board.take_fresh()
         ended = self.board.take_ended()
         zone_placed = self.board.take_zone_placed()
-        host.crashes.check()
         told = host.quarantine.take_told()
         suspects = self._encode_suspects(told)
         if self.plan is None or not self.plan.is_hub:
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -12,7 +12,7 @@
 CRASHING = b'a body that crashes endpoints'
 STREAMS = ('/short/', '/long/')
 # Longer than it takes until a crash is proven and known to every host.
-SPREAD_S = 2.2
+SPREAD_S = 1.8
 
 
 def list_runners(count):
