--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -7,10 +7,12 @@
 import asyncio
 import dataclasses
 
+from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.http1.server import Server
 
 EVENT_BYTES = 40
+CLOCK = Clock()
 
 
 @dataclasses.dataclass
@@ -76,7 +78,7 @@
         self.event_count = 5
         self.state = 'ready'
         self.crashed_by = None
-        self.ended = False
+        self.ended_ms = None
         self.server = Server(self._handle)
 
     async def listen(self, address):
@@ -94,7 +96,7 @@
 
     def end(self):
         """Stop serving; what still runs breaks off."""
-        self.ended = True
+        self.ended_ms = CLOCK.now()
         self.server.close()
         self.server.abort()
 
--- a/pearrun/standins/platformsite.py
+++ b/pearrun/standins/platformsite.py
@@ -153,7 +153,7 @@
             await asyncio.sleep(to_seconds(BEAT_MS))
             listed = self.store.topic('keyed.servers').newest
             for runner in list(self.runners.values()):
-                if runner.id in listed and not runner.ended:
+                if runner.id in listed and runner.ended_ms is None:
                     self.list_runner(runner)
 
     def configure(self, config):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,7 +22,13 @@
         directory = pathlib.Path(FLAGS.logs) / f'seed-{seed}'
         directory.mkdir(parents=True, exist_ok=True)
         findings, evidence = asyncio.run(
-            play_seed(seed, FLAGS.length_s * 1000, directory, FLAGS.hosts)
+            play_seed(
+                seed,
+                FLAGS.length_s * 1000,
+                directory,
+                FLAGS.hosts,
+                FLAGS.crashing,
+            )
         )
         statuses = collections.Counter(r.status for r in evidence.records)
         print(
@@ -43,5 +49,6 @@
     flags.DEFINE_integer('first', None, 'First seed; by default the time.')
     flags.DEFINE_integer('length_s', 20, 'Seconds of calls and faults.')
     flags.DEFINE_integer('hosts', 4, 'Entry hosts; above 16 they use hubs.')
+    flags.DEFINE_bool('crashing', False, 'A request crashes endpoints.')
     flags.DEFINE_string('logs', '/tmp/pearrun-soak', 'Where logs go.')
     app.run(main)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,6 +9,8 @@
 - Nothing new reaches an endpoint that said it leaves.
 - Duties: one report a window, fencing numbers that only grow, and no two
   holders by turns within a lease.
+- A request that crashed three endpoints is not sent to many more, and no
+  other request is refused for it.
 - No process ends by itself.
 - Once all is well, every host serves, with the newest configuration, and
   one of them holds the duties' lease.
@@ -29,6 +31,12 @@
 LEASE_MS = 3000
 # Calls that were under way when their sender was paused do not count.
 THAW_MS = 300
+# A request that crashed so many endpoints is known by every host so much
+# later, and sent on so often at the most.
+CRASHES_KNOWN = 3
+CRASH_KNOWN_MS = 3000
+LATE_CRASHES = 3
+QUARANTINED = b'"code": 1409'
 # A stop that was asked for: finished, killed after its grace time, or
 # asked for before the program could take the signal.
 EXPECTED_CODES = (0, -9, -15)
@@ -58,6 +66,7 @@
     played: list
     last_calls: list
     lease_renewed: bool
+    crash_calls: list = dataclasses.field(default_factory=list)
 
 
 def check_all(evidence):
@@ -72,6 +81,8 @@
         check_ends,
         check_drains,
         check_duties,
+        check_crashing,
+        check_quarantined,
         check_exits,
         check_last_calls,
         check_lease,
@@ -173,6 +184,34 @@
         previous = call.holder
 
 
+def check_crashing(evidence):
+    """A request that crashes endpoints is stopped."""
+    hosts = {record.attempt: record.host for record in evidence.crash_calls}
+    sends = sorted(
+        (run.request.received_ms, hosts[attempt])
+        for runner in evidence.runners
+        for run in runner.runs
+        if (attempt := run.request.get(b'pearrun-attempt-id')) in hosts
+    )
+    if len(sends) < CRASHES_KNOWN:
+        return
+    known_ms = sends[CRASHES_KNOWN - 1][0] + CRASH_KNOWN_MS
+    late = [
+        f'{host} at {at_ms - known_ms} ms'
+        for at_ms, host in sends
+        if at_ms > known_ms and in_touch(evidence, host, at_ms)
+    ]
+    if len(late) > LATE_CRASHES:
+        yield Finding('crashing', f'{len(sends)} sends, late: {late}')
+
+
+def check_quarantined(evidence):
+    """No good call is refused because endpoints crashed."""
+    for record in evidence.records + evidence.last_calls:
+        if record.status == 503 and QUARANTINED in record.body:
+            yield Finding('quarantined', f'refused: {record}')
+
+
 def check_exits(evidence):
     """No process ends by itself.
 
@@ -239,11 +278,21 @@
             isinstance(fault, faults.BreakLink)
             and fault.link.startswith('endpoint-')
         )
-        or isinstance(fault, faults.ReplaceEndpoint)
+        or isinstance(fault, faults.ReplaceEndpoint | faults.CrashEndpoint)
         for fault in overlapping(evidence, record.began_ms, record.ended_ms)
     )
 
 
+def in_touch(evidence, host, at_ms):
+    """Say whether nothing troubled a host and the store before a moment."""
+    return not any(
+        getattr(fault, 'host', None) == host
+        or isinstance(fault, faults.FailStore | faults.ForgetHistory)
+        or getattr(fault, 'link', '') == f'store-{host}'
+        for fault in overlapping(evidence, at_ms - CRASH_KNOWN_MS, at_ms)
+    )
+
+
 def store_troubled(evidence, at_ms):
     """Say whether a host could not read the store around a moment."""
     return any(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -101,6 +101,11 @@
     same_address: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashEndpoint:
+    """A request crashed an endpoint; another one comes a little later."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ChangeRoutes:
     """A newer configuration adds a route and drops the one before."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,6 +16,7 @@
 from tests.soak.site import Place
 from tests.soak.site import SoakSite
 from tests.soak.traffic import CallKind
+from tests.soak.traffic import CRASHING_BODY
 from tests.soak.traffic import KINDS
 from tests.soak.traffic import Traffic
 
@@ -103,11 +104,14 @@
                 site.change_routes()
 
 
-async def play_seed(seed, length_ms, directory=None, hosts=HOSTS):
+async def play_seed(
+    seed, length_ms, directory=None, hosts=HOSTS, crashing=False
+):
     """Play one seed.
 
     :param length_ms: how long calls are sent.
     :param hosts: how many entry hosts; above 16 they use hubs.
+    :param crashing: whether a request that crashes endpoints comes too.
     :param directory: where logs go; by default a new folder.
     :returns: ``(findings, evidence)``.
     """
@@ -118,15 +122,23 @@
     plan = draw_plan(seed, length_ms, names, tuple(site.places))
     player = Player(site)
     traffic = Traffic(site, seed)
+    if crashing:
+        site.crash_on = CRASHING_BODY
+    crash_calls = []
     try:
         await site.start()
         await wait_until(lambda: is_up(site), START_S)
+        if crashing:
+            site.spawn(site.restart_crashed())
+            crash_task = asyncio.create_task(traffic.crash_often())
         calling = asyncio.create_task(traffic.run(CALLERS))
         await player.play(plan)
         await site.heal()
         await asyncio.sleep(HEAL_S)
         traffic.stopped = True
         await calling
+        if crashing:
+            crash_calls = await crash_task
         last_calls = await make_last_calls(site, traffic)
         renewed = await is_lease_renewed(site)
     finally:
@@ -137,13 +149,22 @@
         left_ms=site.left_ms,
         api_calls=site.api.calls,
         exits={name: host.exits for name, host in site.hosts.items()},
-        played=player.played,
+        played=[*player.played, *list_crashes(site)],
+        crash_calls=crash_calls,
         last_calls=last_calls,
         lease_renewed=renewed,
     )
     return checks.check_all(evidence), evidence
 
 
+def list_crashes(site):
+    """Return the crashes of endpoints as faults that were played."""
+    return [
+        faults.TimedFault(at_ms, faults.CrashEndpoint())
+        for at_ms in site.crashed_ms
+    ]
+
+
 def is_up(site):
     """Say whether every host has announced itself."""
     return len(site.store.topic('keyed.hosts').newest) == len(site.host_names)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -29,6 +29,8 @@
 LINGER_S = 2.5
 # After an endpoint breaks off, its entry goes about this much later.
 LAPSE_S = 1.0
+# How often crashed endpoints are looked for.
+CRASH_POLL_S = 0.02
 
 
 @dataclasses.dataclass
@@ -41,6 +43,7 @@
     link: Link = None
     runner: PlatformRunner = None
     generation: int = 0
+    restarting: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,6 +74,8 @@
         self.fronts = {}
         self.left_ms = {}
         self.version = 0
+        self.crash_on = None
+        self.crashed_ms = []
         self.clock = Clock()
         self.tasks = set()
         self.ports = {
@@ -133,6 +138,7 @@
         runner.work_ms = WORK_MS
         runner.event_ms = EVENT_MS
         runner.event_count = EVENT_COUNT
+        runner.faults = self.make_faults()
         if same_address:
             await runner.listen(place.link.config.target)
         else:
@@ -171,9 +177,32 @@
         runner.end()
         await runner.server.listener.wait_closed()
 
+    def make_faults(self):
+        """Return the faults of a sound endpoint."""
+        return RunnerFaults(crash_on=self.crash_on)
+
+    async def restart_crashed(self):
+        """Start crashed endpoints anew, for the site's whole life."""
+        while True:
+            await asyncio.sleep(CRASH_POLL_S)
+            for place in self.places.values():
+                if place.runner.crashed_by and not place.restarting:
+                    place.restarting = True
+                    self.crashed_ms.append(place.runner.ended_ms)
+                    self.spawn(self.restart(place, place.runner))
+
+    async def restart(self, place, runner):
+        """Refuse connections where an endpoint crashed; start another one."""
+        await place.link.set_mode(LinkMode.CUT)
+        await asyncio.sleep(LAPSE_S)
+        self.store.put('servers', runner.id, None)
+        if place.runner is runner:
+            await self.fill(place)
+        place.restarting = False
+
     def spoil(self, place, fault, on):
         """Switch a fault of a place's present endpoint."""
-        faults = RunnerFaults()
+        faults = self.make_faults()
         if on:
             setattr(faults, fault.value, True)
         place.runner.faults = faults
@@ -198,7 +227,7 @@
         self.store.faults.silent = False
         self.store.faults.lose_answers = 0
         for place in self.places.values():
-            place.runner.faults = RunnerFaults()
+            place.runner.faults = self.make_faults()
 
     async def stop(self):
         """End everything this site started."""
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -38,6 +38,11 @@
     CallKind('/long/', True, False),
     CallKind('/short/', True, True),
 )
+# A request that crashes the endpoints which run it, and the mean pause after
+# which it comes again.
+CRASHING_BODY = b'crash'
+CRASHING_KIND = CallKind('/short/', True, True)
+CRASHING_PAUSE_MS = 500
 
 
 @dataclasses.dataclass
@@ -60,6 +65,7 @@
     body: bytes = b''
     complete: bool = False
     hung: bool = False
+    body_sent: bytes = b''
 
 
 class Traffic:
@@ -85,6 +91,36 @@
             host = self.rng.choice(list(self.site.fronts))
             await self._use_connection(host)
 
+    async def crash_often(self):
+        """Send a request that crashes endpoints again and again.
+
+        :returns: its :class:`CallRecord` objects, which are kept apart.
+        """
+        rng = random.Random(self.site.version)
+        records = []
+        while not self.stopped:
+            pause_ms = rng.expovariate(1 / CRASHING_PAUSE_MS)
+            await asyncio.sleep(to_seconds(pause_ms))
+            host = rng.choice(list(self.site.fronts))
+            record = CallRecord(
+                f'crash-{len(records)}',
+                CRASHING_KIND,
+                host,
+                f'{CRASHING_KIND.prefix}crash',
+                self.clock.now(),
+                body_sent=CRASHING_BODY,
+            )
+            records.append(record)
+            try:
+                connection = await client.connect(
+                    self.site.fronts[host], CONNECT_MS, PATIENCE_MS
+                )
+            except exceptions.EndpointUnreachableError:
+                continue
+            await self._finish(connection, record)
+            connection.abort()
+        return records
+
     async def _use_connection(self, host):
         """Make calls on one connection while it stands."""
         try:
@@ -112,6 +148,11 @@
         target = f'{kind.prefix}{self.number}'
         record = CallRecord(attempt, kind, host, target, self.clock.now())
         self.records.append(record)
+        await self._finish(connection, record)
+        return record
+
+    async def _finish(self, connection, record):
+        """Send a call and note what became of it."""
         try:
             async with asyncio.timeout(to_seconds(DEADLINE_MS + PATIENCE_MS)):
                 await self._exchange(connection, record)
@@ -120,12 +161,15 @@
         except exceptions.BackendError:
             record.complete = False
         record.ended_ms = self.clock.now()
-        return record
 
     async def _exchange(self, connection, record):
         more = make_prompt() if record.kind.stream else {}
         fields = make_headers(record.attempt, deadline_ms=DEADLINE_MS, **more)
-        connection.send('GET', record.target, fields)
+        method = 'GET'
+        if record.body_sent:
+            method = 'POST'
+            fields.append(('Content-Length', str(len(record.body_sent))))
+        connection.send(method, record.target, fields, record.body_sent)
         record.sent = True
         head = await connection.read_head()
         record.status = head.status
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.soak import checks
+from tests.soak import faults
 from tests.soak.play import play_seed
 from tests.soak.process import Exit
 from tests.soak.process import HostProcess
@@ -33,6 +34,20 @@
     assert sum(record.status == 200 for record in evidence.records) > 100
 
 
+def test_a_request_that_crashes_endpoints_breaks_no_promise(tmp_path):
+    findings, evidence = asyncio.run(
+        play_seed(11, LENGTH_MS, tmp_path, crashing=True)
+    )
+    assert not findings
+    assert len(evidence.crash_calls) > 5
+    crashes = [
+        timed
+        for timed in evidence.played
+        if isinstance(timed.fault, faults.CrashEndpoint)
+    ]
+    assert len(crashes) >= checks.CRASHES_KNOWN
+
+
 def test_a_fleet_with_hubs_breaks_no_promise(tmp_path):
     findings, _ = asyncio.run(play_seed(7, LENGTH_MS, tmp_path, hosts=18))
     assert not findings
