Three attempts under which endpoints went down hold a request at once

Until crashes were proven, 2.5 s on the average after each, a request that came faster went on crashing endpoints: up to six in the tests' site where it comes twice a second. A crash that is not proven yet now counts once for each attempt, for 3.5 s, and is told to the other hosts at once; a heartbeat takes it back. An attempt that met many endpoints behind a cut path counts once, so that its next two are served. Tests send twice a second again: three crashes, four where an attempt is sent to two endpoints.

--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -16,6 +16,8 @@
 
 from pearrun.ids import EndpointId
 from pearrun.ids import Fingerprint
+from pearrun.ids import RequestId
+from pearrun.ids import ZoneName
 
 # A call that was being answered for so long, or under way for so long at all,
 # ran well: what crashes an endpoint seldom takes that time.
@@ -42,6 +44,8 @@
         after the quarantine one crash begins it anew.
     :param max_suspects: requests remembered.
     :param max_crashes: crashes remembered of each.
+    :param unproven_ms: how long a crash counts that is not proven; a request
+        is quarantined for no longer than that because of it.
     :param max_alive: endpoints remembered whose crash was taken back.
     """
 
@@ -51,6 +55,7 @@
     keep_ms: int = 1_200_000
     max_suspects: int = 256
     max_crashes: int = 32
+    unproven_ms: int = 3500
     max_alive: int = 256
 
 
@@ -61,14 +66,19 @@
     :param at_ms: monotonic time.
     :param ran_ms: milliseconds since the request was sent there.
     :param ran_well: see :func:`runs_well`.
-    :param group: names the call and the endpoint's failure domain.
+    :param call_id: the attempt that was running.
+    :param zone: the endpoint's failure domain.
+    :param proven: whether the endpoint is known to have crashed; until then
+        the path to it may be cut.
     """
 
     endpoint_id: EndpointId
     at_ms: int
     ran_ms: int
     ran_well: bool = False
-    group: str = ''
+    call_id: RequestId = ''
+    zone: ZoneName = ''
+    proven: bool = True
 
 
 @dataclasses.dataclass
@@ -119,25 +129,23 @@
             answered_ms = convert(answered_ms)
         return Suspect(self.fingerprint, crashes, answered_ms)
 
-    def weigh(self, explained=frozenset()):
+    def weigh(self, explained=frozenset(), with_unproven=True):
         """Return how much its crashes count.
 
         :param explained: ids of endpoints that another request crashed.
+        :param with_unproven: whether those count that are not proven.
         """
         left = [
             crash
             for endpoint_id, crash in self.crashes.items()
             if endpoint_id not in explained
         ]
-        sudden = [crash for crash in left if not crash.ran_well]
-        well_run = [crash for crash in left if crash.ran_well]
-        groups = collections.Counter(
-            crash.group or crash.endpoint_id for crash in sudden
-        )
-        weight = WELL_RUN_WEIGHT * count_moments(well_run)
-        for size in groups.values():
-            group_weight = 1.0 + FURTHER_WEIGHT * (size - 1)
-            weight += min(GROUP_WEIGHT, group_weight)
+        proven = [crash for crash in left if crash.proven]
+        weight = weigh_proven(proven)
+        if with_unproven:
+            known = {crash.call_id for crash in proven}
+            calls = {c.call_id for c in left if not c.proven} - known
+            weight += len(calls)
         return weight
 
     def mean_run_ms(self):
@@ -172,7 +180,8 @@
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
             suspect = self.suspects[fingerprint] = Suspect(fingerprint)
-        if crash.endpoint_id in suspect.crashes:
+        known = suspect.crashes.get(crash.endpoint_id)
+        if known is not None and (known.proven or not crash.proven):
             return False
         if self._is_trusted(suspect, crash):
             return False
@@ -235,12 +244,24 @@
             if worst.weigh(explained) < least:
                 break
             open_cases.remove(worst)
+            until_ms = self._find_end(worst, explained)
             explained.update(worst.crashes)
-            until_ms = worst.last_ms + self.settings.hold_ms
             if now_ms < until_ms:
                 quarantined[worst.fingerprint] = until_ms
         self.quarantined = quarantined
 
+    def is_proven(self, fingerprint):
+        """Say whether a request is quarantined for crashes that are proven."""
+        weight = self.suspects[fingerprint].weigh(with_unproven=False)
+        return weight >= self.settings.min_crashes
+
+    def _find_end(self, suspect, explained):
+        """Return until when a suspect is quarantined."""
+        weight = suspect.weigh(explained, with_unproven=False)
+        if weight >= self.settings.min_crashes:
+            return suspect.last_ms + self.settings.hold_ms
+        return suspect.last_ms + self.settings.unproven_ms
+
     def _is_trusted(self, suspect, crash):
         answered_ms = suspect.answered_ms
         if answered_ms is None:
@@ -250,6 +271,14 @@
     def _forget_old(self, now_ms):
         settings = self.settings
         for suspect in list(self.suspects.values()):
+            suspect.crashes = {
+                crash.endpoint_id: crash
+                for crash in suspect.crashes.values()
+                if crash.proven or now_ms - crash.at_ms <= settings.unproven_ms
+            }
+            if not suspect.crashes and suspect.answered_ms is None:
+                del self.suspects[suspect.fingerprint]
+                continue
             keep_ms = (
                 settings.keep_ms if suspect.crashes else settings.trust_ms
             )
@@ -273,6 +302,20 @@
     return suspects[-count:]
 
 
+def weigh_proven(crashes):
+    """Return how much crashes count that are known to be ones."""
+    well_run = [crash for crash in crashes if crash.ran_well]
+    groups = collections.Counter(
+        (crash.call_id, crash.zone) if crash.call_id else crash.endpoint_id
+        for crash in crashes
+        if not crash.ran_well
+    )
+    weight = WELL_RUN_WEIGHT * count_moments(well_run)
+    for size in groups.values():
+        weight += min(GROUP_WEIGHT, 1.0 + FURTHER_WEIGHT * (size - 1))
+    return weight
+
+
 def runs_well(ran_ms, answered_ms):
     """Say whether a call that has just broken had run well until then.
 
--- a/pearrun/shared/crashes.py
+++ b/pearrun/shared/crashes.py
@@ -60,12 +60,14 @@
     :param begun_ms: monotonic time of the first sign.
     :param down_ms: when nothing listened there; ``None`` if unknown.
     :param proven: whether it has crashed.
+    :param told: how many of the calls were reported as not proven.
     """
 
     zone: ZoneName
     begun_ms: int
     down_ms: int | None = None
     proven: bool = False
+    told: int = 0
     calls: list = dataclasses.field(default_factory=list)
 
 
@@ -73,7 +75,9 @@
     """Finds crashes from broken connections, refused ones and heartbeats.
 
     ``take_crashes`` is called with pairs of a fingerprint and a
-    :class:`Crash`.
+    :class:`Crash`: as soon as an endpoint is found down, and once more when
+    its crash is proven.  ``take_back`` is called with the id of an endpoint
+    that has not crashed.
 
     :param fleet: the :class:`Fleet`.
     :param zone: this host's failure domain.
@@ -87,6 +91,7 @@
         longest_beat_ms = int(beat_ms * (1 + BEAT_JITTER))
         self.proof_ms = READ_MARGIN_MS + longest_beat_ms + READ_WAIT_MS
         self.take_crashes = lambda crashes: None
+        self.take_back = lambda endpoint_id: None
         self.total = 0
         self._outages = collections.OrderedDict()
 
@@ -102,9 +107,7 @@
             return False
         if len(outage.calls) < MAX_CALLS:
             outage.calls.append(broken)
-        if outage.proven:
-            self._report(endpoint.id, outage)
-            outage.calls = []
+        self._report(endpoint.id, outage)
         return outage.down_ms is None
 
     def note_down(self, endpoint_id):
@@ -112,6 +115,7 @@
         outage = self._find(endpoint_id)
         if outage is not None and outage.down_ms is None:
             outage.down_ms = self.clock.now()
+            self._report(endpoint_id, outage)
 
     def note_heard(self, endpoint_id, asked_ms):
         """Note an endpoint's heartbeat.
@@ -184,30 +188,47 @@
     def _prove(self, endpoint_id, outage):
         outage.proven = True
         self.total += 1
-        if outage.calls:
-            self._report(endpoint_id, outage)
-            outage.calls = []
+        self._report(endpoint_id, outage)
 
     def _rule_out(self, endpoint_id, reason):
         outage = self._outages.pop(endpoint_id)
+        self.take_back(endpoint_id)
         logger.bind(
             endpoint=endpoint_id, reason=reason, calls=len(outage.calls)
         ).info('endpoint has not crashed')
 
     def _report(self, endpoint_id, outage):
-        calls = outage.calls
+        """Report the calls of an endpoint that is down, or has crashed."""
+        if outage.down_ms is None:
+            return
+        calls = outage.calls[outage.told :]
+        if outage.proven:
+            calls, outage.calls = outage.calls, []
+            outage.told = 0
+        else:
+            outage.told = len(outage.calls)
+        if not calls:
+            return
         logger.bind(
             endpoint=endpoint_id,
+            proven=outage.proven,
             calls=[(call.fingerprint, call.ran_ms) for call in calls],
         ).info('endpoint crashed')
         crashes = [
-            (call.fingerprint, make_crash(endpoint_id, outage.zone, call))
+            (call.fingerprint, make_crash(endpoint_id, outage, call))
             for call in calls
         ]
         self.take_crashes(crashes)
 
 
-def make_crash(endpoint_id, zone, call):
+def make_crash(endpoint_id, outage, call):
     """Return the :class:`Crash` of an endpoint under a call."""
-    group = f'{call.call_id}/{zone}' if call.call_id else ''
-    return Crash(endpoint_id, call.at_ms, call.ran_ms, call.ran_well, group)
+    return Crash(
+        endpoint_id,
+        call.at_ms,
+        call.ran_ms,
+        call.ran_well,
+        call.call_id,
+        outage.zone,
+        outage.proven,
+    )
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -62,6 +62,7 @@
         )
         self.quarantine = Quarantine(clock)
         self.crashes.take_crashes = self.quarantine.take_crashes
+        self.crashes.take_back = self.quarantine.take_back
         self.quotas = Quotas(
             clock, self.config, settings.quota, self.members, self.feed
         )
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import dataclasses
 
 from loguru import logger
 
@@ -23,6 +24,14 @@
 SETTLE_MS = 300
 
 
+@dataclasses.dataclass(frozen=True)
+class Begun:
+    """When a request's quarantine began here, and whether it is proven."""
+
+    at_ms: int
+    proven: bool
+
+
 class Quarantine:
     """Takes crashes and answers, and says which calls to refuse.
 
@@ -38,7 +47,7 @@
         self._own = set()
         self._news = set()
         self._told_ms = clock.now()
-        self._begun_ms = {}
+        self._begun = {}
         self._saved_ms = {}
 
     def left_ms(self, call):
@@ -80,8 +89,12 @@
         """Note an endpoint's heartbeat; see :meth:`Crashes.note_heard`."""
         crashed_ms = self.known.find_crash_ms(endpoint_id)
         if crashed_ms is not None and asked_ms >= crashed_ms + READ_MARGIN_MS:
-            self.known.rule_out(endpoint_id)
-            self._judge('heartbeat')
+            self.take_back(endpoint_id)
+
+    def take_back(self, endpoint_id):
+        """Take back an endpoint's crash: it is still there, or has left."""
+        self.known.rule_out(endpoint_id)
+        self._judge('endpoint not crashed')
 
     def merge(self, suspects, source, pass_on):
         """Take what is known elsewhere.
@@ -131,10 +144,11 @@
         now = self.clock.now()
         return [
             self.known.suspects[fingerprint]
-            for fingerprint, begun_ms in self._begun_ms.items()
+            for fingerprint, begun in self._begun.items()
             if fingerprint in self._own
-            and now - begun_ms >= SETTLE_MS
-            and self._saved_ms.get(fingerprint, -1) < begun_ms
+            and begun.proven
+            and now - begun.at_ms >= SETTLE_MS
+            and self._saved_ms.get(fingerprint, -1) < begun.at_ms
         ]
 
     def note_saved(self, suspects):
@@ -168,22 +182,27 @@
         now = self.clock.now()
         self.known.judge(now)
         quarantined = self.known.quarantined
-        for fingerprint in set(self._begun_ms) - set(quarantined):
-            del self._begun_ms[fingerprint]
+        for fingerprint in set(self._begun) - set(quarantined):
+            del self._begun[fingerprint]
             logger.bind(fingerprint=fingerprint, source=source).info(
                 'quarantine ended'
             )
-        for fingerprint in set(quarantined) - set(self._begun_ms):
-            self._begun_ms[fingerprint] = now
-            self._log_begin(fingerprint, source, now)
+        for fingerprint in quarantined:
+            proven = self.known.is_proven(fingerprint)
+            begun = self._begun.get(fingerprint)
+            if begun is None or begun.proven < proven:
+                self._begun[fingerprint] = Begun(now, proven)
+                self._log_begin(fingerprint, proven, source)
         self._own.intersection_update(self.known.suspects)
         for fingerprint in set(self._saved_ms) - set(self.known.suspects):
             del self._saved_ms[fingerprint]
 
-    def _log_begin(self, fingerprint, source, now):
+    def _log_begin(self, fingerprint, proven, source):
+        now = self.clock.now()
         crashes = self.known.suspects[fingerprint].crashes.values()
         logger.bind(
             fingerprint=fingerprint,
+            proven=proven,
             source=source,
             left_ms=self.known.quarantined[fingerprint] - now,
             crashes=[
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -11,8 +11,8 @@
 
 CRASHING = b'a body that crashes endpoints'
 STREAMS = ('/short/', '/long/')
-# Longer than it takes until a crash is proven and known to every host.
-SPREAD_S = 1.8
+# Longer than it takes until all hosts know of a crash that is not proven yet.
+SPREAD_S = 0.5
 
 
 def list_runners(count):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -16,10 +16,15 @@
 class Seen(list):
     """Keeps the crashes told, as endpoint ids and fingerprints."""
 
+    def __init__(self):
+        super().__init__()
+        self.unproven = []
+        self.taken_back = []
+
     def take(self, crashes):
-        self.extend(
-            (crash.endpoint_id, fingerprint) for fingerprint, crash in crashes
-        )
+        for fingerprint, crash in crashes:
+            seen = self if crash.proven else self.unproven
+            seen.append((crash.endpoint_id, fingerprint))
 
 
 def make_broken(fingerprint, ran_ms=10):
@@ -49,6 +54,7 @@
         self.crashes = Crashes(self.clock, self.fleet, 'zone-a', BEAT_MS)
         self.seen = Seen()
         self.crashes.take_crashes = self.seen.take
+        self.crashes.take_back = self.seen.taken_back.append
 
     def pass_time(self, wait_ms, listed=True, heard=False):
         """Let time pass; the list is read meanwhile, or not."""
@@ -86,7 +92,9 @@
     site = Site()
     site.break_call()
     site.crashes.note_down('e')
+    assert site.seen.unproven == [('e', 'f1')]
     site.pass_time(BEAT_MS, heard=True)
+    assert site.seen.taken_back == ['e']
     site.pass_time(PROOF_MS)
     assert not site.seen
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,12 +11,12 @@
 from tests.platformsite import wait_until
 from tests.test_topology import play_with_hubs
 
-SENDS = 5
+SENDS = 8
 # One call of these routes is sent to two endpoints by the host itself.
 REPEATED = ('/safe/', '/long/')
 PATHS = ('/once/x', '/short/x', '/open/x', '/safe/x', '/long/x')
 # Pause between the begins of different requests, which must not overlap.
-STAGGER_S = 0.25
+STAGGER_S = 0.1
 
 
 def most_crashes(path):
@@ -24,6 +24,11 @@
     return 4 if path.startswith(REPEATED) else 3
 
 
+def is_saved(site):
+    """Say whether a quarantine is on the store."""
+    return bool(site.store.topic('keyed.quarantine').newest)
+
+
 async def check_stopped(site, path, delay_s=0):
     """Send a crashing request often; check that it is stopped."""
     await asyncio.sleep(delay_s)
@@ -31,7 +36,7 @@
     assert count_crashed(site, path) <= most_crashes(path)
     last = answers[-1]
     assert last.status == 503
-    assert float(last.head.get(b'retry-after')) > 1
+    assert float(last.head.get(b'retry-after')) > 60
     assert last.json()['error']['not_run']
 
 
@@ -60,6 +65,7 @@
     async def main():
         async with run_crashing_site() as site:
             await send_often(site, '/once/x', 4)
+            await wait_until(lambda: is_saved(site))
             for daemon in list(site.hosts.values()):
                 await daemon.end()
             crashed = count_crashed(site, '/once/x')
@@ -77,6 +83,7 @@
     async def main():
         async with run_crashing_site() as site:
             await send_often(site, '/once/x', 4)
+            await wait_until(lambda: is_saved(site))
             # It cannot read the store's topic of the quarantine.
             site.store.topics.pop('keyed.quarantine')
             late = await site.add_host(4)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Which requests are quarantined, and which are not."""
 
 import asyncio
+import dataclasses
 
 from hypothesis import given
 from hypothesis import settings
@@ -99,7 +100,9 @@
 def test_a_call_that_met_many_endpoints_of_a_cut_zone_goes_on():
     suspects = Suspects()
     for number in range(9):
-        crash = Crash(f'e{number}', NOW_MS + number, 1, False, 'call-1/zone-c')
+        crash = Crash(
+            f'e{number}', NOW_MS + number, 1, False, 'call-1', 'zone-c'
+        )
         suspects.note_crash('good', crash)
     suspects.judge(NOW_MS + 9)
     assert not suspects.quarantined
@@ -108,12 +111,53 @@
 def test_a_call_that_crashed_endpoints_of_three_zones_is_quarantined():
     suspects = Suspects()
     for number in range(3):
-        crash = Crash(f'e{number}', NOW_MS, 50, False, f'call-1/zone-{number}')
+        crash = Crash(
+            f'e{number}', NOW_MS, 50, False, 'call-1', f'zone-{number}'
+        )
         suspects.note_crash('bad', crash)
     suspects.judge(NOW_MS)
     assert 'bad' in suspects.quarantined
 
 
+def make_unproven(number, call_id):
+    """Return a crash that is not proven yet."""
+    return Crash(f'e{number}', NOW_MS, 50, False, call_id, 'z', False)
+
+
+def test_crashes_that_are_not_proven_count_for_a_short_time():
+    suspects = Suspects()
+    for number in range(3):
+        suspects.note_crash('bad', make_unproven(number, f'call-{number}'))
+    suspects.judge(NOW_MS)
+    short_ms = suspects.settings.unproven_ms
+    assert suspects.quarantined == {'bad': NOW_MS + short_ms}
+    assert not suspects.is_proven('bad')
+    suspects.judge(NOW_MS + short_ms + 1)
+    assert not suspects.quarantined
+    assert not suspects.suspects
+
+
+def test_a_call_that_met_many_endpoints_behind_a_cut_is_not_refused():
+    suspects = Suspects()
+    for number in range(9):
+        suspects.note_crash('good', make_unproven(number, 'call-1'))
+    suspects.judge(NOW_MS)
+    assert not suspects.quarantined
+
+
+def test_a_crash_that_is_proven_later_counts_once():
+    suspects = Suspects()
+    for number in range(3):
+        crash = make_unproven(number, f'call-{number}')
+        suspects.note_crash('bad', crash)
+        proven = dataclasses.replace(crash, proven=True)
+        assert suspects.note_crash('bad', proven)
+        assert not suspects.note_crash('bad', crash)
+    suspects.judge(NOW_MS)
+    assert suspects.suspects['bad'].weigh() == 3
+    assert suspects.is_proven('bad')
+
+
 def test_endpoints_that_are_heard_again_have_not_crashed():
     crashes = [('good', f'e{number}', 50) for number in range(3)]
     suspects = make_suspects(*crashes)
