--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -175,7 +175,8 @@
         :param crash: the :class:`Crash`; known ones change nothing.
         :returns: whether it was news.
         """
-        if crash.endpoint_id in self._alive:
+        alive_ms = self._alive.get(crash.endpoint_id)
+        if alive_ms is not None and crash.at_ms <= alive_ms:
             return False
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
@@ -213,9 +214,10 @@
         """Return when an endpoint crashed; ``None`` if it has not."""
         return self._crashed_ms.get(endpoint_id)
 
-    def rule_out(self, endpoint_id):
+    def rule_out(self, endpoint_id, now_ms):
         """Take back an endpoint's crash: it is still there."""
-        self._alive[endpoint_id] = None
+        self._alive.pop(endpoint_id, None)
+        self._alive[endpoint_id] = now_ms
         while len(self._alive) > self.settings.max_alive:
             self._alive.popitem(last=False)
         for suspect in list(self.suspects.values()):
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -93,7 +93,7 @@
 
     def take_back(self, endpoint_id):
         """Take back an endpoint's crash: it is still there, or has left."""
-        self.known.rule_out(endpoint_id)
+        self.known.rule_out(endpoint_id, self.clock.now())
         self._judge('endpoint not crashed')
 
     def merge(self, suspects, source, pass_on):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -162,11 +162,12 @@
     crashes = [('good', f'e{number}', 50) for number in range(3)]
     suspects = make_suspects(*crashes)
     assert suspects.find_crash_ms('e1') == NOW_MS
-    suspects.rule_out('e1')
-    suspects.judge(NOW_MS)
+    suspects.rule_out('e1', NOW_MS + 1000)
+    suspects.judge(NOW_MS + 1000)
     assert not suspects.quarantined
-    # What other hosts still tell of it is not taken up.
+    # What other hosts still tell of it is not taken up; a later crash is.
     assert not suspects.note_crash('good', Crash('e1', NOW_MS, 50))
+    assert suspects.note_crash('good', Crash('e1', NOW_MS + 2000, 50))
 
 
 def test_a_quarantine_ends_and_one_crash_begins_it_anew():
