--- a/pearrun/fingerprints.py
+++ b/pearrun/fingerprints.py
@@ -4,7 +4,8 @@
 
 from pearrun.ids import Fingerprint
 
-DIGEST_BYTES = 12
+# Hexadecimal digits of a digest that are kept.
+DIGITS = 24
 # Bytes in which the length of each part is written before it.
 LENGTH_BYTES = 8
 
@@ -16,8 +17,8 @@
         that the caller keeps to.
     :returns: a :class:`Fingerprint`.
     """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest = hashlib.sha256()
     for part in parts:
         digest.update(len(part).to_bytes(LENGTH_BYTES, 'big'))
         digest.update(part)
-    return Fingerprint(digest.hexdigest())
+    return Fingerprint(digest.hexdigest()[:DIGITS])
