--- a/tests/test_ownshare.py
+++ b/tests/test_ownshare.py
@@ -1,7 +1,5 @@
 """What a host leaves out of its hub's sums: its own part."""
 
-import dataclasses
-
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -22,6 +20,7 @@
 from tests.platformsite import configure
 from tests.platformsite import make_host_context
 from tests.platformsite import make_tenant
+from tests.reportbuilders import make_report
 
 HUB = Run('hub', 1, 'zone-a', True)
 OWN = Run('h', 1, 'zone-a')
@@ -33,21 +32,6 @@
 )
 
 
-def make_report(run, number, **fields):
-    """Return a report; empty but for ``fields``."""
-    report = reports.HostReport(
-        run=run,
-        number=number,
-        hosts=1,
-        wall_ms=0,
-        config_version=1,
-        config_age_ms=0,
-        loads={},
-        admitted={},
-    )
-    return dataclasses.replace(report, **fields)
-
-
 @given(st.lists(LOADS, min_size=2, max_size=6))
 def test_what_is_left_is_the_load_of_the_others(hosts):
     own, *others = hosts
--- a/tests/test_reportboard.py
+++ b/tests/test_reportboard.py
@@ -10,6 +10,7 @@
 from pearrun.shared.reportboard import ReportBoard
 from pearrun.shared.run import Run
 from tests.platformsite import make_host_context
+from tests.reportbuilders import make_report
 
 RUN = Run('other', 1, 'zone-a')
 
@@ -24,20 +25,10 @@
     raise exceptions.WireFormatError('no configuration')
 
 
-def make_report(number, calls):
+def encode_report(number, calls):
     """Return an encoded report of another host."""
-    return reports.encode(
-        reports.HostReport(
-            run=RUN,
-            number=number,
-            hosts=1,
-            wall_ms=0,
-            config_version=0,
-            config_age_ms=0,
-            loads={'e': Load(calls, 0)},
-            admitted={},
-        )
-    )
+    loads = {'e': Load(calls, 0)}
+    return reports.encode(make_report(RUN, number, loads=loads))
 
 
 def tell(board, hub, *messages):
@@ -57,7 +48,7 @@
     board = make_board()
     for number in range(1, 4):
         for hub in ('hub-1', 'hub-2'):
-            tell(board, hub, make_report(number, number))
+            tell(board, hub, encode_report(number, number))
     assert len(decoded) == 3
     assert board.host.loads.get('e').calls == 3
 
@@ -67,7 +58,7 @@
     board = make_board()
     ended = reports.encode(reports.HostEnded('other'))
     for number in (1, 2):
-        tell(board, 'hub-1', make_report(number, number))
+        tell(board, 'hub-1', encode_report(number, number))
         assert board.host.loads.get('e').calls == number
         tell(board, 'hub-1', ended)
         assert board.host.loads.get('e').calls == 0
@@ -75,8 +66,8 @@
 
 def test_an_older_report_is_not_taken_after_a_newer_one():
     board = make_board()
-    tell(board, 'hub-1', make_report(2, 2))
-    tell(board, 'hub-2', make_report(1, 1))
+    tell(board, 'hub-1', encode_report(2, 2))
+    tell(board, 'hub-2', encode_report(1, 1))
     assert board.host.loads.get('e').calls == 2
 
 
@@ -95,7 +86,7 @@
 def pass_notice(board, notice, number):
     """Tell a board of the lease, and return what it tells after 50 ms."""
     report = dataclasses.replace(
-        reports.decode(make_report(number, 0)),
+        reports.decode(encode_report(number, 0)),
         run=Run(f'hub-{number}', 1, 'zone-b', True),
         duty=notice,
     )
