--- a/benchmarks/bystanders.py
+++ b/benchmarks/bystanders.py
@@ -23,8 +23,6 @@
 from pearrun.decisions.quarantine import Suspects
 
 FLAGS = flags.FLAGS
-flags.DEFINE_integer('seeds', 20, 'how many runs')
-flags.DEFINE_integer('seconds', 120, 'simulated seconds of a run')
 
 # How long after its begin a crashing request ends its endpoint.
 CRASH_MS = (5, 150)
@@ -248,4 +246,6 @@
 
 
 if __name__ == '__main__':
+    flags.DEFINE_integer('seeds', 20, 'how many runs')
+    flags.DEFINE_integer('seconds', 120, 'simulated seconds of a run')
     absl_app.run(main)
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -25,7 +25,6 @@
 from pearrun.shared.quarantine import Quarantine
 
 FLAGS = flags.FLAGS
-flags.DEFINE_integer('repeats', 5000, 'calls of each step')
 
 BODY_BYTES = (800, 12_000, 72_000)
 
@@ -107,4 +106,5 @@
 
 
 if __name__ == '__main__':
+    flags.DEFINE_integer('repeats', 5000, 'calls of each step')
     absl_app.run(main)
