--- a/pearrun/api/crashes.py
+++ b/pearrun/api/crashes.py
@@ -24,6 +24,8 @@
 SAME_CRASH_MS = 2000
 # How long a job waits to know of a crash before it goes on elsewhere.
 CHECK_WAIT_MS = 50
+# Port of an endpoint whose URL names none.
+HTTP_PORT = 80
 # Suspects in a beat, and crashes whose times are remembered.
 MAX_TOLD = 16
 MAX_CRASHES = 256
@@ -87,7 +89,8 @@
         leaves = endpoint.reclaim_at_ms is not None
         if leaves or endpoint.state is not EndpointState.LIVE:
             return
-        if not await is_down(urllib.parse.urlsplit(endpoint.url).netloc):
+        url = urllib.parse.urlsplit(endpoint.url)
+        if not await is_down(f'{url.hostname}:{url.port or HTTP_PORT}'):
             return
         now = self.clock.now()
         ran_well = runs_well(ran_ms, ran_ms if progressed else 0)
