Tests: appends are paced by a clock that stands

The clock stands now, and the last wait must be what is expected instead of within 50 ms and a gap of it, so the check is stricter.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from pearrun.api import config
 from pearrun.api import peers as peers_module
@@ -11,6 +12,7 @@
 from pearrun.api.pace import JOURNAL_SHARE
 from pearrun.api.pace import Pace
 from pearrun.api.router import Router
+from pearrun.clock import Clock
 from tests import builders
 
 
@@ -62,12 +64,21 @@
     assert asyncio.run(scenario()) == 1
 
 
+class StandingClock(Clock):
+    """A clock by which all happens at once."""
+
+    def now(self):
+        return 0
+
+
 @given(writers=st.integers(1, 320), wanted=st.integers(1, 300))
 def test_daemons_together_keep_to_the_journals_share(writers, wanted):
     """Beyond its burst, a daemon waits its gap for each append."""
     pace = Pace(400, lambda: writers)
+    pace.clock = StandingClock()
+    pace.filled_ms = pace.clock.now()
     waits = [pace.take() for _ in range(wanted)]
     gap = 1000 * writers / (400 * JOURNAL_SHARE)
     assert waits == sorted(waits)
     expected = max(0, wanted - BURST) * gap
-    assert abs(waits[-1] - expected) <= 50 + gap
+    assert waits[-1] == pytest.approx(expected)
