--- a/benchmarks/bystanders.py
+++ b/benchmarks/bystanders.py
@@ -18,8 +18,8 @@
 from absl import app as absl_app
 from absl import flags
 
-from pearrun.decisions.quarantine import Crash
-from pearrun.decisions.quarantine import runs_well
+from pearrun.decisions.evidence import Crash
+from pearrun.decisions.evidence import runs_well
 from pearrun.decisions.quarantine import Suspects
 
 FLAGS = flags.FLAGS
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -15,9 +15,9 @@
 import cbor2
 
 from pearrun.clock import Clock
-from pearrun.decisions.quarantine import Crash
+from pearrun.decisions.evidence import Crash
+from pearrun.decisions.evidence import Suspect
 from pearrun.decisions.quarantine import QuarantineSettings
-from pearrun.decisions.quarantine import Suspect
 from pearrun.fingerprints import make_fingerprint
 from pearrun.shared import suspects
 from pearrun.shared.quarantine import MAX_ANSWERED
--- a/pearrun/api/crashes.py
+++ b/pearrun/api/crashes.py
@@ -12,9 +12,9 @@
 from pearrun import exceptions
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
-from pearrun.decisions.quarantine import Crash
-from pearrun.decisions.quarantine import runs_well
-from pearrun.decisions.quarantine import select_worst
+from pearrun.decisions.evidence import Crash
+from pearrun.decisions.evidence import runs_well
+from pearrun.decisions.evidence import select_worst
 from pearrun.shared import suspects
 from pearrun.shared.crashcheck import is_down
 from pearrun.shared.quarantine import Quarantine
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -1,7 +1,7 @@
 """One send of a call to one endpoint."""
 
 from pearrun import exceptions
-from pearrun.decisions.quarantine import runs_well
+from pearrun.decisions.evidence import runs_well
 from pearrun.relay.events import EventCutter
 from pearrun.relay.outcomes import Answered
 from pearrun.relay.outcomes import Cut
--- a/pearrun/shared/crashes.py
+++ b/pearrun/shared/crashes.py
@@ -14,7 +14,7 @@
 
 from loguru import logger
 
-from pearrun.decisions.quarantine import Crash
+from pearrun.decisions.evidence import Crash
 from pearrun.ids import Fingerprint
 from pearrun.ids import RequestId
 from pearrun.ids import ZoneName
@@ -42,7 +42,7 @@
 
     :param ran_ms: milliseconds since it was sent there.
     :param at_ms: monotonic time of the break.
-    :param ran_well: see :func:`pearrun.decisions.quarantine.runs_well`.
+    :param ran_well: see :func:`pearrun.decisions.evidence.runs_well`.
     :param call_id: the attempt; one may meet several endpoints.
     """
 
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from pearrun.decisions.quarantine import select_worst
+from pearrun.decisions.evidence import select_worst
 from pearrun.decisions.quarantine import Suspects
 from pearrun.shared.crashes import READ_MARGIN_MS
 
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -12,7 +12,7 @@
 from pearrun import exceptions
 from pearrun.decisions.demand import Demand
 from pearrun.decisions.enginemodel import LineSums
-from pearrun.decisions.quarantine import Suspect
+from pearrun.decisions.evidence import Suspect
 from pearrun.ids import EndpointId
 from pearrun.ids import HostName
 from pearrun.ids import ServiceName
--- a/pearrun/shared/suspects.py
+++ b/pearrun/shared/suspects.py
@@ -1,7 +1,7 @@
 """How a :class:`Suspect` is written for other hosts and for the store."""
 
-from pearrun.decisions.quarantine import Crash
-from pearrun.decisions.quarantine import Suspect
+from pearrun.decisions.evidence import Crash
+from pearrun.decisions.evidence import Suspect
 
 
 def to_fields(suspect):
--- a/tests/test_job_crashes.py
+++ b/tests/test_job_crashes.py
@@ -12,7 +12,7 @@
 from pearrun.api.router import Router
 from pearrun.api.runner import Runner
 from pearrun.api.structures import Job
-from pearrun.decisions import quarantine
+from pearrun.decisions import evidence
 from pearrun.metrics import MetricsTable
 from pearrun.states import RequestState
 from tests import builders
@@ -84,7 +84,7 @@
         yield None, 'length'
 
     monkeypatch.setattr(backends, 'stream_tokens', crash_later)
-    monkeypatch.setattr(quarantine, 'ANSWERED_WELL_MS', 0)
+    monkeypatch.setattr(evidence, 'ANSWERED_WELL_MS', 0)
 
     async def main():
         runner = make_runner()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,9 +12,9 @@
 from benchmarks.bystanders import Play
 from pearrun import exceptions
 from pearrun.clock import Clock
-from pearrun.decisions.quarantine import Crash
+from pearrun.decisions.evidence import Crash
+from pearrun.decisions.evidence import Suspect
 from pearrun.decisions.quarantine import QuarantineSettings
-from pearrun.decisions.quarantine import Suspect
 from pearrun.decisions.quarantine import Suspects
 from pearrun.platform import quarantinelog
 from pearrun.shared import quarantine as quarantine_module
