--- a/pearrun/api/crashes.py
+++ b/pearrun/api/crashes.py
@@ -104,7 +104,7 @@
         wall = self.clock.wall()
         known = self.quarantine.known.suspects.values()
         return [
-            suspects.to_fields(item.to_ages(now).to_times(wall))
+            suspects.to_fields(item.to_clock(now, wall))
             for item in select_worst(known, MAX_TOLD)
         ]
 
@@ -117,7 +117,7 @@
         except (ValueError, TypeError) as exc:
             logger.warning('suspects left aside', error=str(exc))
             return
-        dated = [item.to_ages(wall).to_times(now) for item in known]
+        dated = [item.to_clock(wall, now) for item in known]
         self.quarantine.merge(dated, 'beat', pass_on=False)
 
     def _name_crash(self, endpoint_id, now):
--- a/pearrun/decisions/evidence.py
+++ b/pearrun/decisions/evidence.py
@@ -85,6 +85,14 @@
         """Return it with times in place of ages; see :meth:`to_ages`."""
         return self._shift(lambda age_ms: now_ms - age_ms)
 
+    def to_clock(self, now_ms, there_ms):
+        """Return it with times by another clock.
+
+        :param now_ms: the present by the clock of its times.
+        :param there_ms: the present by the other clock.
+        """
+        return self.to_ages(now_ms).to_times(there_ms)
+
     def _shift(self, convert):
         crashes = {
             crash.endpoint_id: dataclasses.replace(
--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -72,11 +72,15 @@
     def take_changes(self, records, asked_ms):
         """See :class:`Follower`."""
         super().take_changes(records, asked_ms)
+        if self.host.awaits_heartbeats():
+            self._note_heartbeats(records, asked_ms)
+        self._confirm(asked_ms)
+
+    def _note_heartbeats(self, records, asked_ms):
         for record in records:
             endpoint = self.host.fleet.find(record.key)
             if endpoint is not None and record.value is not None:
                 self.host.note_heartbeat(endpoint.id, asked_ms)
-        self._confirm(asked_ms)
 
     def _confirm(self, asked_ms):
         fleet = self.host.fleet
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -18,7 +18,6 @@
 OLDEST_LIST_MS = WAIT_MS + 5000
 # It does so sooner, and this often, while nobody passes anything on: the
 # list of endpoints is passed on every second.
-UNHEARD_MS = 3000
 ALONE_PAUSE_MS = 3000
 # How long a host that ends waits for the removal of its entry: less than
 # the time it keeps free before the kill.
@@ -73,9 +72,7 @@
 
     def due_ms(self):
         """See :class:`SharedFollower`."""
-        clock = self.host.clock
-        heard_ms = self.host.feed.heard_ms
-        if heard_ms is not None and clock.since(heard_ms) < UNHEARD_MS:
+        if self.host.feed.is_heard():
             return self.listed_ms + OLDEST_LIST_MS
         return self.listed_ms + ALONE_PAUSE_MS
 
--- a/pearrun/platform/quarantinelog.py
+++ b/pearrun/platform/quarantinelog.py
@@ -13,9 +13,6 @@
 from pearrun.shared import suspects
 
 TOPIC = 'quarantine'
-# A host that hears others learns from them; one that hears nobody reads the
-# topic itself this long after its last read.
-UNHEARD_MS = 3000
 # Pause between two reads: after a start, until it is known who reads.
 PAUSE_MS = 1000
 # How often it is looked for requests to save.
@@ -52,12 +49,7 @@
     def _is_told(self):
         """Say whether another host of the zone reads and is heard."""
         feed = self.host.feed
-        heard_ms = feed.heard_ms
-        return (
-            feed.followed
-            and heard_ms is not None
-            and self.host.clock.since(heard_ms) < UNHEARD_MS
-        )
+        return feed.followed and feed.is_heard()
 
     async def _wait_until_untold(self):
         while self._is_told():
@@ -74,8 +66,7 @@
         if suspect is None:
             return
         # Other hosts' clocks of monotonic time mean nothing here.
-        aged = suspect.to_ages(self.host.time.wall())
-        dated = aged.to_times(self.host.clock.now())
+        dated = suspect.to_clock(self.host.time.wall(), self.host.clock.now())
         self.quarantine.merge([dated], 'store', pass_on=True)
 
     def _remove(self, key):
@@ -106,7 +97,7 @@
         now = self.host.clock.now()
         wall = self.host.time.wall()
         pairs = [
-            (item.fingerprint, encode(item.to_ages(now).to_times(wall)))
+            (item.fingerprint, encode(item.to_clock(now, wall)))
             for item in unsaved
         ]
         await self.store.put_all(TOPIC, pairs)
--- a/pearrun/shared/crashes.py
+++ b/pearrun/shared/crashes.py
@@ -148,6 +148,10 @@
         else:
             self._prove(endpoint_id, outage)
 
+    def has_outages(self):
+        """Say whether an endpoint is watched."""
+        return bool(self._outages)
+
     def note_missed(self):
         """Note that heartbeats may have been missed: proofs begin anew."""
         now = self.clock.now()
--- a/pearrun/shared/feed.py
+++ b/pearrun/shared/feed.py
@@ -12,6 +12,8 @@
 KEPT_BATCHES = 16
 # How often the end of the last read is said again.
 REPEAT_MS = 1000
+# Without a word for so long, hosts take it that nobody reads for them.
+UNHEARD_MS = 3000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -103,6 +105,13 @@
         )
         self._grown.set()
 
+    def is_heard(self):
+        """Say whether another host that reads was heard lately."""
+        heard_ms = self.heard_ms
+        return heard_ms is not None and (
+            self.clock.since(heard_ms) < UNHEARD_MS
+        )
+
     async def wait(self, position, until_ms):
         """Return the batch that goes on from an offset.
 
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -93,6 +93,12 @@
         listed_ms = self.fleet.listed_ms
         return None if listed_ms is None else now_ms - listed_ms
 
+    def awaits_heartbeats(self):
+        """Say whether heartbeats may show that an endpoint goes on."""
+        return self.crashes.has_outages() or bool(
+            self.quarantine.known.suspects
+        )
+
     def note_heartbeat(self, endpoint_id, asked_ms):
         """Note that an endpoint goes on.
 
