Lease: counts behind a deleted claim stay committed

Cause: LeaseView.apply dropped a USAGE record whose writer was not the known holder. After the claim in front of it had been deleted the holder was unknown, and a successor committed the window again. Two more faults of the same kind, found by the new state machine: a CLAIM record hid the last committed window, and a former holder kept its claim when its successor's claim was deleted unread, and could renew. Mend: counts in the log are valid by themselves (writers check the term before each commit, appends are conditional on the offset read), claims and renewals carry the last closed window, deleted records end a claim whose lease is not valid any more. Evidence: DeletedLogMachine fails on the old code at once (a suffix of the log that does not tell its windows), passes now; two tests of the view fail before, pass now.

--- a/pearrun/decisions/lease.py
+++ b/pearrun/decisions/lease.py
@@ -39,8 +39,8 @@
     """A record of the lease log.
 
     :param run: host name and start time of the writer.
-    :param window: number of the usage window of ``counts``; in a renewal, of
-        the last committed window.
+    :param window: number of the usage window of ``counts``; in other records,
+        of the last window that may have been committed.
     :param counts: final usage counts by customer.
     """
 
@@ -87,27 +87,28 @@
                 self.holder = record.run
                 self.fencing = offset + 1
                 self.valid_until_ms = None
-            case RecordKind.RENEW:
-                self.last_committed_window = max(
-                    self.last_committed_window, record.window
-                )
             case RecordKind.USAGE:
-                if record.run == self.holder:
-                    self.committed_counts[record.window] = record.counts
-                    self.last_committed_window = max(
-                        self.last_committed_window, record.window
-                    )
+                # Only a holder appends counts.  Its claim may be deleted.
+                self.committed_counts.setdefault(record.window, record.counts)
+        self.last_committed_window = max(
+            self.last_committed_window, record.window
+        )
         self.end = offset + 1
         self.unchanged_since_ms = None
 
-    def note_expired(self, first_offset):
+    def note_expired(self, first_offset, now_ms):
         """Record that records before an offset were deleted unread.
 
         Another host may have written them, so the log does not count as
-        unchanged.
+        unchanged.  Unless this host's lease is still valid, another host's
+        claim may be among them.
         """
         self.end = first_offset
         self.unchanged_since_ms = None
+        if not self.holds(now_ms):
+            self.holder = None
+            self.fencing = 0
+            self.valid_until_ms = None
 
     def note_history_lost(self, now_ms):
         """Record that the whole log is gone, with all committed counts."""
--- a/pearrun/platform/leaselog.py
+++ b/pearrun/platform/leaselog.py
@@ -39,7 +39,7 @@
             try:
                 batch = await self.store.read(TOPIC, start)
             except exceptions.ExpiredOffsetError as exc:
-                self.view.note_expired(exc.first_offset)
+                self.view.note_expired(exc.first_offset, self.clock.boot())
                 batch = await self.store.read(TOPIC, exc.first_offset)
                 if not batch.records:
                     self.view.note_history_lost(self.clock.boot())
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -105,11 +105,7 @@
         now = self.clock.boot()
         if self.view.holder == self.view.run and self.view.valid_until_ms:
             if self.view.should_renew(now):
-                await self.log.write(
-                    self._record(
-                        RecordKind.RENEW, self.view.last_committed_window
-                    )
-                )
+                await self.log.write(self._record(RecordKind.RENEW))
             self._log_lease_change()
             return
         self._log_lease_change()
@@ -163,8 +159,13 @@
         except exceptions.PearrunError as exc:
             logger.bind(code=exc.code).info(f'lease log: {exc.message}')
 
-    def _record(self, kind, window=0, counts=None):
-        return LeaseRecord(kind, self.view.run, window, counts)
+    def _record(self, kind):
+        """Return a record that also tells which windows are closed.
+
+        The record of a committed window may be deleted before others have
+        read it.
+        """
+        return LeaseRecord(kind, self.view.run, self._find_last_closed())
 
     def _log_lease_change(self):
         holds = self.holds()
@@ -200,7 +201,7 @@
         if self.usage_saver.term is term:
             # The counts that a former holder saved have been restored; without
             # them the report would be incomplete.
-            await self._commit_usage()
+            await self._commit_usage(term)
         await self._deliver_usage(term)
 
     async def _scale(self):
@@ -208,7 +209,7 @@
         if term is not None and self.scaler is not None:
             await self.scaler.act(term)
 
-    async def _commit_usage(self):
+    async def _commit_usage(self, term):
         """Write the final counts of ended windows to the lease log.
 
         A successor reads them there and reports exactly the same counts.
@@ -221,30 +222,33 @@
             last - (settings.due_ms + LATE_REPORT_MS) // settings.window_ms
         )
         for window in range(oldest, last + 1):
-            if self._may_be_committed(window) or not self._has_counts(window):
+            closed = window <= self._find_last_closed()
+            if closed or not self._has_counts(window):
                 continue
             counts = table.sum_window(window)
             for name in self.host.config.current.customers:
                 counts.setdefault(name, 0)
+            # Readers of the log rely on every commit being a holder's.
+            term.check()
             await self.log.write(
-                self._record(RecordKind.USAGE, window, counts)
+                LeaseRecord(RecordKind.USAGE, self.view.run, window, counts)
             )
 
-    def _may_be_committed(self, window):
-        """Return whether some holder committed a window, or may have.
+    def _find_last_closed(self):
+        """Return the last window that some holder has, or may have, committed.
 
         A second report with different counts is worse than no report.
+
+        :returns: the window's number; -1 if there is none.
         """
         view = self.view
-        if window <= view.last_committed_window:
-            return True
         if view.history_lost_ms is None:
-            return False
+            return view.last_committed_window
         lost_wall_ms = self.host.corrected_clock.wall() - (
             self.clock.boot() - view.history_lost_ms
         )
-        end_ms = (window + 1) * self.host.settings.usage.window_ms
-        return end_ms <= lost_wall_ms
+        last_ended = lost_wall_ms // self.host.settings.usage.window_ms - 1
+        return max(view.last_committed_window, last_ended)
 
     def _has_counts(self, window):
         """Return whether the known counts reach back to a window."""
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -159,6 +159,147 @@
 )
 
 
+class DeletedLogMachine(RuleBasedStateMachine):
+    """Hosts that commit usage windows to a log whose records are deleted.
+
+    A host that restarts knows nothing but what is left of the log.
+    """
+
+    names = ('a', 'b', 'c')
+    window_ms = 1000
+
+    def __init__(self):
+        super().__init__()
+        self.now = 10_000
+        self.runs = 0
+        self.log = []
+        self.first = 0
+        self.views = {}
+        self.committed = {}
+        for name in self.names:
+            self.restart(name)
+        self.maintain('a', lost=False)
+
+    @rule(ms=st.sampled_from([300, 300, 1000, 1000, 4000, 9000]))
+    def pass_time(self, ms):
+        self.now += ms
+
+    @rule(name=st.sampled_from(names))
+    def restart(self, name):
+        self.runs += 1
+        self.views[name] = LeaseView(f'{name}/{self.runs}')
+
+    @rule(keep=st.integers(0, 4))
+    def delete_records(self, keep):
+        self.first = max(self.first, len(self.log) - keep)
+
+    @rule(name=st.sampled_from(names))
+    def read(self, name):
+        view = self.views[name]
+        start = view.end or 0
+        if start < self.first:
+            start = self.first
+            view.note_expired(start, self.now)
+            if start == len(self.log):
+                view.note_history_lost(self.now)
+        for offset in range(start, len(self.log)):
+            view.apply(offset, self.log[offset])
+        view.note_end(len(self.log), self.now)
+
+    @rule(name=st.sampled_from(names), lost=st.booleans())
+    def maintain(self, name, lost):
+        self.read(name)
+        view = self.views[name]
+        if view.holder == view.run:
+            if view.should_renew(self.now):
+                self._append(view, RecordKind.RENEW, lost)
+        elif view.may_claim(self.now):
+            self._append(view, RecordKind.CLAIM, lost)
+
+    @rule(count=st.integers(0, 9), lost=st.booleans())
+    def commit_usage(self, count, lost):
+        window = self.now // self.window_ms - 1
+        for view in self.views.values():
+            if view.holds(self.now) and window > self._find_last_closed(view):
+                counts = {'anna': count}
+                self._append(view, RecordKind.USAGE, lost, window, counts)
+
+    def _find_last_closed(self, view):
+        if view.history_lost_ms is None:
+            return view.last_committed_window
+        return max(
+            view.last_committed_window,
+            view.history_lost_ms // self.window_ms - 1,
+        )
+
+    def _append(self, view, kind, lost, window=None, counts=None):
+        if window is None:
+            window = self._find_last_closed(view)
+        if view.end != len(self.log):
+            return
+        record = LeaseRecord(kind, view.run, window, counts)
+        self.log.append(record)
+        if kind is RecordKind.USAGE:
+            assert window not in self.committed, 'window committed twice'
+            self.committed[window] = counts
+        if not lost:
+            view.note_written(view.end, record, self.now)
+
+    @invariant()
+    def at_most_one_host_holds(self):
+        holders = [
+            name for name, view in self.views.items() if view.holds(self.now)
+        ]
+        assert len(holders) <= 1
+
+    @invariant()
+    def views_know_the_committed_counts(self):
+        for view in self.views.values():
+            for window, counts in view.committed_counts.items():
+                assert counts == self.committed[window]
+
+    @invariant()
+    def every_suffix_of_the_log_tells_that_its_windows_are_closed(self):
+        view = LeaseView('reader/1')
+        for offset in range(self.first, len(self.log)):
+            view.apply(offset, self.log[offset])
+        if self.first < len(self.log) and self.committed:
+            assert self._find_last_closed(view) >= max(self.committed)
+
+
+TestDeletedLog = DeletedLogMachine.TestCase
+TestDeletedLog.settings = hypothesis_settings(
+    max_examples=200, stateful_step_count=60, deadline=None
+)
+
+
+def test_counts_behind_a_deleted_claim_are_committed():
+    # The window was committed again, and reported with other counts.
+    view = LeaseView('b/1')
+    view.note_expired(7, 0)
+    view.apply(7, LeaseRecord(RecordKind.USAGE, 'a/1', 3, {'anna': 5}))
+    assert view.committed_counts == {3: {'anna': 5}}
+    assert view.last_committed_window == 3
+
+
+def test_former_holder_does_not_renew_behind_a_deleted_claim():
+    view = LeaseView('a/1')
+    view.note_end(0, 0)
+    view.note_written(0, LeaseRecord(RecordKind.CLAIM, 'a/1'), 0)
+    view.note_expired(5, 10_000)
+    view.apply(5, LeaseRecord(RecordKind.RENEW, 'b/1'))
+    assert view.holder is None
+    assert not view.should_renew(10_000)
+
+
+def test_holder_keeps_a_valid_lease_when_its_log_is_deleted():
+    view = LeaseView('a/1')
+    view.note_end(0, 0)
+    view.note_written(0, LeaseRecord(RecordKind.CLAIM, 'a/1'), 0)
+    view.note_expired(2, 500)
+    assert view.holds(501)
+
+
 def test_empty_log_can_be_claimed_immediately():
     view = LeaseView('a/1')
     assert not view.may_claim(0)
