Usage: a window waits for the counts of hosts that are cut off

Cause: the holder of the lease committed a window 1.5 s after its end with the counts it had. Hosts of a partitioned domain, and all hosts right after the lease had moved, had not been able to report theirs yet. Mend: a host's note says in which window it was created; the holder waits until each listed host has reported after the window's end, up to 4.5 s before the report is due, which is what a successor needs. Hosts whose process has ended and hosts silent for 20 s are not waited for. A commit without some hosts' counts is logged with their names. What a window may lose at worst: the counts of hosts that stay cut off for 5.5 s beyond its end, and of hosts that lose power, the last 0.2 to 0.4 s. Test: counts of a host that is cut off while the window ends (fails before: they were dropped), a lost host does not delay the report beyond its time.

--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -10,6 +10,7 @@
 
 from pearrun import exceptions
 from pearrun.clock import to_seconds
+from pearrun.decisions import usagewindow
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import RecordKind
 from pearrun.shared.term import Term
@@ -30,8 +31,6 @@
 NON_HUB_DELAY_MS = 2000
 # Minimum interval between reads of the log while monitoring it.
 MONITOR_INTERVAL_MS = 900
-# Time after the end of a window by which all hosts' counts have arrived.
-SETTLE_MS = 1500
 # How long after its due time a report is still retried.
 LATE_REPORT_MS = 4000
 
@@ -64,6 +63,8 @@
         self.last_read_ms = None
         self.was_holder = False
         self.term = None
+        self.term_since_ms = 0
+        self.window_settings = usagewindow.WindowSettings()
 
     async def run(self):
         """Run the lease task and the duties until the process ends."""
@@ -181,6 +182,7 @@
             return None
         if self.term is None or self.term.fencing != self.view.fencing:
             self.term = Term(self.view, self.clock)
+            self.term_since_ms = self.clock.now()
         return self.term
 
     async def _save_usage(self):
@@ -216,7 +218,7 @@
         """
         settings = self.host.settings.usage
         wall = self.host.corrected_clock.wall()
-        last = (wall - SETTLE_MS) // settings.window_ms - 1
+        last = wall // settings.window_ms - 1
         table = self.host.usage_table
         oldest = (
             last - (settings.due_ms + LATE_REPORT_MS) // settings.window_ms
@@ -225,6 +227,19 @@
             closed = window <= self._find_last_closed()
             if closed or not self._has_counts(window):
                 continue
+            missing = self._list_missing(window)
+            if not usagewindow.is_final(
+                wall - (window + 1) * settings.window_ms,
+                settings.due_ms,
+                bool(missing),
+                self.window_settings,
+            ):
+                # Windows are committed in order: a later one closes this one.
+                return
+            if missing:
+                logger.bind(window=window, hosts=missing).warning(
+                    'usage committed without the counts of some hosts'
+                )
             counts = table.sum_window(window)
             for name in self.host.config.current.customers:
                 counts.setdefault(name, 0)
@@ -234,6 +249,33 @@
                 LeaseRecord(RecordKind.USAGE, self.view.run, window, counts)
             )
 
+    def _list_missing(self, window):
+        """Return the hosts whose counts in a window are still expected.
+
+        :returns: names of hosts.  Hosts whose process has ended and hosts
+            that have been silent for long are left out.
+        """
+        members = self.host.members
+        table = self.host.usage_table
+        missing = []
+        for member in members.members.values():
+            run = (member.name, member.started_ms)
+            if table.has_complete(run, window):
+                continue
+            has_ended = (
+                run in table.current_windows
+                and member.name not in members.reporting
+            )
+            heard_ms = max(
+                members.last_seen_ms[member.name], self.term_since_ms
+            )
+            silent = (
+                self.clock.since(heard_ms) > self.window_settings.silent_ms
+            )
+            if not has_ended and not silent:
+                missing.append(member.name)
+        return missing
+
     def _find_last_closed(self):
         """Return the last window that some holder has, or may have, committed.
 
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -233,17 +233,22 @@
     def _encode_usage(self):
         """Return the encoded counts of the latest usage windows.
 
-        Returns the same object until another call is counted.
+        Returns the same object until another call is counted or the next
+        window begins.
         """
         usage = self.host.usage
-        changes, encoded = self._usage
-        if changes != usage.changes:
+        state, encoded = self._usage
+        current_window = usage.get_current_window()
+        if state != (usage.changes, current_window):
             windows = sorted(usage.windows)[-REPORTED_USAGE_WINDOWS:]
             counts = {window: usage.windows[window] for window in windows}
             run = self.own_run
-            self.host.usage_table.put(run.host, run.started_ms, counts)
-            encoded = reports.encode(reports.UsageNote(run, counts))
-            self._usage = (usage.changes, encoded)
+            self.host.usage_table.put(
+                run.host, run.started_ms, counts, current_window
+            )
+            note = reports.UsageNote(run, counts, current_window)
+            encoded = reports.encode(note)
+            self._usage = ((usage.changes, current_window), encoded)
         return encoded
 
     def encode_initial(self):
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -84,9 +84,11 @@
                     self._apply_report(message, encoded, bundle)
                 case reports.Coverage(hub, numbers):
                     self._apply_coverage(hub, numbers)
-                case reports.UsageNote(run, counts):
+                case reports.UsageNote(run, counts, current_window):
                     self.host.members.note_report(run.host)
-                    self.host.usage_table.put(run.host, run.started_ms, counts)
+                    self.host.usage_table.put(
+                        run.host, run.started_ms, counts, current_window
+                    )
                 case reports.TopicFeed():
                     self._apply_feed(message)
                 case reports.HostEnded(name):
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -99,10 +99,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class UsageNote:
-    """A host's call counts per customer, by usage window number."""
+    """A host's call counts per customer, by usage window number.
+
+    :param current_window: the window in which the note was created.
+    """
 
     run: Run
     counts: dict[int, dict[str, int]]
+    current_window: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -235,8 +239,8 @@
     match message:
         case HostReport():
             return cbor2.dumps(encode_report(message))
-        case UsageNote(run, counts):
-            return cbor2.dumps(['usage', *encode_run(run), counts])
+        case UsageNote(run, counts, window):
+            return cbor2.dumps(['usage', *encode_run(run), counts, window])
         case TopicFeed(start, end, records, age_ms, topic):
             return cbor2.dumps(['feed', start, end, records, age_ms, topic])
         case HostEnded(host):
@@ -319,7 +323,7 @@
             case 'report':
                 return decode_report(fields)
             case 'usage':
-                return UsageNote(Run(*fields[:4]), fields[4])
+                return UsageNote(Run(*fields[:4]), *fields[4:])
             case 'feed':
                 start, end, records, age_ms, topic = fields
                 pairs = tuple((key, value) for key, value in records)
--- a/pearrun/shared/usagetable.py
+++ b/pearrun/shared/usagetable.py
@@ -10,22 +10,28 @@
     """Counts by window and by run, which is a host's name and start time.
 
     What a host had reported before it was killed stays in the table: its
-    next run counts from zero under another start time.
+    next run counts from zero under another start time.  ``current_windows``
+    holds, by run, the window in which it made its latest report: its counts
+    of earlier windows are complete.
     """
 
     def __init__(self):
         self.windows = {}
+        self.current_windows = {}
         self._changed = set()
 
-    def put(self, host, started_ms, usage):
+    def put(self, host, started_ms, usage, current_window=-1):
         """Merge the counts of a host's run, which only increase.
 
         Lower counts, from delayed reports or restored from the store, have
         no effect.
 
         :param usage: counts by customer, by window number.
+        :param current_window: the window in which the host reported them; -1
+            if they may be incomplete.
         """
         run = (host, started_ms)
+        self._note_current_window(run, current_window)
         for window, counts in usage.items():
             known = self.windows.setdefault(window, {}).setdefault(run, {})
             for name, count in counts.items():
@@ -36,6 +42,20 @@
         for old in [w for w in self.windows if w < newest - KEPT_WINDOWS]:
             del self.windows[old]
 
+    def _note_current_window(self, run, window):
+        if window > self.current_windows.get(run, -1):
+            self.current_windows[run] = window
+            for old in [
+                key
+                for key, latest in self.current_windows.items()
+                if latest < window - KEPT_WINDOWS
+            ]:
+                del self.current_windows[old]
+
+    def has_complete(self, run, window):
+        """Return whether all of a run's counts in a window are known."""
+        return self.current_windows.get(run, -1) > window
+
     def take_changed(self):
         """Return the runs whose counts have changed since the last call."""
         changed, self._changed = self._changed, set()
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -121,10 +121,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(config=None, runners=(), hosts=1):
+async def run_site(config=None, runners=(), hosts=1, **bounds):
     """Run a site; enter the block once all hosts are ready.
 
     :param runners: pairs of an endpoint's name and its service.
+    :param bounds: fields of the hosts' settings; see :meth:`add_host`.
     """
     site = PlatformSite()
     await site.start()
@@ -134,7 +135,7 @@
         for name, service in runners:
             await site.add_runner(name, service)
         for number in range(1, hosts + 1):
-            await site.add_host(number)
+            await site.add_host(number, **bounds)
         for daemon in site.hosts.values():
             await wait_until(
                 lambda daemon=daemon: config is None or daemon.host.is_ready()
--- a/tests/test_usage_saving.py
+++ b/tests/test_usage_saving.py
@@ -11,8 +11,11 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
+import pytest
+
 from pearrun import exceptions
 from pearrun.decisions import lease
+from pearrun.decisions import usagewindow
 from pearrun.platform import usagelog
 from pearrun.shared.usagesaver import UsageSaver
 from pearrun.shared.usagetable import UsageTable
@@ -283,3 +286,63 @@
             ]
 
     asyncio.run(main())
+
+
+def test_counts_of_a_host_cut_off_while_a_window_ends_are_reported():
+    # The window was reported without them, a second and a half after its end.
+    async def main():
+        async with run_site(
+            make_config(), PLAIN, hosts=3, usage_late_s=10
+        ) as site:
+            await wait_until(lambda: find_holders(site))
+            (holder,) = find_holders(site)
+            cut_off = next(
+                host for host in site.hosts.values() if host is not holder
+            )
+            select = cut_off.reporter.select_messages
+            cut_off.reporter.select_messages = lambda *args: []
+            for number in range(6):
+                await call(holder, '/once/', f'a{number}')
+                await call(cut_off, '/once/', f'b{number}')
+            await asyncio.sleep(4)
+            cut_off.reporter.select_messages = select
+            await wait_until(lambda: count_usage(site) == 12, 6)
+
+    asyncio.run(main())
+
+
+def test_counts_are_committed_in_time_without_those_of_a_lost_host():
+    async def main():
+        async with run_site(
+            make_config(), PLAIN, hosts=3, usage_late_s=7
+        ) as site:
+            await wait_until(lambda: find_holders(site))
+            (holder,) = find_holders(site)
+            cut_off = next(
+                host for host in site.hosts.values() if host is not holder
+            )
+            cut_off.reporter.select_messages = lambda *args: []
+            await call(holder, '/once/', 'a1')
+            began_ms = holder.clock.now()
+            await wait_until(lambda: count_usage(site) == 1, 9)
+            assert holder.clock.since(began_ms) < 8_000
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('since_end_ms', 'missing', 'final'),
+    [
+        (1_499, False, False),
+        (1_500, False, True),
+        (1_500, True, False),
+        (5_499, True, False),
+        (5_500, True, True),
+    ],
+)
+def test_a_window_waits_for_missing_hosts_until_a_successor_needs_the_rest(
+    since_end_ms, missing, final
+):
+    limits = usagewindow.WindowSettings()
+    decided = usagewindow.is_final(since_end_ms, 10_000, missing, limits)
+    assert decided == final
