--- /dev/null
+++ b/pearrun/decisions/rollout.py
@@ -0,0 +1,292 @@
+"""Roll-outs: when a new version gets how many calls, and whether it is bad.
+
+Load pattern: the operator starts endpoints of a new version beside the old
+ones and asks that all calls move to them before a deadline.  Some versions
+are bad: part of their answers fail or come several times later, at once,
+later, under load or on one route only.  Until the deadline, a bad version may
+get only a small share of the service's calls.
+
+A share that grows with the evidence would expose callers to versions that turn
+bad later.  The new version therefore gets a small share until shortly before
+the deadline, on a few endpoints, which then run as full as the old ones.  The
+calls move at the latest time that leaves the old endpoints' calls time to end,
+and the roll-out completes unless the new version turns bad under full load.
+"""
+
+import dataclasses
+import enum
+import math
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutSettings:
+    """Limits of roll-outs.
+
+    :param exposed_share: share of a service's calls that a bad version may
+        get between the order and its deadline.
+    :param budget_fraction: fraction of that share that is planned for.
+    :param canary_share: share of the calls before they move.
+    :param completion_margin_ms: time before the deadline at which completion
+        is written to the store.
+    :param settle_ms: time for which all calls go to the new version before
+        the old endpoints may stop.
+    :param spread_ms: mean time until a host has heard of a new stage.
+    :param long_call_factor: multiple of a route's mean answer time for which
+        its calls move ahead of completion.
+    :param min_answers: answers of the new version without which the calls do
+        not move.
+    :param base_bad_rate: rate of bad answers assumed of any version.
+    :param added_bad_rate: by how much the rate of a bad version is higher at
+        least.
+    :param evidence_threshold: logarithm of the likelihood ratio from which a
+        version is bad.  A good one passes it in less than one of e to that
+        power sequences of answers.
+    :param endpoint_fraction: fraction of the threshold that the answers of one
+        endpoint can contribute, so that its own failure is not taken for one
+        of the version.
+    """
+
+    exposed_share: float = 0.1
+    budget_fraction: float = 0.9
+    canary_share: float = 0.015
+    completion_margin_ms: int = 350
+    settle_ms: int = 900
+    spread_ms: int = 250
+    long_call_factor: float = 2.5
+    min_answers: int = 10
+    base_bad_rate: float = 0.02
+    added_bad_rate: float = 0.2
+    evidence_threshold: float = 11.5
+    endpoint_fraction: float = 0.55
+
+
+@dataclasses.dataclass(frozen=True)
+class Tally:
+    """Number of answers, and of the bad ones among them."""
+
+    answers: int = 0
+    bad: int = 0
+
+    def __add__(self, other):
+        return Tally(self.answers + other.answers, self.bad + other.bad)
+
+    def __sub__(self, other):
+        return Tally(self.answers - other.answers, self.bad - other.bad)
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """Answers since the order, as reported by all hosts.
+
+    :param old: :class:`Tally` of the old version by route.
+    :param new: :class:`Tally` of the new version by route and endpoint.
+    """
+
+    old: dict[str, Tally]
+    new: dict[tuple[str, str], Tally]
+
+    def count_by_route(self):
+        """Return the number of answers of both versions by route."""
+        counts = {route: tally.answers for route, tally in self.old.items()}
+        for (route, _), tally in self.new.items():
+            counts[route] = counts.get(route, 0) + tally.answers
+        return counts
+
+    def count_new(self):
+        """Return the number of answers of the new version."""
+        return sum(tally.answers for tally in self.new.values())
+
+
+class BadVersionTest:
+    """A sequential test of the new version against the old one.
+
+    Cumulative sums of the log-likelihood ratio of each answer, in total and
+    by route, restart at zero, so that good answers do not hide that a version
+    turns bad later.  The rate of the old version is measured at the same
+    time, since trouble that both versions share is no evidence.
+
+    :param settings: :class:`RolloutSettings`.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.total = 0.0
+        self.by_route = {}
+        self._seen = {}
+        self._old_seen = {}
+        self._old_rates = {}
+        self._by_endpoint = {}
+
+    def update(self, evidence):
+        """Take new answers into account.
+
+        :param evidence: the :class:`Evidence`; its tallies only increase.
+        """
+        self._update_old_rates(evidence.old)
+        gains = {}
+        for key, tally in evidence.new.items():
+            added = tally - self._seen.get(key, Tally())
+            if not added.answers:
+                continue
+            self._seen[key] = tally
+            route, endpoint = key
+            gain = self._rate_answers(route, added)
+            gains.setdefault(None, []).append((endpoint, gain))
+            gains.setdefault(route, []).append((endpoint, gain))
+        for route, items in gains.items():
+            delta = sum(self._limit(route, *item) for item in items)
+            if route is None:
+                self.total = max(0.0, self.total + delta)
+            else:
+                known = self.by_route.get(route, 0.0)
+                self.by_route[route] = max(0.0, known + delta)
+
+    def is_bad(self):
+        """Return whether the new version is worse than the old one."""
+        highest = max([self.total, *self.by_route.values()])
+        return highest >= self.settings.evidence_threshold
+
+    def list_suspects(self):
+        """Return the ids of endpoints whose own evidence is exhausted."""
+        limit = self.settings.evidence_threshold
+        limit *= self.settings.endpoint_fraction
+        return {
+            endpoint
+            for (route, endpoint), score in self._by_endpoint.items()
+            if route is None and score >= limit
+        }
+
+    def _update_old_rates(self, old):
+        """Record the old version's rate of bad answers, in total and now."""
+        for route, tally in old.items():
+            added = tally - self._old_seen.get(route, Tally())
+            if not added.answers:
+                continue
+            self._old_seen[route] = tally
+            weight = min(0.5, added.answers / 50)
+            recent = self._old_rates.get(route, 0.0)
+            recent += weight * (added.bad / added.answers - recent)
+            self._old_rates[route] = recent
+
+    def _get_base_rate(self, route):
+        tally = self._old_seen.get(route, Tally())
+        overall = tally.bad / max(1, tally.answers)
+        rate = max(overall, self._old_rates.get(route, 0.0))
+        return min(0.6, max(self.settings.base_bad_rate, rate))
+
+    def _rate_answers(self, route, added):
+        """Return the log-likelihood ratio of some answers."""
+        good_rate = self._get_base_rate(route)
+        bad_rate = good_rate + max(self.settings.added_bad_rate, good_rate)
+        bad_rate = min(0.95, bad_rate)
+        return added.bad * math.log(bad_rate / good_rate) + (
+            added.answers - added.bad
+        ) * math.log((1 - bad_rate) / (1 - good_rate))
+
+    def _limit(self, route, endpoint, gain):
+        """Return what remains of a gain under the limit of its endpoint."""
+        limit = self.settings.evidence_threshold
+        limit *= self.settings.endpoint_fraction
+        known = self._by_endpoint.get((route, endpoint), 0.0)
+        score = min(limit, known + gain)
+        self._by_endpoint[route, endpoint] = max(0.0, score)
+        return score - known
+
+
+class Stage(enum.Enum):
+    """What the hosts do with the calls of a service during a roll-out."""
+
+    CANARY = 'canary'
+    MOVE = 'move'
+    COMPLETE = 'complete'
+    REVERT = 'revert'
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """The current decision on a roll-out.
+
+    :param routes: the routes whose calls all go to the new version.
+    """
+
+    stage: Stage
+    routes: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """What is known about a roll-out at a moment.
+
+    :param elapsed_ms: time since the order.
+    :param duration_ms: time from the order to its deadline.
+    :param is_bad: whether the new version is bad.
+    :param moved_ms: how long all calls have gone to the new version;
+        ``None`` if they do not yet.
+    :param answer_ms: mean time of an answer by route.
+    """
+
+    elapsed_ms: float
+    duration_ms: float
+    is_bad: bool
+    moved_ms: float | None
+    answer_ms: dict[str, float]
+
+
+def decide(progress, evidence, settings):
+    """Decide how a roll-out goes on.
+
+    :param progress: :class:`Progress`.
+    :param evidence: :class:`Evidence`.
+    :param settings: :class:`RolloutSettings`.
+    :returns: a :class:`Plan`.
+    """
+    if progress.is_bad:
+        return Plan(Stage.REVERT)
+    counts = evidence.count_by_route()
+    if progress.moved_ms is not None:
+        done = progress.moved_ms >= settings.settle_ms
+        stage = Stage.COMPLETE if done else Stage.MOVE
+        return Plan(stage, frozenset(counts))
+    if evidence.count_new() < settings.min_answers:
+        return Plan(Stage.CANARY)
+    left_ms = progress.duration_ms - progress.elapsed_ms
+    leads = compute_leads(progress, evidence, settings)
+    routes = frozenset(r for r, lead_ms in leads.items() if left_ms <= lead_ms)
+    if routes == frozenset(counts):
+        return Plan(Stage.MOVE, routes)
+    return Plan(Stage.CANARY, routes)
+
+
+def compute_leads(progress, evidence, settings):
+    """Return how long before the deadline the calls of each route move.
+
+    All routes get the time that completion takes, or less if the exposed
+    share would be exceeded; completion is then late.  What is left of the
+    share goes to the routes with long answers.
+
+    :returns: milliseconds by route.
+    """
+    elapsed_ms = max(1.0, progress.elapsed_ms)
+    counts = evidence.count_by_route()
+    rates = {route: n / elapsed_ms for route, n in counts.items()}
+    expected = sum(rates.values()) * progress.duration_ms
+    budget = settings.budget_fraction * settings.exposed_share * expected
+    budget -= evidence.count_new()
+    lead_ms = min(
+        settings.completion_margin_ms + settings.settle_ms,
+        settings.spread_ms + max(0.0, budget) / max(1e-9, sum(rates.values())),
+    )
+    budget -= sum(rates.values()) * max(0.0, lead_ms - settings.spread_ms)
+    leads = dict.fromkeys(counts, lead_ms)
+    for route in sorted(rates, key=rates.get):
+        if not rates[route] or budget <= 0:
+            continue
+        wanted_ms = settings.completion_margin_ms
+        wanted_ms += settings.long_call_factor * progress.answer_ms.get(
+            route, 0.0
+        )
+        more_ms = min(wanted_ms - lead_ms, budget / rates[route])
+        if more_ms > 0:
+            leads[route] += more_ms
+            budget -= rates[route] * more_ms
+    return leads
--- a/pearrun/decisions/scaling.py
+++ b/pearrun/decisions/scaling.py
@@ -153,6 +153,27 @@
     ]
 
 
+def limit_to_raises(orders, zones, others):
+    """Return the orders that add endpoints while two versions serve.
+
+    An order for fewer endpoints would release those of the new version first.
+    An order counts the endpoints of both versions.
+
+    :param orders: planned :class:`Order` objects for the version in force.
+    :param zones: :class:`ZoneCount` of that version by zone.
+    :param others: the same of other versions.
+    """
+    return [
+        dataclasses.replace(
+            order,
+            count=order.count
+            + others.get(order.zone, ZoneCount()).of_kind(order.reclaimable),
+        )
+        for order in orders
+        if order.count > zones[order.zone].of_kind(order.reclaimable)
+    ]
+
+
 def count_serving(zones):
     """Return the number of serving endpoints of both kinds."""
     return sum(count.reclaimable + count.on_demand for count in zones.values())
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -26,9 +26,11 @@
 from pearrun.platform.leaselog import LeaseLog
 from pearrun.platform.membership import MemberFollower
 from pearrun.platform.quarantinelog import QuarantineFollower
+from pearrun.platform.rolloutlog import RolloutLog
 from pearrun.platform.store import StoreClient
 from pearrun.platform.usagelog import UsageLog
 from pearrun.relay.relay import Relay
+from pearrun.rollouts.conductor import Conductor
 from pearrun.shared import reports
 from pearrun.shared.duties import Duties
 from pearrun.shared.host import HostContext
@@ -122,8 +124,17 @@
         scaler = Scaler(self.host, client)
         lease_log = LeaseLog(self.store, view, self.clock)
         usage_log = UsageLog(self.store)
+        conductor = Conductor(
+            self.host, RolloutLog(self.store), self.reporter.trigger_round
+        )
         duties = Duties(
-            self.host, lease_log, client, self.reports, scaler, usage_log
+            self.host,
+            lease_log,
+            client,
+            self.reports,
+            scaler,
+            usage_log,
+            conductor,
         )
         self.reporter.make_notice = self.make_duty_notice
         return duties
@@ -137,7 +148,12 @@
         if not self.duties.holds():
             return None
         view = self.duties.view
-        return reports.DutyNotice(self.settings.name, view.fencing, view.end)
+        return reports.DutyNotice(
+            self.settings.name,
+            view.fencing,
+            view.end,
+            rollouts=self.duties.conductor.make_notices(),
+        )
 
     def holds_lease(self):
         """Return whether this host holds the lease on the duties."""
@@ -169,7 +185,9 @@
     def make_background_coroutines(self):
         """Return the coroutines that run until the process ends."""
         coroutines = [
-            ConfigFollower(self.host, self.store).run(),
+            ConfigFollower(
+                self.host, self.store, RolloutLog(self.store)
+            ).run(),
             EndpointFollower(self.host, self.store).run(),
             self.members.run(),
             QuarantineFollower(self.host, self.store).run(),
@@ -264,6 +282,7 @@
             'lease_held': int(
                 self.duties is not None and self.duties.was_holder
             ),
+            'rollouts_open': len(self.host.rollouts.list_open()),
             'quarantined': len(self.host.quarantine.known.quarantined),
             'quarantine_refusals_total': self.host.quarantine.refused,
             'store_calls_total': self.store.calls.total(),
--- a/pearrun/platform/decoding.py
+++ b/pearrun/platform/decoding.py
@@ -174,6 +174,7 @@
             reclaimable=get_typed(item, 'spot', bool, False),
             leaves_ms=int(leaves_ms) if leaves_ms is not None else None,
             started_ms=get_typed(item, 'born', int, 0),
+            version=get_typed(item, 'version', str, ''),
         )
     except (
         KeyError,
--- a/pearrun/platform/followers.py
+++ b/pearrun/platform/followers.py
@@ -9,6 +9,7 @@
 from pearrun.backoff import Backoff
 from pearrun.clock import to_seconds
 from pearrun.platform import decoding
+from pearrun.platform import rolloutlog
 from pearrun.platform.store import KeyedRecord
 from pearrun.shared.feed import Changes
 
@@ -212,10 +213,16 @@
 
 
 class ConfigFollower(Follower):
-    """Follows the operator's configuration and applies it."""
+    """Follows the operator's configuration and orders, and applies them.
 
-    def __init__(self, host, store):
+    :param rollout_log: the :class:`RolloutLog`; read if an order may have
+        been carried out before this host started.
+    """
+
+    def __init__(self, host, store, rollout_log):
         super().__init__(host, store, CONFIG_TOPIC)
+        self.rollout_log = rollout_log
+        self.statuses_due = False
         self.single_host_poll_ms = int(
             host.settings.config_ms * SINGLE_HOST_POLL_FRACTION
         )
@@ -223,6 +230,10 @@
     async def _read_once(self):
         alone = self.host.count_hosts() <= 1
         self.wait_ms = self.single_host_poll_ms if alone else LONG_POLL_MS
+        if self.statuses_due:
+            for status in (await self.rollout_log.read()).values():
+                self.host.rollouts.put_status(status)
+            self.statuses_due = False
         await super()._read_once()
 
     def _mark_reachable(self):
@@ -236,16 +247,38 @@
     def apply_snapshot(self, records, read_start_ms):
         """See :class:`Follower`."""
         self.apply_changes(records, read_start_ms)
+        self.statuses_due = bool(self.host.rollouts.list_open())
 
     def apply_changes(self, records, read_start_ms):
         """See :class:`Follower`."""
         for record in records:
-            if record.key == CONFIG_KEY and record.value is not None:
+            if record.value is None:
+                continue
+            if record.key == CONFIG_KEY:
                 config = self.decode_or_skip(
                     decoding.decode_configuration, record.value
                 )
                 if config is not None:
                     self.host.config.offer(config, 'store')
+            elif record.key.startswith(rolloutlog.KEY_PREFIX):
+                self._apply_order(record)
         # A read without records confirms that none was written until it ended.
         newest_ms = read_start_ms if records else self.host.clock.now()
         self.host.config.confirm(newest_ms)
+
+    def _apply_order(self, record):
+        """Apply an order to roll out a version."""
+        order = self.decode_or_skip(
+            rolloutlog.decode_order, record.key, record.offset, record.value
+        )
+        if order is None:
+            return
+        config = self.host.config.current
+        if config is not None and order.service not in config.services:
+            exc = exceptions.UnknownServiceError(
+                f'{record.key}: unknown service {order.service}'
+            )
+            logger.bind(topic=self.topic, code=exc.code).error(
+                f'order not carried out: {exc.message}'
+            )
+        self.host.rollouts.put_order(order)
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -6,6 +6,7 @@
 
 from pearrun import exceptions
 from pearrun.decisions.quota import QuotaSettings
+from pearrun.decisions.rollout import RolloutSettings
 from pearrun.ids import HostName
 from pearrun.ids import ZoneName
 
@@ -80,6 +81,7 @@
     :param lease_ms: milliseconds within which the duties must not alternate
         between two holders.
     :param heartbeat_ms: milliseconds between an endpoint's heartbeats.
+    :param rollout: limits of the roll-outs of new versions.
     """
 
     name: HostName
@@ -101,6 +103,7 @@
     config_ms: int
     lease_ms: int
     heartbeat_ms: int
+    rollout: RolloutSettings
 
 
 def load(path=None):
@@ -162,6 +165,22 @@
         config_ms=int(bounds.get('config_ms', 2000)),
         lease_ms=int(bounds.get('lease_ms', 3000)),
         heartbeat_ms=int(fields.get('beat_ms', DEFAULT_HEARTBEAT_MS)),
+        rollout=decode_rollout(bounds),
+    )
+
+
+def decode_rollout(bounds):
+    """Decode the limits of roll-outs.
+
+    :raises ValueError: the share is not a fraction.
+    """
+    defaults = RolloutSettings()
+    share = float(bounds.get('expose_share', defaults.exposed_share))
+    if not 0 <= share <= 1:
+        raise ValueError(f'expose_share is not a fraction: {share}')
+    return RolloutSettings(
+        exposed_share=share,
+        canary_share=min(defaults.canary_share, share / 4),
     )
 
 
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -43,10 +43,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class KeyedRecord:
-    """A record of a key; ``value`` is ``None`` if the key was removed."""
+    """A record of a key; ``value`` is ``None`` if the key was removed.
+
+    :param offset: its offset in the log; -1 if unknown.
+    """
 
     key: str
     value: bytes | None
+    offset: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -162,27 +166,29 @@
             items = reply.get('items') or []
             for item in items:
                 value = base64.b64decode(item['value'])
-                records.append(KeyedRecord(item['key'], value))
+                records.append(KeyedRecord(item['key'], value, item['offset']))
             if not reply.get('has_more') or not items:
                 return records, end
             query['after'] = items[-1]['key']
 
-    async def put(self, topic, key, value, timeout_ms=CALL_TIMEOUT_MS):
+    async def put(
+        self, topic, key, value, timeout_ms=CALL_TIMEOUT_MS, at=None
+    ):
         """Write one key of a keyed topic.
 
         :param value: the new value as bytes; ``None`` removes the key.
+        :param at: see :meth:`append`.
         """
-        return await self.put_all(topic, [(key, value)], timeout_ms)
+        return await self.put_all(topic, [(key, value)], timeout_ms, at)
 
-    async def put_all(self, topic, pairs, timeout_ms=CALL_TIMEOUT_MS):
+    async def put_all(self, topic, pairs, timeout_ms=CALL_TIMEOUT_MS, at=None):
         """Write several keys of a keyed topic atomically.
 
         :param pairs: keys and values; see :meth:`put`.
+        :param at: see :meth:`append`.
         """
         records = [encode_keyed(key, value) for key, value in pairs]
-        return await self.append(
-            KEYED_PREFIX + topic, records, timeout_ms=timeout_ms
-        )
+        return await self.append(KEYED_PREFIX + topic, records, at, timeout_ms)
 
     async def read_changes(self, topic, start, wait_ms):
         """Read changes of a keyed topic.
@@ -193,7 +199,11 @@
             the offset to read from next.
         """
         batch = await self.read(KEYED_PREFIX + topic, start, wait_ms)
-        return [decode_keyed(item) for item in batch.records], batch.next
+        records = [
+            decode_keyed(item, batch.first + index)
+            for index, item in enumerate(batch.records)
+        ]
+        return records, batch.next
 
     def _get_read_timeout_ms(self, wait_ms):
         """Return the timeout of a read, in milliseconds.
@@ -289,13 +299,15 @@
     return bytes([len(name)]) + name + (value or b'')
 
 
-def decode_keyed(record):
+def decode_keyed(record, offset=-1):
     """Decode a keyed record.
 
+    :param offset: its offset in the log.
+
     Invalid UTF-8 in a key is replaced: such a key matches nothing known, and
     the records after it can still be read.
     """
     size = record[0] if record else 0
     key = record[1 : 1 + size].decode('utf-8', 'replace')
     value = record[1 + size :]
-    return KeyedRecord(key, value or None)
+    return KeyedRecord(key, value or None, offset)
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -1,5 +1,7 @@
 """One attempt to send a call to one endpoint."""
 
+import asyncio
+
 from pearrun import exceptions
 from pearrun.decisions.evidence import is_call_stable
 from pearrun.relay.events import EventSplitter
@@ -9,6 +11,8 @@
 from pearrun.relay.outcomes import NotRun
 from pearrun.relay.outcomes import OutcomeUnknown
 from pearrun.relay.responsekinds import ResponseKind
+from pearrun.rollouts.answers import AnswerTimes
+from pearrun.rollouts.answers import MIN_PACE_EVENTS
 from pearrun.shared.configuration import CallKind
 from pearrun.shared.crashdetector import BrokenCall
 
@@ -45,6 +49,8 @@
         self.prompt_pending = False
         self.sent_ms = 0
         self.forwarding_since_ms = None
+        self.is_resumed = False
+        self.chunks = 0
 
     async def run(self, selected, resume):
         """Send the call.
@@ -64,15 +70,21 @@
         except exceptions.EndpointUnreachableError as exc:
             silent = isinstance(exc, exceptions.EndpointSilentError)
             self._record_failure(refused=True, silent=silent)
-            if isinstance(exc, exceptions.EndpointDownError):
+            is_down = isinstance(exc, exceptions.EndpointDownError)
+            if is_down and not self._is_retiring():
                 self.host.crashes.note_down(endpoint.id)
             return NotRun(exc.message, delivered=False)
         self.connection = connection
         head = None
         self.host.selection.begin(selected, self.call)
         self.prompt_pending = True
+        self.is_resumed = resume.last_event_id is not None
         try:
             outcome, head = await self._exchange(resume)
+            self._count_answer(outcome)
+        except asyncio.CancelledError:
+            self._count_abandoned()
+            raise
         finally:
             self._mark_prompt_read()
             self.host.selection.end(selected)
@@ -82,6 +94,40 @@
                 pool.release(connection, head)
         return outcome
 
+    def _is_retiring(self):
+        """Return whether a completing roll-out stops the endpoint."""
+        record = self.selected.endpoint.record
+        return self.host.rollouts.is_retiring(record)
+
+    def _count_answer(self, outcome):
+        """Count the answer as evidence on the endpoint's version."""
+        if isinstance(outcome, NotRun) or self._is_retiring():
+            return
+        failed = not isinstance(outcome, Answered)
+        self._note_answer(failed, self.host.clock.since(self.sent_ms))
+
+    def _count_abandoned(self):
+        """Count a call without an answer as bad if it has waited for long."""
+        if not self.sent_ms or self.forwarding_since_ms is not None:
+            return
+        waited_ms = self.host.clock.since(self.sent_ms)
+        if waited_ms >= self.call.route.latency_target_ms:
+            self._note_answer(True, waited_ms)
+
+    def _note_answer(self, failed, total_ms):
+        waited_ms = None
+        pace_ms = None
+        if self.forwarding_since_ms is not None and not self.is_resumed:
+            waited_ms = self.forwarding_since_ms - self.sent_ms
+            if self.chunks >= MIN_PACE_EVENTS:
+                pace_ms = (total_ms - waited_ms) / (self.chunks - 1)
+        times = AnswerTimes(
+            waited_ms, self.selected.expected_ms, total_ms, pace_ms
+        )
+        self.host.rollouts.note_answer(
+            self.selected.endpoint.record, self.call.route.name, failed, times
+        )
+
     async def _exchange(self, resume):
         """Send the request and receive the response.
 
@@ -196,6 +242,7 @@
                     self._record_prompt_time(resume)
                 self._mark_prompt_read()
                 self._record_first_byte()
+                self.chunks += 1
                 self._start_stream(head)
                 resume.last_event_id = splitter.last_event_id
                 forwarded = True
@@ -257,6 +304,8 @@
             # and each could cost a call that must not be retried.
             self.host.pools.close_idle(self.selected.endpoint.id)
             return
+        if self._is_retiring():
+            return
         self.trace.fingerprint = self.call.fingerprint
         now = self.host.clock.now()
         ran_ms = now - self.sent_ms
--- /dev/null
+++ b/pearrun/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of new versions of services."""
--- /dev/null
+++ b/pearrun/rollouts/orders.py
@@ -0,0 +1,92 @@
+"""Orders of the operator to roll out a version, and what became of them."""
+
+import dataclasses
+import enum
+
+from pearrun.ids import ServiceName
+from pearrun.ids import Version
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutOrder:
+    """An order to move a service's calls to a new version.
+
+    :param number: position of the order in the operator's log, which tells a
+        repeated order from a record that was read twice.
+    :param to: the new version.
+    :param duration_ms: time from the order to its deadline.
+    """
+
+    service: ServiceName
+    number: int
+    to: Version
+    duration_ms: int
+
+
+class RolloutState(enum.Enum):
+    """State of a roll-out; the last two are final."""
+
+    RUNNING = 'running'
+    DONE = 'done'
+    REVERTED = 'reverted'
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutStatus:
+    """State of a roll-out as written to the store."""
+
+    service: ServiceName
+    to: Version
+    state: RolloutState
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutNotice:
+    """What the lease holder tells the other hosts about a roll-out.
+
+    :param routes: names of the routes whose calls all go to the new version.
+    :param moved: whether all routes do, and the old endpoints may stop.
+    :param turn: selects the endpoints that get the small share.
+    :param is_suspended: whether no calls go to the new version.
+    """
+
+    service: ServiceName
+    number: int
+    to: Version
+    state: RolloutState
+    routes: frozenset[str] = frozenset()
+    moved: bool = False
+    turn: int = 0
+    is_suspended: bool = False
+
+
+def encode_notice(notice):
+    """Return the fields of a :class:`RolloutNotice`."""
+    return [
+        notice.service,
+        notice.number,
+        notice.to,
+        notice.state.value,
+        sorted(notice.routes),
+        notice.moved,
+        notice.turn,
+        notice.is_suspended,
+    ]
+
+
+def decode_notice(fields):
+    """Decode the fields of a :class:`RolloutNotice`.
+
+    :raises ValueError: a field is malformed.
+    """
+    service, number, to, state, routes, moved, turn, is_suspended = fields
+    return RolloutNotice(
+        service,
+        number,
+        to,
+        RolloutState(state),
+        frozenset(routes),
+        moved,
+        turn,
+        is_suspended,
+    )
--- /dev/null
+++ b/pearrun/rollouts/versions.py
@@ -0,0 +1,307 @@
+"""Which version of a service a call may be sent to, as known to one host.
+
+Load pattern: the endpoints of a new version appear before or after the order
+that names it, while hosts are partitioned, restart or read old records.  A
+host that does not hear from the lease holder sends nothing to the new version.
+"""
+
+import zlib
+
+from loguru import logger
+
+from pearrun.rollouts.answers import AnswerCounts
+from pearrun.rollouts.orders import RolloutOrder
+from pearrun.rollouts.orders import RolloutState
+
+# A notice of the lease holder permits calls to a new version for this long: a
+# few lost rounds of reports are bridged, and a host that is cut off stops.
+PERMIT_VALID_MS = 1500
+# If no endpoint of the version in force has been listed for this long, other
+# versions serve too.  Entries that expired during an outage of the store are
+# back within two seconds.
+MISSING_VERSION_MS = 3000
+
+
+class ServiceVersions:
+    """The versions of one service.
+
+    ``current`` is the version in force, ``None`` while unknown; ``rejected``
+    holds versions that get no calls.  ``order`` is the latest
+    :class:`RolloutOrder` or :class:`RolloutNotice`, ``state`` its
+    :class:`RolloutState`.
+    """
+
+    def __init__(self):
+        self.current = None
+        self.rejected = set()
+        self.order = None
+        self.ordered_ms = None
+        self.state = None
+        self.notice = None
+        self.permit_until_ms = 0
+        self.missing_since_ms = None
+        self.counts = AnswerCounts()
+
+    @property
+    def is_open(self):
+        """Whether a roll-out is neither done nor reverted."""
+        return self.state is RolloutState.RUNNING
+
+    def complete_order(self, order):
+        """Replace what a notice told of an order by the order itself."""
+        if isinstance(order, RolloutOrder):
+            self.order = order
+
+    def is_permitted(self, now_ms):
+        """Return whether the new version may get calls."""
+        return (
+            self.is_open
+            and self.notice is not None
+            and not self.notice.is_suspended
+            and now_ms < self.permit_until_ms
+        )
+
+
+class Rollouts:
+    """The versions of all services and the roll-outs that change them.
+
+    :param clock: the :class:`Clock`.
+    :param fleet: the :class:`Fleet`.
+    :param settings: :class:`RolloutSettings`.
+    """
+
+    def __init__(self, clock, fleet, settings):
+        self.clock = clock
+        self.fleet = fleet
+        self.settings = settings
+        self.services = {}
+        self.fencing = 0
+
+    def get(self, service):
+        """Return the :class:`ServiceVersions` of a service."""
+        known = self.services.get(service)
+        if known is None:
+            known = self.services[service] = ServiceVersions()
+        return known
+
+    def list_open(self):
+        """Return the :class:`ServiceVersions` with an open roll-out."""
+        return [known for known in self.services.values() if known.is_open]
+
+    # orders, statuses and notices
+
+    def put_order(self, order):
+        """Begin a roll-out, unless the order is known already.
+
+        :param order: :class:`RolloutOrder` or :class:`RolloutNotice`.
+        """
+        known = self.get(order.service)
+        if known.order is not None and order.number <= known.order.number:
+            if order.number == known.order.number:
+                known.complete_order(order)
+            return
+        self._find_current(order.service, known, excluded=order.to)
+        superseded = known.order if known.is_open else None
+        if superseded is not None:
+            known.rejected.add(superseded.to)
+        known.order = order
+        known.ordered_ms = self.clock.now()
+        known.notice = None
+        known.state = RolloutState.RUNNING
+        known.rejected.discard(order.to)
+        known.counts.restart()
+        logger.bind(
+            service=order.service,
+            to=order.to,
+            number=order.number,
+            current=known.current,
+            superseded=superseded.to if superseded else None,
+        ).info('roll-out ordered')
+
+    def put_status(self, status):
+        """Apply a state that the store holds from before this host's start.
+
+        :param status: :class:`RolloutStatus`.
+        """
+        known = self.get(status.service)
+        if known.order is not None and known.order.to == status.to:
+            self._close(known, status.state, 'store')
+
+    def put_notice(self, notice, fencing, created_ms):
+        """Apply a notice of the lease holder.
+
+        :param notice: :class:`RolloutNotice`.
+        :param fencing: fencing token of the holder.
+        :param created_ms: when the holder created it, in this host's time.
+        """
+        if fencing < self.fencing:
+            return
+        self.fencing = fencing
+        self.put_order(notice)
+        known = self.get(notice.service)
+        if known.order.number != notice.number:
+            return
+        self._close(known, notice.state, 'holder')
+        valid_until_ms = created_ms + PERMIT_VALID_MS
+        if known.is_open and valid_until_ms >= known.permit_until_ms:
+            known.permit_until_ms = valid_until_ms
+            known.notice = notice
+
+    def close(self, service, state):
+        """End a roll-out; called by the lease holder.
+
+        :param state: ``DONE`` or ``REVERTED``.
+        """
+        self._close(self.get(service), state, 'own decision')
+
+    def _close(self, known, state, source):
+        """Apply a final state; a roll-out that has one keeps it."""
+        if not known.is_open or state is RolloutState.RUNNING:
+            return
+        known.state = state
+        known.notice = None
+        order = known.order
+        if state is RolloutState.DONE:
+            if known.current not in (None, order.to):
+                known.rejected.add(known.current)
+            known.current = order.to
+        else:
+            known.rejected.add(order.to)
+        logger.bind(
+            service=order.service,
+            to=order.to,
+            number=order.number,
+            state=state.value,
+            source=source,
+        ).info('roll-out ended')
+
+    # endpoints
+
+    def select(self, service, endpoints, call_id, route, is_retry):
+        """Return the endpoints that a call may be sent to.
+
+        During a roll-out, a small share of the calls goes to a few endpoints
+        of the new version, and retries go to the old one.
+
+        :param endpoints: a list of :class:`Endpoint` of the service.
+        :param route: name of the call's route.
+        """
+        known = self.get(service)
+        if known.current is None:
+            excluded = known.order.to if known.order else None
+            self._find_current(service, known, excluded)
+        current = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.record.version == known.current
+        ]
+        if len(current) == len(endpoints):
+            known.missing_since_ms = None
+            return endpoints
+        if known.is_permitted(self.clock.now()):
+            new = self._select_new(known, endpoints, call_id, route, is_retry)
+            if new:
+                return new
+        if current:
+            known.missing_since_ms = None
+            return current
+        return self._select_other(service, known, endpoints)
+
+    def _select_new(self, known, endpoints, call_id, route, is_retry):
+        """Return endpoints of the new version for a call, if it gets one."""
+        notice = known.notice
+        moved = notice.moved or route in notice.routes
+        if not moved and (is_retry or not self._is_canary(known, call_id)):
+            return []
+        new = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.record.version == notice.to
+        ]
+        return new if moved else self._choose_canaries(known, new)
+
+    def _is_canary(self, known, call_id):
+        """Return whether a call belongs to the small share."""
+        key = f'{known.order.number}/{call_id}'.encode()
+        return zlib.crc32(key) < self.settings.canary_share * 2**32
+
+    def _choose_canaries(self, known, new):
+        """Return the endpoints of the new version that get the small share.
+
+        They are as few as that share needs, so that they run as full as the
+        old ones.
+        """
+        prefix = f'{known.order.number}/{known.notice.turn}/'
+        count = max(1, round(len(new) * self.settings.canary_share))
+        ranked = sorted(
+            new, key=lambda item: zlib.crc32(f'{prefix}{item.id}'.encode())
+        )
+        return ranked[:count]
+
+    def _select_other(self, service, known, endpoints):
+        """Return endpoints of other versions, if none in force is listed."""
+        listed = self.fleet.find_by_service(service)
+        if any(item.record.version == known.current for item in listed):
+            known.missing_since_ms = None
+            return []
+        now = self.clock.now()
+        if known.missing_since_ms is None:
+            known.missing_since_ms = now
+        if now - known.missing_since_ms < MISSING_VERSION_MS:
+            return []
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.record.version not in known.rejected
+        ]
+
+    def _find_current(self, service, known, excluded):
+        """Take the version of most listed endpoints as the one in force."""
+        if known.current is not None:
+            return
+        versions = [
+            endpoint.record.version
+            for endpoint in self.fleet.find_by_service(service)
+            if endpoint.record.version not in known.rejected
+            and endpoint.record.version != excluded
+        ]
+        if versions:
+            known.current = max(sorted(set(versions)), key=versions.count)
+
+    def is_in_force(self, record):
+        """Return whether an endpoint has the version in force.
+
+        :param record: the :class:`EndpointRecord`.
+        """
+        known = self.get(record.service)
+        return known.current in (None, record.version)
+
+    def is_retiring(self, record):
+        """Return whether an endpoint is stopped as its roll-out completes."""
+        known = self.get(record.service)
+        if known.is_open:
+            return (
+                known.notice is not None
+                and known.notice.moved
+                and record.version == known.current
+            )
+        return (
+            known.state is RolloutState.DONE
+            and record.version in known.rejected
+        )
+
+    # evidence
+
+    def note_answer(self, record, route, failed, times):
+        """Count an answer of an endpoint.
+
+        :param record: its :class:`EndpointRecord`.
+        :param route: name of the call's route.
+        :param failed: whether the call failed after it had been delivered.
+        :param times: :class:`AnswerTimes`.
+        """
+        known = self.get(record.service)
+        if known.is_open and record.version == known.order.to:
+            known.counts.note_new(route, record.id, failed, times)
+        elif record.version == known.current:
+            known.counts.note_current(route, failed, times)
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -45,10 +45,18 @@
         latest notice.
     :param scaler: the :class:`Scaler`, or ``None``.
     :param usage_log: the :class:`UsageLog`.
+    :param conductor: the :class:`Conductor`.
     """
 
     def __init__(
-        self, host, lease_log, duty_client, reports, scaler, usage_log
+        self,
+        host,
+        lease_log,
+        duty_client,
+        reports,
+        scaler,
+        usage_log,
+        conductor,
     ):
         self.host = host
         self.log = lease_log
@@ -58,6 +66,7 @@
         self.duty_client = duty_client
         self.reports = reports
         self.scaler = scaler
+        self.conductor = conductor
         self.started_ms = self.clock.now()
         self.delivered = set()
         self.last_read_ms = None
@@ -73,6 +82,7 @@
             tasks.create_task(self._repeat(self._save_usage, SAVE_INTERVAL_MS))
             tasks.create_task(self._repeat(self._report_usage, TICK_MS))
             tasks.create_task(self._repeat(self._scale, TICK_MS))
+            tasks.create_task(self._repeat(self._roll_out, TICK_MS))
 
     async def _repeat(self, step, pause_ms):
         """Call a step repeatedly.
@@ -211,6 +221,17 @@
         if term is not None and self.scaler is not None:
             await self.scaler.act(term)
 
+    async def _roll_out(self):
+        term = self._find_term()
+        if term is None:
+            return
+        try:
+            await self.conductor.act(term)
+        except exceptions.PearrunError as exc:
+            logger.bind(code=exc.code).info(
+                f'roll-out state not written: {exc.message}'
+            )
+
     async def _commit_usage(self, term):
         """Write the final counts of ended windows to the lease log.
 
--- a/pearrun/shared/fleet.py
+++ b/pearrun/shared/fleet.py
@@ -8,6 +8,7 @@
 from pearrun.ids import EndpointId
 from pearrun.ids import EndpointName
 from pearrun.ids import ServiceName
+from pearrun.ids import Version
 from pearrun.ids import ZoneName
 from pearrun.states import EndpointState
 
@@ -26,6 +27,7 @@
     :param leaves_ms: milliseconds until a reclaim; ``None`` if unknown.
     :param started_ms: when its process started, in Unix milliseconds; 0
         if the platform does not report it.
+    :param version: version of its software.
     """
 
     name: EndpointName
@@ -37,6 +39,7 @@
     reclaimable: bool = False
     leaves_ms: int | None = None
     started_ms: int = 0
+    version: Version = Version('')
 
     @functools.cached_property
     def id(self):
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -2,6 +2,8 @@
 
 from loguru import logger
 
+from pearrun.rollouts.evidence import EvidenceBoard
+from pearrun.rollouts.versions import Rollouts
 from pearrun.shared.activeconfig import ActiveConfig
 from pearrun.shared.clocksync import CorrectedClock
 from pearrun.shared.counters import Counters
@@ -38,6 +40,8 @@
         self.counters = Counters()
         self.config = ActiveConfig(clock)
         self.fleet = Fleet()
+        self.rollouts = Rollouts(clock, self.fleet, settings.rollout)
+        self.evidence = EvidenceBoard()
         self.crashes = CrashDetector(
             clock, self.fleet, settings.zone, settings.heartbeat_ms
         )
@@ -60,6 +64,7 @@
             self.engines,
             self.demands,
             self.feed,
+            self.rollouts,
         )
         self.quarantine = Quarantine(clock)
         self.crashes.handle_crashes = self.quarantine.handle_crashes
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from pearrun.clock import to_seconds
+from pearrun.rollouts.evidence import make_note
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
 from pearrun.shared.run import Run
@@ -32,6 +33,7 @@
 
     :param own: this host's report.
     :param usage: its counts of calls.
+    :param evidence: its counts of answers for open roll-outs.
     :param feeds: topic changes that this host has read from the store.
     :param suspects: requests that were running when endpoints crashed, if
         any have to be sent.
@@ -44,6 +46,7 @@
 
     own: bytes
     usage: bytes
+    evidence: tuple[bytes, ...] = ()
     feeds: tuple[bytes, ...] = ()
     suspects: tuple[bytes, ...] = ()
     zone: bytes | None = None
@@ -121,6 +124,7 @@
         """
         plan = self.plan
         usage = [] if current.usage is sent_usage else [current.usage]
+        usage.extend(current.evidence)
         if plan.mesh:
             return [current.own, *usage, *current.feeds, *current.suspects]
         messages = []
@@ -206,6 +210,7 @@
         )
         self.receiver.own_reports.add(own)
         usage = self._encode_usage()
+        evidence = self._encode_evidence()
         feeds = tuple(
             reports.encode(batch)
             for feed in host.feeds.values()
@@ -217,11 +222,12 @@
         suspects_due = host.quarantine.collect_updates()
         suspects = self._encode_suspects(suspects_due)
         if self.plan is None or not self.plan.is_hub:
-            return Round(reports.encode(own), usage, feeds, suspects)
+            return Round(reports.encode(own), usage, evidence, feeds, suspects)
         forwarded = [*sums, *(reports.encode(item) for item in ended)]
         return Round(
             reports.encode(own),
             usage,
+            evidence,
             feeds,
             suspects,
             reports.encode(self._sum_zone(own, zone_placed)),
@@ -251,6 +257,16 @@
             self._usage = ((usage.changes, current_window), encoded)
         return encoded
 
+    def _encode_evidence(self):
+        """Return the encoded :class:`RolloutNote` of each open roll-out."""
+        notes = [
+            make_note(self.own_run, known)
+            for known in self.host.rollouts.list_open()
+        ]
+        for note in notes:
+            self.host.evidence.put(note)
+        return tuple(reports.encode(note) for note in notes)
+
     def encode_initial(self):
         """Return the encoded messages that a new link carries first."""
         return self._encode_suspects(self.host.quarantine.take_snapshot())
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun.rollouts.evidence import RolloutNote
 from pearrun.shared import reports
 from pearrun.shared.ownreports import OwnReports
 from pearrun.shared.prompts import PromptPart
@@ -89,6 +90,8 @@
                     self.host.usage_table.put(
                         run.host, run.started_ms, counts, current_window
                     )
+                case RolloutNote():
+                    self.host.evidence.put(message)
                 case reports.TopicFeed():
                     self._apply_feed(message)
                 case reports.HostEnded(name):
@@ -209,6 +212,10 @@
         latest_ms, _ = self.duty_notices.get(notice.holder, (created_ms, None))
         if created_ms >= latest_ms:
             self.duty_notices[notice.holder] = (created_ms, notice)
+            for rollout in notice.rollouts:
+                self.host.rollouts.put_notice(
+                    rollout, notice.fencing, created_ms
+                )
 
     def _select_hub(self, run):
         """Return whether to use a hub's sums, and record it as its zone's hub.
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -16,6 +16,9 @@
 from pearrun.ids import EndpointId
 from pearrun.ids import HostName
 from pearrun.ids import ServiceName
+from pearrun.rollouts import evidence
+from pearrun.rollouts import orders
+from pearrun.rollouts.evidence import RolloutNote
 from pearrun.shared import cbor
 from pearrun.shared import suspects as suspect_codec
 from pearrun.shared.loads import Load
@@ -40,12 +43,14 @@
     :param fencing: fencing token of the lease.
     :param log_end: end offset of the lease log after its last record.
     :param age_ms: time since the holder created the notice.
+    :param rollouts: its decisions on roll-outs.
     """
 
     holder: HostName
     fencing: int
     log_end: int
     age_ms: int = 0
+    rollouts: tuple[orders.RolloutNotice, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -160,6 +165,7 @@
     HostReport
     | Coverage
     | UsageNote
+    | RolloutNote
     | TopicFeed
     | HostEnded
     | SuspectNote
@@ -241,6 +247,9 @@
             return cbor2.dumps(encode_report(message))
         case UsageNote(run, counts, window):
             return cbor2.dumps(['usage', *encode_run(run), counts, window])
+        case RolloutNote(run):
+            fields = evidence.encode_note(message)
+            return cbor2.dumps(['rollout', *encode_run(run), *fields])
         case TopicFeed(start, end, records, age_ms, topic):
             return cbor2.dumps(['feed', start, end, records, age_ms, topic])
         case HostEnded(host):
@@ -287,7 +296,26 @@
 
 def encode_notice(notice):
     """Return the fields of a :class:`DutyNotice`."""
-    return [notice.holder, notice.fencing, notice.log_end, notice.age_ms]
+    return [
+        notice.holder,
+        notice.fencing,
+        notice.log_end,
+        notice.age_ms,
+        [orders.encode_notice(item) for item in notice.rollouts],
+    ]
+
+
+def decode_notice(fields):
+    """Decode the fields of a :class:`DutyNotice`."""
+    holder, fencing, log_end, age_ms, *rest = fields
+    rollouts = rest[0] if rest else ()
+    return DutyNotice(
+        holder,
+        fencing,
+        log_end,
+        age_ms,
+        tuple(orders.decode_notice(item) for item in rollouts),
+    )
 
 
 def encode_sums(sums):
@@ -324,6 +352,8 @@
                 return decode_report(fields)
             case 'usage':
                 return UsageNote(Run(*fields[:4]), *fields[4:])
+            case 'rollout':
+                return evidence.decode_note(Run(*fields[:4]), fields[4:])
             case 'feed':
                 start, end, records, age_ms, topic = fields
                 pairs = tuple((key, value) for key, value in records)
@@ -372,7 +402,7 @@
             PromptPlacement(endpoint_id, tuple(part_ids))
             for endpoint_id, part_ids in placed
         ),
-        duty=DutyNotice(*duty) if duty else None,
+        duty=decode_notice(duty) if duty else None,
         demands={name: Demand(*item) for name, item in demands.items()},
         engines={
             name: RegressionSums(*item) for name, item in engines.items()
--- a/pearrun/shared/scaler.py
+++ b/pearrun/shared/scaler.py
@@ -36,6 +36,7 @@
         self.planned_ms = None
         self.updated_ms = None
         self.known_slots = {}
+        self.versions = {}
 
     def update_needs(self):
         """Record how many endpoints the demand needs now.
@@ -85,17 +86,36 @@
 
     def _plan(self, service, now):
         """Return the orders that should be in effect now."""
-        zones = self._count_endpoints(service.name)
+        self._note_version(service.name)
+        zones, others = self._count_endpoints(service.name)
         need = self._compute_need(service.name, now)
         orders = scaling.plan_orders(
             service.name, service.scale, zones, need, self.settings
         )
+        if self._is_rolling_out(service.name, others):
+            return scaling.limit_to_raises(orders, zones, others)
         return [
             order
             for order in orders
             if not self._is_release_delayed(order, zones, now)
         ]
 
+    def _note_version(self, service_name):
+        """Forget the orders for endpoints that a roll-out has replaced."""
+        version = self.host.rollouts.get(service_name).current
+        if self.versions.get(service_name) in (None, version):
+            self.versions[service_name] = version
+            return
+        self.versions[service_name] = version
+        for key in [key for key in self.ordered if key[0] == service_name]:
+            del self.ordered[key]
+
+    def _is_rolling_out(self, service_name, others):
+        """Return whether endpoints of two versions serve side by side."""
+        if self.host.rollouts.get(service_name).is_open:
+            return True
+        return scaling.count_serving(others) > 0
+
     def _is_release_delayed(self, order, zones, now):
         """Return whether an order would release endpoints too early."""
         key = (order.service, order.zone, order.reclaimable)
@@ -108,19 +128,26 @@
         return now - since_ms < self.settings.release_ms
 
     def _count_endpoints(self, service_name):
+        """Return the endpoints of the version in force, and of others.
+
+        :returns: two dictionaries with :class:`ZoneCount` by zone.
+        """
         zones = dict.fromkeys(self.host.settings.zones, scaling.ZoneCount())
+        others = dict(zones)
         for endpoint in self.host.fleet.endpoints.values():
             record = endpoint.record
             if record.service != service_name:
                 continue
             if record.state is not EndpointState.LIVE:
                 continue
-            known = zones.get(record.zone, scaling.ZoneCount())
-            zones[record.zone] = scaling.ZoneCount(
+            in_force = self.host.rollouts.is_in_force(record)
+            counts = zones if in_force else others
+            known = counts.get(record.zone, scaling.ZoneCount())
+            counts[record.zone] = scaling.ZoneCount(
                 known.reclaimable + record.reclaimable,
                 known.on_demand + (not record.reclaimable),
             )
-        return zones
+        return zones, others
 
     def _record_need(self, service, now):
         """Record how many endpoints the current demand needs."""
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -47,12 +47,15 @@
     :param demands: the :class:`Demands`, for the duration of answers and
         the calls of other hosts.
     :param feed: the :class:`Feed`; says whether the hosts use hubs.
+    :param rollouts: the :class:`Rollouts`, which select the version.
 
     ``notify_peers`` is called to report a large prompt to the other hosts
     immediately.
     """
 
-    def __init__(self, clock, zone, fleet, loads, engines, demands, feed):
+    def __init__(
+        self, clock, zone, fleet, loads, engines, demands, feed, rollouts
+    ):
         self.clock = clock
         self.zone = zone
         self.fleet = fleet
@@ -60,6 +63,7 @@
         self.engines = engines
         self.demands = demands
         self.feed = feed
+        self.rollouts = rollouts
         self.prefixes = PrefixIndex()
         self._placements = []
         self.zones = {}
@@ -78,6 +82,9 @@
             for endpoint in self.fleet.find_by_service(service.name)
             if endpoint.id not in tried
         ]
+        endpoints = self.rollouts.select(
+            service.name, endpoints, call.id, call.route.name, bool(tried)
+        )
         endpoints = self._filter_usable(endpoints, now)
         shared = call.prompt.parts[:-1]
         candidates = self._make_candidates(endpoints, shared, now)
