Roll-outs: the holder sets the small share by the calls there are; refused connections do not tell that a host has ended

The window in which a failure domain was partitioned with resets was committed 1.55 s after its end (off by 220 of 1,782): a refused connection was taken for an ended host. Hosts are waited for in any case now.

--- a/pearrun/decisions/rollout.py
+++ b/pearrun/decisions/rollout.py
@@ -25,11 +25,15 @@
     :param exposed_share: share of a service's calls that a bad version may
         get between the order and its deadline.
     :param budget_fraction: fraction of that share that is planned for.
-    :param canary_share: share of the calls before they move.
+    :param smallest_canary_share: smallest share of the calls that the new
+        version gets before they move.
+    :param largest_canary_share: the largest one, for services with few calls.
+    :param canary_answers: answers of the new version to aim for.
     :param completion_margin_ms: time before the deadline at which completion
         is written to the store.
     :param settle_ms: time for which all calls go to the new version before
         the old endpoints may stop.
+    :param shortest_settle_ms: that time if completion would be late.
     :param spread_ms: mean time until a host has heard of a new stage.
     :param long_call_factor: multiple of a route's mean answer time for which
         its calls move ahead of completion.
@@ -38,6 +42,8 @@
     :param base_bad_rate: rate of bad answers assumed of any version.
     :param added_bad_rate: by how much the rate of a bad version is higher at
         least.
+    :param suspicion_fraction: fraction of the threshold of evidence above
+        which the calls do not move yet.
     :param evidence_threshold: logarithm of the likelihood ratio from which a
         version is bad.  A good one passes it in less than one of e to that
         power sequences of answers.
@@ -48,14 +54,18 @@
 
     exposed_share: float = 0.1
     budget_fraction: float = 0.9
-    canary_share: float = 0.015
+    smallest_canary_share: float = 0.015
+    largest_canary_share: float = 0.03
+    canary_answers: int = 60
     completion_margin_ms: int = 350
     settle_ms: int = 900
+    shortest_settle_ms: int = 500
     spread_ms: int = 250
     long_call_factor: float = 2.5
-    min_answers: int = 10
+    min_answers: int = 8
     base_bad_rate: float = 0.02
     added_bad_rate: float = 0.2
+    suspicion_fraction: float = 0.4
     evidence_threshold: float = 11.5
     endpoint_fraction: float = 0.55
 
@@ -141,10 +151,11 @@
                 known = self.by_route.get(route, 0.0)
                 self.by_route[route] = max(0.0, known + delta)
 
-    def is_bad(self):
-        """Return whether the new version is worse than the old one."""
+    @property
+    def score(self):
+        """The strongest evidence, as a fraction of the threshold."""
         highest = max([self.total, *self.by_route.values()])
-        return highest >= self.settings.evidence_threshold
+        return highest / self.settings.evidence_threshold
 
     def list_suspects(self):
         """Return the ids of endpoints whose own evidence is exhausted."""
@@ -207,10 +218,12 @@
     """The current decision on a roll-out.
 
     :param routes: the routes whose calls all go to the new version.
+    :param share: share of the other routes' calls that go there.
     """
 
     stage: Stage
     routes: frozenset[str] = frozenset()
+    share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -219,7 +232,7 @@
 
     :param elapsed_ms: time since the order.
     :param duration_ms: time from the order to its deadline.
-    :param is_bad: whether the new version is bad.
+    :param score: evidence that the new version is bad, 1 if it is.
     :param moved_ms: how long all calls have gone to the new version;
         ``None`` if they do not yet.
     :param answer_ms: mean time of an answer by route.
@@ -227,7 +240,7 @@
 
     elapsed_ms: float
     duration_ms: float
-    is_bad: bool
+    score: float
     moved_ms: float | None
     answer_ms: dict[str, float]
 
@@ -240,21 +253,40 @@
     :param settings: :class:`RolloutSettings`.
     :returns: a :class:`Plan`.
     """
-    if progress.is_bad:
+    if progress.score >= 1:
         return Plan(Stage.REVERT)
     counts = evidence.count_by_route()
+    left_ms = progress.duration_ms - progress.elapsed_ms
     if progress.moved_ms is not None:
-        done = progress.moved_ms >= settings.settle_ms
+        is_due = left_ms <= settings.completion_margin_ms
+        settle_ms = (
+            settings.shortest_settle_ms if is_due else settings.settle_ms
+        )
+        done = progress.moved_ms >= settle_ms
         stage = Stage.COMPLETE if done else Stage.MOVE
         return Plan(stage, frozenset(counts))
-    if evidence.count_new() < settings.min_answers:
-        return Plan(Stage.CANARY)
-    left_ms = progress.duration_ms - progress.elapsed_ms
+    share = compute_canary_share(progress, evidence, settings)
+    is_suspect = progress.score >= settings.suspicion_fraction
+    if is_suspect or evidence.count_new() < settings.min_answers:
+        return Plan(Stage.CANARY, share=share)
     leads = compute_leads(progress, evidence, settings)
     routes = frozenset(r for r, lead_ms in leads.items() if left_ms <= lead_ms)
     if routes == frozenset(counts):
         return Plan(Stage.MOVE, routes)
-    return Plan(Stage.CANARY, routes)
+    return Plan(Stage.CANARY, routes, share)
+
+
+def compute_canary_share(progress, evidence, settings):
+    """Return the share of the calls that give the answers aimed for."""
+    answers = sum(evidence.count_by_route().values())
+    if not answers:
+        return settings.smallest_canary_share
+    expected = answers * progress.duration_ms / max(1.0, progress.elapsed_ms)
+    share = round(settings.canary_answers / expected, 3)
+    return max(
+        settings.smallest_canary_share,
+        min(settings.largest_canary_share, share),
+    )
 
 
 def compute_leads(progress, evidence, settings):
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -180,7 +180,8 @@
         raise ValueError(f'expose_share is not a fraction: {share}')
     return RolloutSettings(
         exposed_share=share,
-        canary_share=min(defaults.canary_share, share / 4),
+        smallest_canary_share=min(defaults.smallest_canary_share, share / 4),
+        largest_canary_share=min(defaults.largest_canary_share, share / 3),
     )
 
 
--- a/pearrun/rollouts/conductor.py
+++ b/pearrun/rollouts/conductor.py
@@ -63,7 +63,7 @@
             self.plan.routes,
             stage in (Stage.MOVE, Stage.COMPLETE),
             self.turn,
-            stage is Stage.REVERT,
+            self.plan.share,
         )
 
 
@@ -151,14 +151,21 @@
         progress = rollout.Progress(
             elapsed_ms=now - known.ordered_ms,
             duration_ms=order.duration_ms,
-            is_bad=conduct.test.is_bad(),
+            score=conduct.test.score,
             moved_ms=None if moved_since_ms is None else now - moved_since_ms,
             answer_ms=board.get_answer_ms(order.service, order.number),
         )
         plan = rollout.decide(progress, evidence, self.settings)
         if plan == conduct.plan:
             return
+        is_same_stage = (plan.stage, plan.routes) == (
+            conduct.plan.stage,
+            conduct.plan.routes,
+        )
         conduct.plan = plan
+        if is_same_stage:
+            # A slightly different share goes out with the next round.
+            return
         if plan.stage is Stage.MOVE and moved_since_ms is None:
             conduct.moved_since_ms = now
         logger.bind(
@@ -168,7 +175,7 @@
             routes=sorted(plan.routes),
             elapsed_ms=progress.elapsed_ms,
             duration_ms=order.duration_ms,
-            score=round(conduct.test.total, 1),
+            score=round(conduct.test.score, 2),
             scores={
                 route: round(score, 1)
                 for route, score in conduct.test.by_route.items()
--- a/pearrun/rollouts/orders.py
+++ b/pearrun/rollouts/orders.py
@@ -47,7 +47,7 @@
     :param routes: names of the routes whose calls all go to the new version.
     :param moved: whether all routes do, and the old endpoints may stop.
     :param turn: selects the endpoints that get the small share.
-    :param is_suspended: whether no calls go to the new version.
+    :param share: share of the other routes' calls that go to the new version.
     """
 
     service: ServiceName
@@ -57,7 +57,7 @@
     routes: frozenset[str] = frozenset()
     moved: bool = False
     turn: int = 0
-    is_suspended: bool = False
+    share: float = 0.0
 
 
 def encode_notice(notice):
@@ -70,7 +70,7 @@
         sorted(notice.routes),
         notice.moved,
         notice.turn,
-        notice.is_suspended,
+        notice.share,
     ]
 
 
@@ -79,7 +79,7 @@
 
     :raises ValueError: a field is malformed.
     """
-    service, number, to, state, routes, moved, turn, is_suspended = fields
+    service, number, to, state, routes, moved, turn, share = fields
     return RolloutNotice(
         service,
         number,
@@ -88,5 +88,5 @@
         frozenset(routes),
         moved,
         turn,
-        is_suspended,
+        share,
     )
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -57,7 +57,6 @@
         return (
             self.is_open
             and self.notice is not None
-            and not self.notice.is_suspended
             and now_ms < self.permit_until_ms
         )
 
@@ -67,13 +66,11 @@
 
     :param clock: the :class:`Clock`.
     :param fleet: the :class:`Fleet`.
-    :param settings: :class:`RolloutSettings`.
     """
 
-    def __init__(self, clock, fleet, settings):
+    def __init__(self, clock, fleet):
         self.clock = clock
         self.fleet = fleet
-        self.settings = settings
         self.services = {}
         self.fencing = 0
 
@@ -223,7 +220,7 @@
     def _is_canary(self, known, call_id):
         """Return whether a call belongs to the small share."""
         key = f'{known.order.number}/{call_id}'.encode()
-        return zlib.crc32(key) < self.settings.canary_share * 2**32
+        return zlib.crc32(key) < known.notice.share * 2**32
 
     def _choose_canaries(self, known, new):
         """Return the endpoints of the new version that get the small share.
@@ -232,7 +229,7 @@
         old ones.
         """
         prefix = f'{known.order.number}/{known.notice.turn}/'
-        count = max(1, round(len(new) * self.settings.canary_share))
+        count = max(1, round(len(new) * known.notice.share))
         ranked = sorted(
             new, key=lambda item: zlib.crc32(f'{prefix}{item.id}'.encode())
         )
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -273,8 +273,11 @@
     def _list_missing(self, window):
         """Return the hosts whose counts in a window are still expected.
 
-        :returns: names of hosts.  Hosts whose process has ended and hosts
-            that have been silent for long are left out.
+        A refused connection does not tell that a host has ended: those to a
+        partitioned failure domain may be refused too.
+
+        :returns: names of hosts, without those that have been silent for
+            long.
         """
         members = self.host.members
         table = self.host.usage_table
@@ -283,17 +286,10 @@
             run = (member.name, member.started_ms)
             if table.has_complete(run, window):
                 continue
-            has_ended = (
-                run in table.current_windows
-                and member.name not in members.reporting
-            )
             heard_ms = max(
                 members.last_seen_ms[member.name], self.term_since_ms
             )
-            silent = (
-                self.clock.since(heard_ms) > self.window_settings.silent_ms
-            )
-            if not has_ended and not silent:
+            if self.clock.since(heard_ms) <= self.window_settings.silent_ms:
                 missing.append(member.name)
         return missing
 
--- a/tests/test_usage_saving.py
+++ b/tests/test_usage_saving.py
@@ -10,7 +10,6 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
-
 import pytest
 
 from pearrun import exceptions
