--- a/pearrun/decisions/rollout.py
+++ b/pearrun/decisions/rollout.py
@@ -29,8 +29,14 @@
         version gets before they move.
     :param largest_canary_share: the largest one, for services with few calls.
     :param canary_answers: answers of the new version to aim for.
+    :param trial_endpoints: endpoints of the new version that are tried under
+        load before the calls move.
+    :param trial_load: their load, as a multiple of an endpoint's usual one.
+    :param trial_ms: duration of the trial.
+    :param trial_share: share of all calls until the deadline that the trial
+        may take.
     :param completion_margin_ms: time before the deadline at which completion
-        is written to the store.
+        is written to the store; the operator reads it with a delay.
     :param settle_ms: time for which all calls go to the new version before
         the old endpoints may stop.
     :param shortest_settle_ms: that time if completion would be late.
@@ -53,12 +59,16 @@
     """
 
     exposed_share: float = 0.1
-    budget_fraction: float = 0.9
+    budget_fraction: float = 0.95
     smallest_canary_share: float = 0.015
     largest_canary_share: float = 0.03
     canary_answers: int = 60
-    completion_margin_ms: int = 350
-    settle_ms: int = 900
+    trial_endpoints: int = 2
+    trial_load: float = 1.5
+    trial_ms: int = 2200
+    trial_share: float = 0.025
+    completion_margin_ms: int = 600
+    settle_ms: int = 650
     shortest_settle_ms: int = 500
     spread_ms: int = 250
     long_call_factor: float = 2.5
@@ -67,7 +77,7 @@
     added_bad_rate: float = 0.2
     suspicion_fraction: float = 0.4
     evidence_threshold: float = 11.5
-    endpoint_fraction: float = 0.55
+    endpoint_fraction: float = 0.6
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,7 +146,7 @@
         gains = {}
         for key, tally in evidence.new.items():
             added = tally - self._seen.get(key, Tally())
-            if not added.answers:
+            if added.answers <= 0:
                 continue
             self._seen[key] = tally
             route, endpoint = key
@@ -174,10 +184,11 @@
             if not added.answers:
                 continue
             self._old_seen[route] = tally
-            weight = min(0.5, added.answers / 50)
+            # Trouble that begins now counts at once, and fades slowly.
+            weight = min(1.0, added.answers / 20)
+            rate = weight * added.bad / added.answers
             recent = self._old_rates.get(route, 0.0)
-            recent += weight * (added.bad / added.answers - recent)
-            self._old_rates[route] = recent
+            self._old_rates[route] = max(rate, recent * (1 - 0.15 * weight))
 
     def _get_base_rate(self, route):
         tally = self._old_seen.get(route, Tally())
@@ -226,6 +237,17 @@
     share: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Trial:
+    """A trial of a few endpoints under load.
+
+    :param share: share of the calls that it takes.
+    """
+
+    share: float
+    duration_ms: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Progress:
     """What is known about a roll-out at a moment.
@@ -236,6 +258,7 @@
     :param moved_ms: how long all calls have gone to the new version;
         ``None`` if they do not yet.
     :param answer_ms: mean time of an answer by route.
+    :param endpoints: number of endpoints of the new version.
     """
 
     elapsed_ms: float
@@ -243,6 +266,7 @@
     score: float
     moved_ms: float | None
     answer_ms: dict[str, float]
+    endpoints: int
 
 
 def decide(progress, evidence, settings):
@@ -257,25 +281,44 @@
         return Plan(Stage.REVERT)
     counts = evidence.count_by_route()
     left_ms = progress.duration_ms - progress.elapsed_ms
+    is_suspect = progress.score >= settings.suspicion_fraction
     if progress.moved_ms is not None:
         is_due = left_ms <= settings.completion_margin_ms
         settle_ms = (
             settings.shortest_settle_ms if is_due else settings.settle_ms
         )
-        done = progress.moved_ms >= settle_ms
+        done = progress.moved_ms >= settle_ms and not is_suspect
         stage = Stage.COMPLETE if done else Stage.MOVE
         return Plan(stage, frozenset(counts))
     share = compute_canary_share(progress, evidence, settings)
-    is_suspect = progress.score >= settings.suspicion_fraction
     if is_suspect or evidence.count_new() < settings.min_answers:
         return Plan(Stage.CANARY, share=share)
     leads = compute_leads(progress, evidence, settings)
     routes = frozenset(r for r, lead_ms in leads.items() if left_ms <= lead_ms)
     if routes == frozenset(counts):
         return Plan(Stage.MOVE, routes)
+    trial = plan_trial(progress, settings)
+    if left_ms <= min(leads.values()) + trial.duration_ms:
+        share = max(share, trial.share)
     return Plan(Stage.CANARY, routes, share)
 
 
+def plan_trial(progress, settings):
+    """Return the :class:`Trial` that precedes the move of the calls."""
+    load = settings.trial_endpoints * settings.trial_load
+    share = min(0.5, load / max(1, progress.endpoints))
+    most_ms = settings.trial_share * progress.duration_ms / share
+    return Trial(round(share, 3), min(settings.trial_ms, most_ms))
+
+
+def count_canaries(endpoints, share, settings):
+    """Return how many endpoints of the new version get a share of the calls.
+
+    They are few, so that they run at least as full as the old ones.
+    """
+    return max(1, int(endpoints * share / settings.trial_load + 0.01))
+
+
 def compute_canary_share(progress, evidence, settings):
     """Return the share of the calls that give the answers aimed for."""
     answers = sum(evidence.count_by_route().values())
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -87,6 +87,7 @@
             raise
         finally:
             self._mark_prompt_read()
+            self.host.rollouts.note_first_byte(self.call, endpoint.record)
             self.host.selection.end(selected)
             if head is None:
                 pool.discard(connection)
@@ -147,6 +148,7 @@
             return NotRun(exc.message, delivered=False), None
         self.sent_ms = self.host.clock.now()
         self.trace.record_written()
+        self.host.rollouts.note_sent(self.call, self.selected)
         try:
             head, kind = await self._read_matching_head()
         except exceptions.BackendError as exc:
@@ -287,6 +289,9 @@
         now = self.host.clock.now()
         if self.forwarding_since_ms is None:
             self.forwarding_since_ms = now
+            self.host.rollouts.note_first_byte(
+                self.call, self.selected.endpoint.record
+            )
         self.trace.record_first_byte(now)
 
     def _record_success(self):
--- a/pearrun/rollouts/answers.py
+++ b/pearrun/rollouts/answers.py
@@ -76,10 +76,30 @@
     def __init__(self):
         self.tallies = collections.defaultdict(Tally)
         self.times = collections.defaultdict(RouteTimes)
+        self.waiting = {}
 
     def restart(self):
         """Start counting for a new order."""
         self.tallies.clear()
+        self.waiting.clear()
+
+    def note_sent(self, call_id, route, endpoint_id, expected_ms, now_ms):
+        """Record a call to the new version, which waits for its answer."""
+        self.waiting[call_id] = (route, endpoint_id, expected_ms, now_ms)
+
+    def sum_with_overdue(self, now_ms):
+        """Return the tallies, with calls that wait too long as bad ones.
+
+        :returns: :class:`Tally` by route and endpoint id.
+        """
+        tallies = dict(self.tallies)
+        for route, endpoint_id, expected_ms, sent_ms in self.waiting.values():
+            waited_ms = now_ms - sent_ms
+            times = AnswerTimes(waited_ms, expected_ms, waited_ms)
+            if self.times[route].is_slow(times):
+                key = (route, endpoint_id)
+                tallies[key] = tallies.get(key, Tally()) + Tally(1, 1)
+        return tallies
 
     def note_current(self, route, failed, times):
         """Record an answer of the version in force.
--- a/pearrun/rollouts/conductor.py
+++ b/pearrun/rollouts/conductor.py
@@ -154,16 +154,18 @@
             score=conduct.test.score,
             moved_ms=None if moved_since_ms is None else now - moved_since_ms,
             answer_ms=board.get_answer_ms(order.service, order.number),
+            endpoints=self.rollouts.count_endpoints(order.service, order.to),
         )
         plan = rollout.decide(progress, evidence, self.settings)
         if plan == conduct.plan:
             return
+        previous = conduct.plan
+        conduct.plan = plan
         is_same_stage = (plan.stage, plan.routes) == (
-            conduct.plan.stage,
-            conduct.plan.routes,
+            previous.stage,
+            previous.routes,
         )
-        conduct.plan = plan
-        if is_same_stage:
+        if is_same_stage and plan.share < 2 * previous.share:
             # A slightly different share goes out with the next round.
             return
         if plan.stage is Stage.MOVE and moved_since_ms is None:
@@ -173,6 +175,7 @@
             to=order.to,
             stage=plan.stage.value,
             routes=sorted(plan.routes),
+            share=plan.share,
             elapsed_ms=progress.elapsed_ms,
             duration_ms=order.duration_ms,
             score=round(conduct.test.score, 2),
--- a/pearrun/rollouts/evidence.py
+++ b/pearrun/rollouts/evidence.py
@@ -26,16 +26,17 @@
     answer_ms: dict[str, float]
 
 
-def make_note(run, known):
+def make_note(run, known, now_ms):
     """Return the :class:`RolloutNote` of a host.
 
     :param known: :class:`ServiceVersions` with an open roll-out.
+    :param now_ms: the current time.
     """
     return RolloutNote(
         run,
         known.order.service,
         known.order.number,
-        dict(known.counts.tallies),
+        known.counts.sum_with_overdue(now_ms),
         {
             route: round(times.total_ms)
             for route, times in known.counts.times.items()
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from pearrun.decisions import rollout
 from pearrun.rollouts.answers import AnswerCounts
 from pearrun.rollouts.orders import RolloutOrder
 from pearrun.rollouts.orders import RolloutState
@@ -66,11 +67,13 @@
 
     :param clock: the :class:`Clock`.
     :param fleet: the :class:`Fleet`.
+    :param settings: :class:`RolloutSettings`.
     """
 
-    def __init__(self, clock, fleet):
+    def __init__(self, clock, fleet, settings):
         self.clock = clock
         self.fleet = fleet
+        self.settings = settings
         self.services = {}
         self.fencing = 0
 
@@ -223,13 +226,11 @@
         return zlib.crc32(key) < known.notice.share * 2**32
 
     def _choose_canaries(self, known, new):
-        """Return the endpoints of the new version that get the small share.
-
-        They are as few as that share needs, so that they run as full as the
-        old ones.
-        """
+        """Return the endpoints of the new version that get the small share."""
         prefix = f'{known.order.number}/{known.notice.turn}/'
-        count = max(1, round(len(new) * known.notice.share))
+        count = rollout.count_canaries(
+            len(new), known.notice.share, self.settings
+        )
         ranked = sorted(
             new, key=lambda item: zlib.crc32(f'{prefix}{item.id}'.encode())
         )
@@ -273,6 +274,13 @@
         known = self.get(record.service)
         return known.current in (None, record.version)
 
+    def count_endpoints(self, service, version):
+        """Return how many endpoints of a version accept calls."""
+        return sum(
+            endpoint.record.version == version
+            for endpoint in self.fleet.find_by_service(service)
+        )
+
     def is_retiring(self, record):
         """Return whether an endpoint is stopped as its roll-out completes."""
         known = self.get(record.service)
@@ -289,6 +297,26 @@
 
     # evidence
 
+    def note_sent(self, call, selected):
+        """Record that a call was sent to an endpoint.
+
+        :param selected: the :class:`Selected` endpoint.
+        """
+        record = selected.endpoint.record
+        known = self.get(record.service)
+        if known.is_open and record.version == known.order.to:
+            known.counts.note_sent(
+                call.id,
+                call.route.name,
+                record.id,
+                selected.expected_ms,
+                self.clock.now(),
+            )
+
+    def note_first_byte(self, call, record):
+        """Record that a call does not wait for its answer any more."""
+        self.get(record.service).counts.waiting.pop(call.id, None)
+
     def note_answer(self, record, route, failed, times):
         """Count an answer of an endpoint.
 
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -40,7 +40,7 @@
         self.counters = Counters()
         self.config = ActiveConfig(clock)
         self.fleet = Fleet()
-        self.rollouts = Rollouts(clock, self.fleet)
+        self.rollouts = Rollouts(clock, self.fleet, settings.rollout)
         self.evidence = EvidenceBoard()
         self.crashes = CrashDetector(
             clock, self.fleet, settings.zone, settings.heartbeat_ms
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -260,7 +260,7 @@
     def _encode_evidence(self):
         """Return the encoded :class:`RolloutNote` of each open roll-out."""
         notes = [
-            make_note(self.own_run, known)
+            make_note(self.own_run, known, self.host.clock.now())
             for known in self.host.rollouts.list_open()
         ]
         for note in notes:
