Roll-outs: tests of decisions, state and hosts, and a simulation

Found by the state machine: an order for the version in force that was superseded or reverted rejected that version, and its service got no calls.

--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -16,6 +16,7 @@
 from pearrun.decisions import rollout
 from pearrun.decisions.rollout import Stage
 from pearrun.decisions.rollout import Tally
+from pearrun.rollouts.answers import SLOW_FACTOR
 
 FLAGS = flags.FLAGS
 
@@ -60,14 +61,12 @@
     report_ms: int
 
 
+ANSWER_MS = {'long': 1300, 'short': 150}
+# By number of hosts.
 SITES = {
-    9: Site(9, {'long': 12, 'short': 45}, {'long': 1300, 'short': 150}, 250),
-    84: Site(
-        72, {'long': 41, 'short': 262}, {'long': 1300, 'short': 150}, 400
-    ),
-    300: Site(
-        90, {'long': 150, 'short': 900}, {'long': 1300, 'short': 150}, 600
-    ),
+    9: Site(9, {'long': 12, 'short': 45}, ANSWER_MS, 250),
+    84: Site(72, {'long': 41, 'short': 262}, ANSWER_MS, 400),
+    300: Site(90, {'long': 150, 'short': 900}, ANSWER_MS, 600),
 }
 
 
@@ -108,6 +107,7 @@
         self.duration_ms = rng.choice([12_000, 14_000, 16_000])
         self.bad_rate = rng.uniform(0.25, 1.0)
         self.bad_from_ms = rng.uniform(0.2, 0.9) * self.duration_ms
+        self.is_slow = rng.random() < 0.5
         self.bad_route = rng.choice(list(site.rates))
         self.trouble = [
             rng.uniform(0, self.duration_ms - 3000) for _ in range(2)
@@ -202,7 +202,9 @@
         if is_new and len(self.bad_answers_ms) >= REVERT_ANSWERS:
             last_ms = self.bad_answers_ms[REVERT_ANSWERS - 1] + REVERT_MS
             self.result.late_calls += now > last_ms
-        answered_ms = now + self.rng.uniform(0.3, 1) * 250 * (4 if bad else 1)
+        # A slow answer counts as bad before it has come.
+        factor = SLOW_FACTOR if bad and self.is_slow else 1
+        answered_ms = now + self.rng.uniform(0.3, 1) * 250 * factor
         if bad and is_new:
             self.bad_answers_ms.append(answered_ms)
         known_ms = answered_ms + self.rng.uniform(0, self.site.report_ms)
@@ -286,7 +288,7 @@
 def main(argv):
     """Print the results of all versions and sizes."""
     del argv
-    policies = {'held': None}
+    policies = {'held': None, 'ramp': ramp}
     print('policy hosts version: done, reverted, over the exposure, exposed/')
     print('allowed (median, worst), time to revert (median, worst, ms)')
     for name, policy in policies.items():
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -53,6 +53,11 @@
         if isinstance(order, RolloutOrder):
             self.order = order
 
+    def reject(self, version):
+        """Give a version no calls, unless it is the one in force."""
+        if version != self.current:
+            self.rejected.add(version)
+
     def is_permitted(self, now_ms):
         """Return whether the new version may get calls."""
         return (
@@ -103,7 +108,7 @@
         self._find_current(order.service, known, excluded=order.to)
         superseded = known.order if known.is_open else None
         if superseded is not None:
-            known.rejected.add(superseded.to)
+            known.reject(superseded.to)
         known.order = order
         known.ordered_ms = self.clock.now()
         known.notice = None
@@ -166,7 +171,7 @@
                 known.rejected.add(known.current)
             known.current = order.to
         else:
-            known.rejected.add(order.to)
+            known.reject(order.to)
         logger.bind(
             service=order.service,
             to=order.to,
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -73,9 +73,11 @@
 
     :param runner_id: its id, which differs at every start.
     :param slots: the number of slots that its entry gives.
+    :param version: the version of its software.
     """
 
-    def __init__(self, runner_id, service, zone, slots=8):
+    def __init__(self, runner_id, service, zone, slots=8, version='v1'):
+        self.version = version
         self.id = runner_id
         self.service = service
         self.zone = zone
@@ -117,7 +119,7 @@
             'service': self.service,
             'addr': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'cold_left_ms': 0,
--- a/pearrun/standins/platformsite.py
+++ b/pearrun/standins/platformsite.py
@@ -147,12 +147,14 @@
         await self.store.listen(self.store_address)
         await self.api.listen(self.api_address)
 
-    async def add_runner(self, name, service, address, zone='zone-a'):
+    async def add_runner(
+        self, name, service, address, zone='zone-a', version='v1'
+    ):
         """Start an endpoint and write its entry to the store.
 
         :returns: the :class:`PlatformRunner`.
         """
-        runner = PlatformRunner(name, service, zone)
+        runner = PlatformRunner(name, service, zone, version=version)
         await runner.listen(address)
         self.runners[name] = runner
         self.publish_runner(runner)
@@ -179,6 +181,22 @@
         """Write a configuration to the store."""
         self.store.put('op', 'config', config)
 
+    def order_rollout(self, service, version, duration_s):
+        """Write an operator's order to roll out a version to the store."""
+        order = {'service': service, 'to': version, 'duration_s': duration_s}
+        self.store.put('op', f'rollout/{service}', order)
+
+    def get_rollout_states(self, service):
+        """Return the states of a service's roll-outs in the store, in order.
+
+        :returns: a list of pairs of a version and a state.
+        """
+        return [
+            (status['to'], status['state'])
+            for key, status in self.store.list_values('status')
+            if key == f'rollout/{service}'
+        ]
+
     async def stop(self):
         """Stop the store, the API and the endpoints."""
         servers = [self.store.server, self.api.server]
--- a/pearrun/standins/platformstore.py
+++ b/pearrun/standins/platformstore.py
@@ -118,6 +118,18 @@
         record = bytes([len(name)]) + name + data
         self.get_topic(f'keyed.{topic}').append([record], True)
 
+    def list_values(self, topic):
+        """Return the kept records of a keyed topic with JSON values.
+
+        :returns: a list of pairs of a key and a value.
+        """
+        pairs = []
+        for record in self.get_topic(f'keyed.{topic}').records:
+            size = record[0]
+            value = json.loads(record[1 + size :] or b'null')
+            pairs.append((record[1 : 1 + size].decode(), value))
+        return pairs
+
     def delete_history(self, name):
         """Delete a topic's records, but not the newest value of each key."""
         topic = self.get_topic(name)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,6 +11,7 @@
 from pearrun.api.logservice import LogClient
 from pearrun.api.logservice import Record
 from pearrun.api.structures import Endpoint
+from pearrun.clock import Clock
 from pearrun.ids import Offset
 from pearrun.states import BackendKind
 
@@ -256,3 +257,18 @@
         return found, Offset(start + len(found))
 
     read_all = LogClient.read_all
+
+
+class ManualClock(Clock):
+    """A clock that advances only when told to."""
+
+    def __init__(self):
+        self.__dict__['time_ms'] = 1000
+
+    def now(self):
+        """See :class:`Clock`."""
+        return self.time_ms
+
+    def advance(self, ms):
+        """Advance the time."""
+        self.__dict__['time_ms'] += ms
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -62,10 +62,12 @@
             'peer': find_free_port(),
         }
 
-    async def add_runner(self, name, service, address=None, zone='zone-a'):
+    async def add_runner(
+        self, name, service, address=None, zone='zone-a', version='v1'
+    ):
         """Start an endpoint on a free port."""
         address = address or f'127.0.0.1:{find_free_port()}'
-        return await super().add_runner(name, service, address, zone)
+        return await super().add_runner(name, service, address, zone, version)
 
     async def add_host(self, number=1, zone='zone-a', **bounds):
         """Start an entry host on its own loopback address.
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,551 @@
+"""Roll-outs of new versions: decisions, state and hosts against stand-ins."""
+
+import asyncio
+import random
+
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+import pytest
+
+from benchmarks import rollout as simulation
+from pearrun import exceptions
+from pearrun.decisions import rollout
+from pearrun.decisions import scaling
+from pearrun.decisions.rollout import Evidence
+from pearrun.decisions.rollout import Stage
+from pearrun.decisions.rollout import Tally
+from pearrun.platform import rolloutlog
+from pearrun.rollouts import evidence as evidence_module
+from pearrun.rollouts import orders
+from pearrun.rollouts.answers import AnswerCounts
+from pearrun.rollouts.answers import AnswerTimes
+from pearrun.rollouts.orders import RolloutNotice
+from pearrun.rollouts.orders import RolloutOrder
+from pearrun.rollouts.orders import RolloutState
+from pearrun.rollouts.orders import RolloutStatus
+from pearrun.rollouts.versions import MISSING_VERSION_MS
+from pearrun.rollouts.versions import PERMIT_VALID_MS
+from pearrun.rollouts.versions import Rollouts
+from pearrun.shared.fleet import EndpointRecord
+from pearrun.shared.fleet import Fleet
+from pearrun.shared.run import Run
+from pearrun.standins.platformsite import make_config
+from pearrun.states import EndpointState
+from tests.builders import ManualClock
+from tests.platformsite import call
+from tests.platformsite import run_site
+from tests.platformsite import wait_until
+from tests.test_platform_duties import find_holders
+
+SETTINGS = rollout.RolloutSettings()
+ROUTES = ('long', 'short')
+
+
+def make_progress(elapsed_ms, **fields):
+    """Return the :class:`Progress` of a roll-out of 14 s."""
+    return rollout.Progress(
+        **{
+            'elapsed_ms': elapsed_ms,
+            'duration_ms': 14_000,
+            'score': 0.0,
+            'moved_ms': None,
+            'answer_ms': {'long': 1300, 'short': 150},
+            'endpoints': 72,
+            **fields,
+        }
+    )
+
+
+def make_evidence(elapsed_ms, new=40):
+    """Return the :class:`Evidence` of 41 long and 262 short calls a second."""
+    seconds = elapsed_ms / 1000
+    return Evidence(
+        {
+            'long': Tally(round(41 * seconds), 0),
+            'short': Tally(round(262 * seconds), 0),
+        },
+        {('short', 'n1'): Tally(new, 0)},
+    )
+
+
+def decide(elapsed_ms, new=40, **fields):
+    """Return the :class:`Plan` at a time."""
+    return rollout.decide(
+        make_progress(elapsed_ms, **fields),
+        make_evidence(elapsed_ms, new),
+        SETTINGS,
+    )
+
+
+def test_new_version_gets_a_small_share_until_shortly_before_the_deadline():
+    for elapsed_ms in range(100, 10_000, 100):
+        plan = decide(elapsed_ms)
+        assert plan.stage is Stage.CANARY
+        assert not plan.routes
+        assert plan.share <= SETTINGS.largest_canary_share
+
+
+def test_calls_with_long_answers_move_before_the_others():
+    moved_at_ms = {}
+    for elapsed_ms in range(10_000, 14_000, 50):
+        for route in decide(elapsed_ms).routes:
+            moved_at_ms.setdefault(route, elapsed_ms)
+    assert moved_at_ms['long'] < moved_at_ms['short'] < 13_000
+
+
+def test_completion_leaves_time_for_the_operator_to_read_it():
+    plan = decide(13_390, moved_ms=640)
+    assert plan.stage is Stage.MOVE
+    plan = decide(13_400, moved_ms=500)
+    assert plan.stage is Stage.COMPLETE
+
+
+def test_calls_do_not_move_without_answers_or_under_suspicion():
+    assert decide(13_900, new=3).stage is Stage.CANARY
+    assert decide(13_900, score=0.5).stage is Stage.CANARY
+    assert decide(13_900, score=0.5, moved_ms=2_000).stage is Stage.MOVE
+    assert decide(13_900, score=1.0, moved_ms=2_000).stage is Stage.REVERT
+
+
+def test_moved_calls_stay_within_the_exposed_share():
+    # A deadline so near that the calls would exceed the share.
+    progress = make_progress(4_000, duration_ms=5_000)
+    evidence = make_evidence(4_000)
+    leads = rollout.compute_leads(progress, evidence, SETTINGS)
+    exposed = evidence.count_new() + sum(
+        rate * max(0, leads[route] - SETTINGS.spread_ms) / 1000
+        for route, rate in (('long', 41), ('short', 262))
+    )
+    assert exposed <= SETTINGS.exposed_share * 303 * 5
+
+
+def test_one_failing_endpoint_is_not_taken_for_a_bad_version():
+    test = rollout.BadVersionTest(SETTINGS)
+    old = {'short': Tally(1000, 20)}
+    test.update(Evidence(old, {('short', 'n1'): Tally(50, 50)}))
+    assert test.score < 1
+    assert test.list_suspects() == {'n1'}
+    test.update(Evidence(old, {('short', 'n2'): Tally(50, 50)}))
+    assert test.score >= 1
+
+
+def test_failures_that_the_old_version_shares_are_no_evidence():
+    test = rollout.BadVersionTest(SETTINGS)
+    rng = random.Random(1)
+    old = Tally()
+    new = {}
+    for _ in range(100):
+        old += Tally(20, sum(rng.random() < 0.3 for _ in range(20)))
+        for number in range(3):
+            key = ('short', f'n{number}')
+            bad = int(rng.random() < 0.3)
+            new[key] = new.get(key, Tally()) + Tally(1, bad)
+        test.update(Evidence({'short': old}, dict(new)))
+    assert test.score < 1
+
+
+def test_version_that_turns_bad_after_many_good_answers_is_found():
+    test = rollout.BadVersionTest(SETTINGS)
+    old = {'short': Tally(1000, 20)}
+    good = {('short', f'n{n}'): Tally(500, 5) for n in range(4)}
+    test.update(Evidence(old, good))
+    assert test.score < 1
+    bad = {key: tally + Tally(6, 5) for key, tally in good.items()}
+    test.update(Evidence(old, bad))
+    assert test.score >= 1
+
+
+def test_overdue_calls_count_as_bad_before_they_are_answered():
+    counts = AnswerCounts()
+    for _ in range(20):
+        counts.note_current('short', False, AnswerTimes(80, 80, 100))
+    counts.note_sent('c1', 'short', 'n1', 80, 1_000)
+    assert ('short', 'n1') not in counts.sum_with_overdue(1_150)
+    assert counts.sum_with_overdue(1_300)['short', 'n1'] == Tally(1, 1)
+
+
+@pytest.mark.parametrize('hosts', [9, 84, 300])
+def test_good_versions_complete_in_time_within_the_exposed_share(hosts):
+    results = simulation.simulate(
+        simulation.Version.GOOD, simulation.SITES[hosts], 20, seed=7
+    )
+    for result in results:
+        assert result.reverted_ms is None
+        assert result.done_ms is not None
+        assert result.exposed <= result.allowed
+
+
+@pytest.mark.parametrize('hosts', [9, 84, 300])
+def test_versions_bad_from_the_start_stay_within_the_exposed_share(hosts):
+    results = simulation.simulate(
+        simulation.Version.BAD, simulation.SITES[hosts], 20, seed=7
+    )
+    assert not simulation.count_over_exposed(results)
+
+
+def make_endpoint(name, version='v1'):
+    """Return the :class:`EndpointRecord` of a live endpoint."""
+    return EndpointRecord(
+        name=name,
+        service='plain',
+        address='10.0.0.1:80',
+        zone='zone-a',
+        slots=8,
+        state=EndpointState.LIVE,
+        version=version,
+    )
+
+
+def make_rollouts(clock, old=4, new=4):
+    """Return :class:`Rollouts` with endpoints of the versions v1 and v2."""
+    fleet = Fleet()
+    for number in range(old):
+        fleet.put(make_endpoint(f'o{number}'))
+    for number in range(new):
+        fleet.put(make_endpoint(f'n{number}', 'v2'))
+    return Rollouts(clock, fleet, SETTINGS)
+
+
+def make_notice(state=RolloutState.RUNNING, number=5, **fields):
+    """Return a :class:`RolloutNotice` about the version v2."""
+    return RolloutNotice('plain', number, 'v2', state, **fields)
+
+
+ORDER = RolloutOrder('plain', 5, 'v2', 14_000)
+
+
+def select_versions(rollouts, calls=400, route='short', is_retry=False):
+    """Return the versions to which calls may be sent, one for each call."""
+    endpoints = rollouts.fleet.find_by_service('plain')
+    return [
+        {
+            endpoint.record.version
+            for endpoint in rollouts.select(
+                'plain', endpoints, f'c{number}', route, is_retry
+            )
+        }
+        for number in range(calls)
+    ]
+
+
+def test_version_without_an_order_gets_no_calls():
+    rollouts = make_rollouts(ManualClock(), old=4, new=3)
+    assert select_versions(rollouts) == [{'v1'}] * 400
+
+
+def test_host_that_hears_nothing_sends_nothing_to_the_new_version():
+    clock = ManualClock()
+    rollouts = make_rollouts(clock)
+    rollouts.put_order(ORDER)
+    assert {'v2'} not in select_versions(rollouts)
+    rollouts.put_notice(make_notice(share=0.03), 1, clock.now())
+    assert 0 < select_versions(rollouts).count({'v2'}) < 30
+    assert {'v2'} not in select_versions(rollouts, is_retry=True)
+    clock.advance(PERMIT_VALID_MS)
+    assert {'v2'} not in select_versions(rollouts)
+
+
+def test_only_moved_routes_go_to_the_new_version():
+    clock = ManualClock()
+    rollouts = make_rollouts(clock)
+    notice = make_notice(routes=frozenset({'long'}))
+    rollouts.put_notice(notice, 1, clock.now())
+    assert select_versions(rollouts, route='long') == [{'v2'}] * 400
+    assert select_versions(rollouts, route='short') == [{'v1'}] * 400
+
+
+def test_notice_of_a_former_holder_is_ignored():
+    clock = ManualClock()
+    rollouts = make_rollouts(clock)
+    rollouts.put_notice(make_notice(), 7, clock.now())
+    rollouts.put_notice(make_notice(moved=True), 6, clock.now())
+    assert select_versions(rollouts) == [{'v1'}] * 400
+
+
+def test_reverted_version_gets_no_calls_even_if_it_alone_is_listed():
+    clock = ManualClock()
+    rollouts = make_rollouts(clock, old=0)
+    rollouts.put_order(ORDER)
+    rollouts.put_notice(make_notice(RolloutState.REVERTED), 1, clock.now())
+    select_versions(rollouts, calls=1)
+    clock.advance(MISSING_VERSION_MS)
+    assert select_versions(rollouts, calls=1) == [set()]
+
+
+def test_restarted_host_finds_a_completed_roll_out_in_the_store():
+    rollouts = make_rollouts(ManualClock(), old=0)
+    rollouts.put_order(ORDER)
+    status = RolloutStatus('plain', 'v2', RolloutState.DONE)
+    rollouts.put_status(status)
+    assert select_versions(rollouts) == [{'v2'}] * 400
+
+
+def test_version_in_force_that_lapsed_for_a_moment_is_not_replaced():
+    clock = ManualClock()
+    rollouts = make_rollouts(clock)
+    rollouts.put_order(ORDER)
+    for number in range(4):
+        rollouts.fleet.remove(f'o{number}')
+    assert select_versions(rollouts, calls=1) == [set()]
+    clock.advance(MISSING_VERSION_MS)
+    assert select_versions(rollouts, calls=1) == [{'v2'}]
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Orders and notices that arrive late, twice and in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.rollouts = make_rollouts(self.clock)
+        self.final = {}
+
+    @rule(number=st.integers(1, 4), to=st.sampled_from(['v2', 'v3']))
+    def put_order(self, number, to):
+        self.rollouts.put_order(RolloutOrder('plain', number, to, 9_000))
+
+    @rule(
+        number=st.integers(1, 4),
+        state=st.sampled_from(list(RolloutState)),
+        fencing=st.integers(1, 3),
+        moved=st.booleans(),
+    )
+    def put_notice(self, number, state, fencing, moved):
+        notice = make_notice(state, number, moved=moved)
+        self.rollouts.put_notice(notice, fencing, self.clock.now())
+
+    @rule(ms=st.sampled_from([100, 2_000, 9_000]))
+    def pass_time(self, ms):
+        self.clock.advance(ms)
+
+    @invariant()
+    def final_state_of_an_order_stays(self):
+        known = self.rollouts.get('plain')
+        if known.order is None:
+            return
+        number = known.order.number
+        if number in self.final:
+            assert self.final[number] is known.state
+        if not known.is_open:
+            self.final[number] = known.state
+
+    @invariant()
+    def reverted_version_gets_no_calls(self):
+        known = self.rollouts.get('plain')
+        reverted = known.state is RolloutState.REVERTED
+        if reverted and known.order.to != known.current:
+            versions = select_versions(self.rollouts, calls=3)
+            assert all(known.order.to not in item for item in versions)
+
+    @invariant()
+    def some_version_gets_calls_while_the_one_in_force_is_listed(self):
+        listed = self.rollouts.get('plain').current != 'v3'
+        assert not listed or all(select_versions(self.rollouts, calls=3))
+
+
+TestOrders = OrderMachine.TestCase
+TestOrders.settings = hypothesis_settings(
+    max_examples=100, stateful_step_count=30, deadline=None
+)
+
+
+def test_notes_and_notices_are_encoded_without_loss():
+    note = evidence_module.RolloutNote(
+        Run('h', 1, 'zone-a'),
+        'plain',
+        5,
+        {('short', ''): Tally(9, 1), ('short', 'n1'): Tally(2, 2)},
+        {'short': 80},
+    )
+    fields = evidence_module.encode_note(note)
+    assert evidence_module.decode_note(note.run, fields) == note
+    notice = make_notice(routes=frozenset(ROUTES), turn=2, share=0.03)
+    assert orders.decode_notice(orders.encode_notice(notice)) == notice
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'',
+        b'[]',
+        b'{"service":"plain","to":"v2"}',
+        b'{"service":"plain","to":"","duration_s":3}',
+        b'{"service":"plain","to":7,"duration_s":3}',
+        b'{"service":"plain","to":"v2","duration_s":"soon"}',
+        b'{"service":"plain","to":"v2","duration_s":-1}',
+    ],
+)
+def test_malformed_order_is_an_error(raw):
+    with pytest.raises(exceptions.WireFormatError):
+        rolloutlog.decode_order('rollout/plain', 3, raw)
+
+
+def test_endpoints_of_the_new_version_are_not_released_by_an_order():
+    # The platform released them when fewer on-demand endpoints were ordered.
+    zones = {'a': scaling.ZoneCount(20, 0), 'b': scaling.ZoneCount(5, 0)}
+    others = {'a': scaling.ZoneCount(0, 24), 'b': scaling.ZoneCount(0, 24)}
+    planned = [
+        scaling.Order('plain', 'a', False, 0),
+        scaling.Order('plain', 'b', False, 3),
+        scaling.Order('plain', 'a', True, 18),
+        scaling.Order('plain', 'b', True, 20),
+    ]
+    assert scaling.limit_to_raises(planned, zones, others) == [
+        scaling.Order('plain', 'b', False, 27),
+        scaling.Order('plain', 'b', True, 20),
+    ]
+
+
+async def send_calls(site, answers, pause_ms=10):
+    """Send calls to all hosts in turn until cancelled."""
+    number = 0
+
+    async def send(host, attempt):
+        answers.append((await call(host, '/once/', attempt)).status)
+
+    async with asyncio.TaskGroup() as tasks:
+        while True:
+            hosts = list(site.hosts.values())
+            number += 1
+            host = hosts[number % len(hosts)]
+            tasks.create_task(send(host, f'r{number}'))
+            await asyncio.sleep(pause_ms / 1000)
+
+
+async def start_version(site, version, count=3, **faults):
+    """Start endpoints of a version of the plain service."""
+    runners = []
+    for number in range(count):
+        name = f'{version}-{number}'
+        runner = await site.add_runner(name, 'plain', version=version)
+        for fault, value in faults.items():
+            setattr(runner.faults, fault, value)
+        runners.append(runner)
+    return runners
+
+
+PLAIN = [(f'p{number}', 'plain') for number in range(3)]
+
+
+async def play_rollout(site, duration_s, **faults):
+    """Order a version under load; wait for its final state.
+
+    :returns: the new endpoints, and the statuses of the answers.
+    """
+    await wait_until(lambda: find_holders(site))
+    answers = []
+    load = asyncio.create_task(send_calls(site, answers))
+    await asyncio.sleep(1)
+    site.order_rollout('plain', 'v2', duration_s)
+    runners = await start_version(site, 'v2', **faults)
+    try:
+        await wait_until(
+            lambda: (
+                site.get_rollout_states('plain')[-1:]
+                in ([('v2', 'done')], [('v2', 'reverted')])
+            ),
+            duration_s + 3,
+        )
+        await asyncio.sleep(0.5)
+    finally:
+        load.cancel()
+        await asyncio.gather(load, return_exceptions=True)
+    return runners, answers
+
+
+def test_good_version_takes_over_without_a_failed_call():
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=2) as site:
+            runners, answers = await play_rollout(site, 6)
+            assert site.get_rollout_states('plain') == [
+                ('v2', 'running'),
+                ('v2', 'done'),
+            ]
+            assert set(answers) == {200}
+            for name, _ in PLAIN:
+                site.runners[name].end()
+            await asyncio.sleep(0.3)
+            for number, host in enumerate(site.hosts.values()):
+                answer = await call(host, '/once/', f'after{number}')
+                assert answer.status == 200
+
+    asyncio.run(main())
+
+
+def test_failing_version_is_taken_back_and_gets_no_more_calls():
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=2) as site:
+            runners, answers = await play_rollout(site, 8, status=500)
+            assert site.get_rollout_states('plain')[-1] == ('v2', 'reverted')
+            exposed = sum(len(runner.runs) for runner in runners)
+            assert exposed <= 0.1 * len(answers) + 50
+            for number in range(50):
+                host = list(site.hosts.values())[number % 2]
+                answer = await call(host, '/once/', f'after{number}')
+                assert answer.status == 200
+            assert exposed == sum(len(runner.runs) for runner in runners)
+
+    asyncio.run(main())
+
+
+def test_version_gets_no_calls_from_hosts_without_a_lease_holder():
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=2) as site:
+            await wait_until(lambda: find_holders(site))
+            for host in site.hosts.values():
+                host.duties.conductor.make_notices = lambda: ()
+            site.order_rollout('plain', 'v2', 2)
+            runners = await start_version(site, 'v2')
+            await asyncio.sleep(0.5)
+            for number in range(100):
+                host = list(site.hosts.values())[number % 2]
+                await call(host, '/once/', f'r{number}')
+            holder = find_holders(site)[0].settings.name
+            other = next(name for name in site.hosts if name != holder)
+            known = site.hosts[other].host.rollouts.get('plain')
+            assert known.is_open
+            assert not known.is_permitted(site.hosts[other].clock.now())
+            assert sum(len(runner.runs) for runner in runners) <= 10
+
+    asyncio.run(main())
+
+
+def test_successor_of_the_lease_holder_ends_the_roll_out():
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=3) as site:
+            await wait_until(lambda: find_holders(site))
+            (first,) = find_holders(site)
+            site.order_rollout('plain', 'v2', 30)
+            runners = await start_version(site, 'v2', status=500)
+            await wait_until(lambda: site.get_rollout_states('plain'))
+            await first.end()
+            del site.hosts[first.settings.name]
+            answers = []
+            load = asyncio.create_task(send_calls(site, answers))
+            await wait_until(
+                lambda: ('v2', 'reverted') in site.get_rollout_states('plain'),
+                20,
+            )
+            load.cancel()
+            await asyncio.gather(load, return_exceptions=True)
+            exposed = sum(len(runner.runs) for runner in runners)
+            assert exposed <= 0.1 * len(answers) + 50
+
+    asyncio.run(main())
+
+
+def test_order_for_an_unknown_service_changes_nothing():
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=1) as site:
+            await wait_until(lambda: find_holders(site))
+            site.order_rollout('nobody', 'v2', 1)
+            site.store.put('op', 'rollout/plain', {'to': 'v2'})
+            await asyncio.sleep(1)
+            assert not site.store.list_values('status')
+            (host,) = site.hosts.values()
+            assert (await call(host, '/once/', 'r1')).status == 200
+
+    asyncio.run(main())
