--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -184,7 +184,8 @@
         plan = self._find_plan(now)
         moved = plan.stage in (Stage.MOVE, Stage.COMPLETE)
         moved = moved or route in plan.routes
-        is_new = moved or self.rng.random() < plan.share
+        share = plan.route_shares.get(route, plan.share)
+        is_new = moved or self.rng.random() < share
         if plan.stage is Stage.REVERT:
             is_new = False
         endpoints = self.site.endpoints
--- a/pearrun/decisions/rollout.py
+++ b/pearrun/decisions/rollout.py
@@ -17,6 +17,9 @@
 import enum
 import math
 
+# Factor by which a rate of bad answers fades with each newer measurement.
+RATE_DECAY = 0.85
+
 
 @dataclasses.dataclass(frozen=True)
 class RolloutSettings:
@@ -76,7 +79,7 @@
     base_bad_rate: float = 0.02
     added_bad_rate: float = 0.2
     suspicion_fraction: float = 0.4
-    evidence_threshold: float = 11.5
+    evidence_threshold: float = 9.5
     endpoint_fraction: float = 0.6
 
 
@@ -134,6 +137,7 @@
         self.by_route = {}
         self._seen = {}
         self._old_seen = {}
+        self._old_pending = {}
         self._old_rates = {}
         self._by_endpoint = {}
 
@@ -184,11 +188,14 @@
             if not added.answers:
                 continue
             self._old_seen[route] = tally
-            # Trouble that begins now counts at once, and fades slowly.
-            weight = min(1.0, added.answers / 20)
-            rate = weight * added.bad / added.answers
-            recent = self._old_rates.get(route, 0.0)
-            self._old_rates[route] = max(rate, recent * (1 - 0.15 * weight))
+            pending = self._old_pending.get(route, Tally()) + added
+            if pending.answers >= self.settings.min_answers:
+                # Trouble that begins now counts at once, and fades slowly.
+                recent = self._old_rates.get(route, 0.0) * RATE_DECAY
+                rate = pending.bad / pending.answers
+                self._old_rates[route] = max(rate, recent)
+                pending = Tally()
+            self._old_pending[route] = pending
 
     def _get_base_rate(self, route):
         tally = self._old_seen.get(route, Tally())
@@ -229,12 +236,14 @@
     """The current decision on a roll-out.
 
     :param routes: the routes whose calls all go to the new version.
-    :param share: share of the other routes' calls that go there.
+    :param share: share of all calls that goes there otherwise.
+    :param route_shares: that share by route.
     """
 
     stage: Stage
     routes: frozenset[str] = frozenset()
     share: float = 0.0
+    route_shares: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -291,8 +300,9 @@
         stage = Stage.COMPLETE if done else Stage.MOVE
         return Plan(stage, frozenset(counts))
     share = compute_canary_share(progress, evidence, settings)
+    shares = divide_share(share, counts)
     if is_suspect or evidence.count_new() < settings.min_answers:
-        return Plan(Stage.CANARY, share=share)
+        return Plan(Stage.CANARY, share=share, route_shares=shares)
     leads = compute_leads(progress, evidence, settings)
     routes = frozenset(r for r, lead_ms in leads.items() if left_ms <= lead_ms)
     if routes == frozenset(counts):
@@ -300,7 +310,28 @@
     trial = plan_trial(progress, settings)
     if left_ms <= min(leads.values()) + trial.duration_ms:
         share = max(share, trial.share)
-    return Plan(Stage.CANARY, routes, share)
+        shares = dict.fromkeys(counts, share)
+    return Plan(Stage.CANARY, routes, share, shares)
+
+
+def divide_share(share, counts):
+    """Divide a share of all calls so that all routes get as many answers.
+
+    A version may be bad on a route with few calls only.
+
+    :param counts: number of calls by route.
+    :returns: the share by route.
+    """
+    total = sum(counts.values())
+    shares = {}
+    left = share * total
+    by_count = sorted(counts, key=counts.get)
+    for position, route in enumerate(by_count):
+        # Half of a route's calls at most; the others get the rest.
+        part = min(left / (len(by_count) - position), counts[route] / 2)
+        shares[route] = round(part / counts[route], 3) if counts[route] else 0
+        left -= part
+    return shares
 
 
 def plan_trial(progress, settings):
--- a/pearrun/rollouts/conductor.py
+++ b/pearrun/rollouts/conductor.py
@@ -64,6 +64,7 @@
             stage in (Stage.MOVE, Stage.COMPLETE),
             self.turn,
             self.plan.share,
+            self.plan.route_shares,
         )
 
 
--- a/pearrun/rollouts/orders.py
+++ b/pearrun/rollouts/orders.py
@@ -47,7 +47,8 @@
     :param routes: names of the routes whose calls all go to the new version.
     :param moved: whether all routes do, and the old endpoints may stop.
     :param turn: selects the endpoints that get the small share.
-    :param share: share of the other routes' calls that go to the new version.
+    :param share: share of all calls that goes to the new version otherwise.
+    :param route_shares: that share by route, if it is not the same.
     """
 
     service: ServiceName
@@ -58,6 +59,7 @@
     moved: bool = False
     turn: int = 0
     share: float = 0.0
+    route_shares: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def encode_notice(notice):
@@ -71,6 +73,7 @@
         notice.moved,
         notice.turn,
         notice.share,
+        notice.route_shares,
     ]
 
 
@@ -79,7 +82,7 @@
 
     :raises ValueError: a field is malformed.
     """
-    service, number, to, state, routes, moved, turn, share = fields
+    service, number, to, state, routes, moved, turn, *shares = fields
     return RolloutNotice(
         service,
         number,
@@ -88,5 +91,5 @@
         frozenset(routes),
         moved,
         turn,
-        share,
+        *shares,
     )
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -216,7 +216,8 @@
         """Return endpoints of the new version for a call, if it gets one."""
         notice = known.notice
         moved = notice.moved or route in notice.routes
-        if not moved and (is_retry or not self._is_canary(known, call_id)):
+        share = notice.route_shares.get(route, notice.share)
+        if not moved and (is_retry or not is_canary(notice, call_id, share)):
             return []
         new = [
             endpoint
@@ -225,11 +226,6 @@
         ]
         return new if moved else self._choose_canaries(known, new)
 
-    def _is_canary(self, known, call_id):
-        """Return whether a call belongs to the small share."""
-        key = f'{known.order.number}/{call_id}'.encode()
-        return zlib.crc32(key) < known.notice.share * 2**32
-
     def _choose_canaries(self, known, new):
         """Return the endpoints of the new version that get the small share."""
         prefix = f'{known.order.number}/{known.notice.turn}/'
@@ -335,3 +331,9 @@
             known.counts.note_new(route, record.id, failed, times)
         elif record.version == known.current:
             known.counts.note_current(route, failed, times)
+
+
+def is_canary(notice, call_id, share):
+    """Return whether a call belongs to the share of the new version."""
+    key = f'{notice.number}/{call_id}'.encode()
+    return zlib.crc32(key) < share * 2**32
