--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -134,6 +134,7 @@
                 now + STEP_MS,
                 self.duration_ms,
                 test.score,
+                test.balance,
                 None if moved_since_ms is None else now - moved_since_ms,
                 self.site.answer_ms,
                 self.site.endpoints,
--- a/pearrun/decisions/rollout.py
+++ b/pearrun/decisions/rollout.py
@@ -56,6 +56,8 @@
     :param evidence_threshold: logarithm of the likelihood ratio from which a
         version is bad.  A good one passes it in less than one of e to that
         power sequences of answers.
+    :param good_evidence: negated logarithm of the likelihood ratio without
+        which the calls do not move.
     :param endpoint_fraction: fraction of the threshold that the answers of one
         endpoint can contribute, so that its own failure is not taken for one
         of the version.
@@ -80,6 +82,7 @@
     added_bad_rate: float = 0.2
     suspicion_fraction: float = 0.4
     evidence_threshold: float = 9.5
+    good_evidence: float = 2.0
     endpoint_fraction: float = 0.6
 
 
@@ -129,10 +132,14 @@
     time, since trouble that both versions share is no evidence.
 
     :param settings: :class:`RolloutSettings`.
+
+    ``balance`` is the log-likelihood ratio of all answers together; negative
+    if they speak for the new version.
     """
 
     def __init__(self, settings):
         self.settings = settings
+        self.balance = 0.0
         self.total = 0.0
         self.by_route = {}
         self._seen = {}
@@ -160,6 +167,7 @@
         for route, items in gains.items():
             delta = sum(self._limit(route, *item) for item in items)
             if route is None:
+                self.balance += delta
                 self.total = max(0.0, self.total + delta)
             else:
                 known = self.by_route.get(route, 0.0)
@@ -264,6 +272,7 @@
     :param elapsed_ms: time since the order.
     :param duration_ms: time from the order to its deadline.
     :param score: evidence that the new version is bad, 1 if it is.
+    :param balance: log-likelihood ratio of all answers.
     :param moved_ms: how long all calls have gone to the new version;
         ``None`` if they do not yet.
     :param answer_ms: mean time of an answer by route.
@@ -273,6 +282,7 @@
     elapsed_ms: float
     duration_ms: float
     score: float
+    balance: float
     moved_ms: float | None
     answer_ms: dict[str, float]
     endpoints: int
@@ -301,10 +311,18 @@
         return Plan(stage, frozenset(counts))
     share = compute_canary_share(progress, evidence, settings)
     shares = divide_share(share, counts)
-    if is_suspect or evidence.count_new() < settings.min_answers:
+    is_proven = (
+        evidence.count_new() >= settings.min_answers
+        and progress.balance <= -settings.good_evidence
+    )
+    if is_suspect or not counts:
         return Plan(Stage.CANARY, share=share, route_shares=shares)
     leads = compute_leads(progress, evidence, settings)
-    routes = frozenset(r for r, lead_ms in leads.items() if left_ms <= lead_ms)
+    routes = frozenset()
+    if is_proven:
+        routes = frozenset(
+            route for route, lead_ms in leads.items() if left_ms <= lead_ms
+        )
     if routes == frozenset(counts):
         return Plan(Stage.MOVE, routes)
     trial = plan_trial(progress, settings)
--- a/pearrun/rollouts/conductor.py
+++ b/pearrun/rollouts/conductor.py
@@ -153,6 +153,7 @@
             elapsed_ms=now - known.ordered_ms,
             duration_ms=order.duration_ms,
             score=conduct.test.score,
+            balance=conduct.test.balance,
             moved_ms=None if moved_since_ms is None else now - moved_since_ms,
             answer_ms=board.get_answer_ms(order.service, order.number),
             endpoints=self.rollouts.count_endpoints(order.service, order.to),
@@ -180,6 +181,7 @@
             elapsed_ms=progress.elapsed_ms,
             duration_ms=order.duration_ms,
             score=round(conduct.test.score, 2),
+            balance=round(conduct.test.balance, 1),
             scores={
                 route: round(score, 1)
                 for route, score in conduct.test.by_route.items()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -51,6 +51,7 @@
             'elapsed_ms': elapsed_ms,
             'duration_ms': 14_000,
             'score': 0.0,
+            'balance': -9.0,
             'moved_ms': None,
             'answer_ms': {'long': 1300, 'short': 150},
             'endpoints': 72,
@@ -114,6 +115,7 @@
 
 def test_calls_do_not_move_without_answers_or_under_suspicion():
     assert decide(13_900, new=3).stage is Stage.CANARY
+    assert decide(13_900, balance=-1.0).stage is Stage.CANARY
     assert decide(13_900, score=0.5).stage is Stage.CANARY
     assert decide(13_900, score=0.5, moved_ms=2_000).stage is Stage.MOVE
     assert decide(13_900, score=1.0, moved_ms=2_000).stage is Stage.REVERT
