--- a/pearrun/api/settings.py
+++ b/pearrun/api/settings.py
@@ -120,6 +120,9 @@
     def parse_priority(cls, value):
         """Accept a priority by name (``interactive``) or by value."""
         if isinstance(value, str):
+            names = [priority.name.lower() for priority in Priority]
+            if value.lower() not in names:
+                raise ValueError(f'{value!r} is none of {", ".join(names)}')
             return Priority[value.upper()]
         return value
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -59,3 +59,22 @@
 def test_free_ports_are_unique():
     ports = [builders.find_free_port() for _ in range(300)]
     assert len(set(ports)) == 300
+
+
+def test_every_error_is_rebuilt_from_its_code():
+    # Errors without an entry came back from other hosts as unknown ones.
+    classes = [
+        item
+        for item in vars(exceptions).values()
+        if isinstance(item, type) and issubclass(item, exceptions.PearrunError)
+    ]
+    assert set(classes) == set(exceptions.ALL_ERRORS)
+
+
+def test_unknown_priority_is_a_settings_error():
+    text = builders.build_daemon_settings_yaml(
+        'bv-1', 'boa-viagem', 8101, 'http://127.0.0.1:1', []
+    )
+    with pytest.raises(ValueError, match='none of interactive'):
+        settings.ServiceSettings.parse_priority('urgent')
+    assert settings.parse_yaml(text, settings.Settings)
