--- a/pearrun/platform/usagelog.py
+++ b/pearrun/platform/usagelog.py
@@ -5,7 +5,7 @@
 
 from pearrun import exceptions
 from pearrun.shared import cbor
-from pearrun.shared.usagesaver import SavedRun
+from pearrun.usage.saver import SavedRun
 
 TOPIC = 'usage'
 
--- a/pearrun/shared/duties.py
+++ b/pearrun/shared/duties.py
@@ -14,8 +14,8 @@
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import RecordKind
 from pearrun.shared.term import Term
-from pearrun.shared.usagesaver import SAVE_INTERVAL_MS
-from pearrun.shared.usagesaver import UsageSaver
+from pearrun.usage.saver import SAVE_INTERVAL_MS
+from pearrun.usage.saver import UsageSaver
 
 # Interval between checks of the lease and between runs of each duty.
 TICK_MS = 250
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -20,8 +20,8 @@
 from pearrun.shared.quarantine import Quarantine
 from pearrun.shared.quotas import Quotas
 from pearrun.shared.selection import Selection
-from pearrun.shared.usage import UsageCounts
-from pearrun.shared.usagetable import UsageTable
+from pearrun.usage.counts import UsageCounts
+from pearrun.usage.table import UsageTable
 
 
 class HostContext:
--- /dev/null
+++ b/pearrun/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage of each customer: counts, their sums and their persistence."""
--- a/tests/test_package_imports.py
+++ b/tests/test_package_imports.py
@@ -16,6 +16,7 @@
     'platform',
     'relay',
     'shared',
+    'usage',
     'http1',
     'decisions',
 )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -31,7 +31,6 @@
 from pearrun.shared.prompts import PromptPlacement
 from pearrun.shared.quotas import AdmittedUnits
 from pearrun.shared.run import Run
-from pearrun.shared.usagetable import UsageTable
 from pearrun.standins.platformsite import make_config
 from pearrun.standins.platformsite import make_settings_fields
 from pearrun.standins.platformsite import render_settings
@@ -39,6 +38,7 @@
 from pearrun.standins.platformsite import STREAM_HOST
 from pearrun.standins.platformstore import join_records
 from pearrun.states import EndpointState
+from pearrun.usage.table import UsageTable
 from tests.builders import find_free_port
 
 RUN = Run(HostName('h'), 5, 'zone-a')
--- a/tests/test_usage_saving.py
+++ b/tests/test_usage_saving.py
@@ -16,9 +16,9 @@
 from pearrun.decisions import lease
 from pearrun.decisions import usagewindow
 from pearrun.platform import usagelog
-from pearrun.shared.usagesaver import UsageSaver
-from pearrun.shared.usagetable import UsageTable
 from pearrun.standins.platformsite import make_config
+from pearrun.usage.saver import UsageSaver
+from pearrun.usage.table import UsageTable
 from tests.platformsite import call
 from tests.platformsite import run_site
 from tests.platformsite import wait_until
