--- a/pearrun/rollouts/evidence.py
+++ b/pearrun/rollouts/evidence.py
@@ -6,7 +6,7 @@
 from pearrun.decisions.rollout import Tally
 from pearrun.ids import ServiceName
 from pearrun.rollouts.answers import OLD_VERSION
-from pearrun.shared.run import Run
+from pearrun.run import Run
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -5,9 +5,9 @@
 
 from pearrun.clock import to_seconds
 from pearrun.rollouts.evidence import make_note
+from pearrun.run import Run
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
-from pearrun.shared.run import Run
 
 # Number of latest usage windows in each :class:`UsageNote`; their counts may
 # still change.
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -19,12 +19,12 @@
 from pearrun.rollouts import evidence
 from pearrun.rollouts import orders
 from pearrun.rollouts.evidence import RolloutNote
+from pearrun.run import Run
 from pearrun.shared import cbor
 from pearrun.shared import suspects as suspect_codec
 from pearrun.shared.loads import Load
 from pearrun.shared.prompts import PromptPlacement
 from pearrun.shared.quotas import AdmittedUnits
-from pearrun.shared.run import Run
 
 ENDPOINT_TOPIC = 'servers'
 # Bundles of at least this size are compressed.
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -11,9 +11,9 @@
 from pearrun.decisions import scaling
 from pearrun.decisions.demand import Demand
 from pearrun.decisions.demand import DemandMeter
+from pearrun.run import Run
 from pearrun.shared.demands import add_by_service
 from pearrun.shared.engines import Engines
-from pearrun.shared.run import Run
 
 SCALING = scaling.ScalingSettings()
 
--- a/tests/test_ownreports.py
+++ b/tests/test_ownreports.py
@@ -6,6 +6,7 @@
 from pearrun.decisions.demand import Demand
 from pearrun.decisions.enginemodel import RegressionSums
 from pearrun.decisions.topology import LinkPlan
+from pearrun.run import Run
 from pearrun.shared import loads
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
@@ -16,7 +17,6 @@
 from pearrun.shared.quotas import AdmittedUnits
 from pearrun.shared.reporter import Reporter
 from pearrun.shared.reportreceiver import ReportReceiver
-from pearrun.shared.run import Run
 from tests.platformsite import configure
 from tests.platformsite import make_customer
 from tests.platformsite import make_host_context
--- a/tests/test_package_imports.py
+++ b/tests/test_package_imports.py
@@ -16,6 +16,7 @@
     'platform',
     'relay',
     'shared',
+    'rollouts',
     'usage',
     'http1',
     'decisions',
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,13 +24,13 @@
 from pearrun.platform.store import split_records
 from pearrun.platform.store import StoreClient
 from pearrun.relay.events import EventSplitter
+from pearrun.run import Run
 from pearrun.shared import reports
 from pearrun.shared.clocksync import CorrectedClock
 from pearrun.shared.configuration import CallKind
 from pearrun.shared.loads import Load
 from pearrun.shared.prompts import PromptPlacement
 from pearrun.shared.quotas import AdmittedUnits
-from pearrun.shared.run import Run
 from pearrun.standins.platformsite import make_config
 from pearrun.standins.platformsite import make_settings_fields
 from pearrun.standins.platformsite import render_settings
--- a/tests/test_quota_cost.py
+++ b/tests/test_quota_cost.py
@@ -3,9 +3,9 @@
 import pytest
 
 from pearrun.decisions import quota
+from pearrun.run import Run
 from pearrun.shared.members import Member
 from pearrun.shared.quotas import AdmittedUnits
-from pearrun.shared.run import Run
 from tests.platformsite import configure
 from tests.platformsite import make_customer
 from tests.platformsite import make_host_context
--- a/tests/test_reportreceiver.py
+++ b/tests/test_reportreceiver.py
@@ -5,10 +5,10 @@
 import time
 
 from pearrun import exceptions
+from pearrun.run import Run
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
 from pearrun.shared.reportreceiver import ReportReceiver
-from pearrun.shared.run import Run
 from tests.platformsite import make_host_context
 from tests.reportbuilders import make_report
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -29,9 +29,9 @@
 from pearrun.rollouts.versions import MISSING_VERSION_MS
 from pearrun.rollouts.versions import PERMIT_VALID_MS
 from pearrun.rollouts.versions import Rollouts
+from pearrun.run import Run
 from pearrun.shared.fleet import EndpointRecord
 from pearrun.shared.fleet import Fleet
-from pearrun.shared.run import Run
 from pearrun.standins.platformsite import make_config
 from pearrun.states import EndpointState
 from tests.builders import ManualClock
