--- a/pearrun/shared/duties.py
+++ b/pearrun/duties/duties.py
@@ -13,7 +13,7 @@
 from pearrun.decisions import usagewindow
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import RecordKind
-from pearrun.shared.term import Term
+from pearrun.duties.term import Term
 from pearrun.usage.saver import SAVE_INTERVAL_MS
 from pearrun.usage.saver import UsageSaver
 
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -12,6 +12,9 @@
 from pearrun.decisions.lease import LeaseView
 from pearrun.decisions.lease import TAKEOVER_DELAY_MS
 from pearrun.decisions.lease import TAKEOVER_MARGIN_MS
+from pearrun.duties.conductor import Conductor
+from pearrun.duties.duties import Duties
+from pearrun.duties.scaler import Scaler
 from pearrun.http1.limits import ServerLimits
 from pearrun.http1.server import Server
 from pearrun.platform import settings as settings_module
@@ -30,15 +33,12 @@
 from pearrun.platform.store import StoreClient
 from pearrun.platform.usagelog import UsageLog
 from pearrun.relay.relay import Relay
-from pearrun.rollouts.conductor import Conductor
 from pearrun.shared import reports
-from pearrun.shared.duties import Duties
 from pearrun.shared.host import HostContext
 from pearrun.shared.members import Member
 from pearrun.shared.peerlinks import PeerLinks
 from pearrun.shared.reporter import Reporter
 from pearrun.shared.reportreceiver import ReportReceiver
-from pearrun.shared.scaler import Scaler
 
 METRICS_PORT = 9464
 # How long new connections are accepted after the stop signal.  The platform
--- a/pearrun/shared/__init__.py
+++ b/pearrun/shared/__init__.py
@@ -1,1 +1,1 @@
-"""State shared among hosts: configuration, endpoints, peers, duties."""
+"""State shared among hosts: configuration, endpoints, peers, quotas."""
--- a/tests/test_package_imports.py
+++ b/tests/test_package_imports.py
@@ -15,6 +15,7 @@
     'api',
     'platform',
     'relay',
+    'duties',
     'shared',
     'rollouts',
     'usage',
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -13,10 +13,10 @@
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import LeaseView
 from pearrun.decisions.lease import RecordKind
+from pearrun.duties.scaler import Scaler
+from pearrun.duties.term import Term
 from pearrun.http1.client import connect
 from pearrun.platform import dutyclient
-from pearrun.shared.scaler import Scaler
-from pearrun.shared.term import Term
 from pearrun.standins.platformsite import KEY
 from pearrun.standins.platformsite import make_config
 from tests.builders import find_free_port
