Roll-outs: a conflicting state in the store is adopted, not overwritten

A holder whose write conflicted read the log again and wrote its own final state behind that of another holder. A state in the store that may belong to an earlier order for the same version does not end a repeated one. The sequential test stands in a module of its own.

--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -14,8 +14,9 @@
 from absl import flags
 
 from pearrun.decisions import rollout
+from pearrun.decisions import versiontest
 from pearrun.decisions.rollout import Stage
-from pearrun.decisions.rollout import Tally
+from pearrun.decisions.versiontest import Tally
 from pearrun.rollouts.answers import SLOW_FACTOR
 
 FLAGS = flags.FLAGS
@@ -121,14 +122,14 @@
 
     def run(self):
         """Play the roll-out until two seconds after its deadline."""
-        test = rollout.BadVersionTest(self.settings)
+        test = versiontest.BadVersionTest(self.settings)
         plan = rollout.Plan(Stage.CANARY)
         moved_since_ms = None
         total = 0
         for now in range(0, self.duration_ms + 2000, STEP_MS):
             total += self._send_calls(now)
             self._collect(now)
-            evidence = rollout.Evidence(dict(self.old), dict(self.new))
+            evidence = versiontest.Evidence(dict(self.old), dict(self.new))
             test.update(evidence)
             progress = rollout.Progress(
                 now + STEP_MS,
--- a/pearrun/duties/conductor.py
+++ b/pearrun/duties/conductor.py
@@ -7,6 +7,7 @@
 from pearrun import exceptions
 from pearrun.clock import to_seconds
 from pearrun.decisions import rollout
+from pearrun.decisions import versiontest
 from pearrun.decisions.rollout import Stage
 from pearrun.rollouts.orders import RolloutNotice
 from pearrun.rollouts.orders import RolloutOrder
@@ -32,7 +33,7 @@
 
     def __init__(self, order, settings):
         self.order = order
-        self.test = rollout.BadVersionTest(settings)
+        self.test = versiontest.BadVersionTest(settings)
         self.plan = rollout.Plan(Stage.CANARY)
         self.moved_since_ms = None
         self.turn = 0
@@ -84,7 +85,6 @@
         self.notify_peers = notify_peers
         self.settings = host.settings.rollout
         self.term = None
-        self.statuses = {}
         self._conducts = {}
 
     async def act(self, term):
@@ -103,12 +103,11 @@
             await asyncio.sleep(to_seconds(DECISION_INTERVAL_MS))
 
     async def _adopt(self, term):
-        """Read the states that former holders wrote, once per term."""
+        """Read the states that were written before, once per term."""
         if self.term is term:
             return
         self._conducts.clear()
-        self.statuses = await self.log.read()
-        for status in self.statuses.values():
+        for status in (await self.log.read()).values():
             self.rollouts.put_status(status)
         self.term = term
 
@@ -203,21 +202,22 @@
         """Write a final state, then act on it."""
         conduct.is_final = True
         await self._write(conduct.order, state)
-        status = self.statuses[conduct.order.service]
-        self.rollouts.close(conduct.order.service, status.state)
+        self.rollouts.close(conduct.order.service, state)
         self.notify_peers()
 
     async def _write(self, order, state):
         """Write a state, unless a final one was written by another holder.
 
+        :raises StoreConflictError: something was written since the states were
+            read; they are read again before the next decision.
         :raises StoreError: no answer; the state may have been written.
         """
         status = RolloutStatus(order.service, order.to, state)
         try:
             await self.log.write(status)
-            self.statuses[order.service] = status
         except exceptions.StoreConflictError:
-            self.statuses = await self.log.read()
+            self.term = None
+            self._conducts.clear()
             raise
 
     def make_notices(self):
@@ -244,5 +244,5 @@
 
 def describe(tallies):
     """Return the sum of tallies for the log: answers and bad ones."""
-    total = sum(tallies, start=rollout.Tally())
+    total = sum(tallies, start=versiontest.Tally())
     return total.answers, total.bad
--- a/pearrun/rollouts/answers.py
+++ b/pearrun/rollouts/answers.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from pearrun.decisions.rollout import Tally
+from pearrun.decisions.versiontest import Tally
 
 # Endpoint id under which the answers of the old version are counted.
 OLD_VERSION = ''
--- a/pearrun/rollouts/evidence.py
+++ b/pearrun/rollouts/evidence.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from pearrun.decisions.rollout import Evidence
-from pearrun.decisions.rollout import Tally
+from pearrun.decisions.versiontest import Evidence
+from pearrun.decisions.versiontest import Tally
 from pearrun.ids import ServiceName
 from pearrun.rollouts.answers import OLD_VERSION
 from pearrun.run import Run
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -29,7 +29,8 @@
     ``current`` is the version in force, ``None`` while unknown; ``rejected``
     holds versions that get no calls.  ``order`` is the latest
     :class:`RolloutOrder` or :class:`RolloutNotice`, ``state`` its
-    :class:`RolloutState`.
+    :class:`RolloutState`.  ``is_repeated`` says that an earlier order named
+    the same version, so that a state in the store may belong to that one.
     """
 
     def __init__(self):
@@ -41,6 +42,7 @@
         self.notice = None
         self.permit_until_ms = 0
         self.missing_since_ms = None
+        self.is_repeated = False
         self.counts = AnswerCounts()
 
     @property
@@ -109,6 +111,9 @@
         superseded = known.order if known.is_open else None
         if superseded is not None:
             known.reject(superseded.to)
+        known.is_repeated = (
+            known.order is not None and known.order.to == order.to
+        )
         known.order = order
         known.ordered_ms = self.clock.now()
         known.notice = None
@@ -129,7 +134,9 @@
         :param status: :class:`RolloutStatus`.
         """
         known = self.get(status.service)
-        if known.order is not None and known.order.to == status.to:
+        if known.order is None or known.is_repeated:
+            return
+        if known.order.to == status.to:
             self._close(known, status.state, 'store')
 
     def put_notice(self, notice, fencing, created_ms):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -14,9 +14,10 @@
 from pearrun import exceptions
 from pearrun.decisions import rollout
 from pearrun.decisions import scaling
-from pearrun.decisions.rollout import Evidence
+from pearrun.decisions import versiontest
 from pearrun.decisions.rollout import Stage
-from pearrun.decisions.rollout import Tally
+from pearrun.decisions.versiontest import Evidence
+from pearrun.decisions.versiontest import Tally
 from pearrun.platform import rolloutlog
 from pearrun.rollouts import evidence as evidence_module
 from pearrun.rollouts import orders
@@ -134,7 +135,7 @@
 
 
 def test_one_failing_endpoint_is_not_taken_for_a_bad_version():
-    test = rollout.BadVersionTest(SETTINGS)
+    test = versiontest.BadVersionTest(SETTINGS)
     old = {'short': Tally(1000, 20)}
     test.update(Evidence(old, {('short', 'n1'): Tally(50, 50)}))
     assert test.score < 1
@@ -144,7 +145,7 @@
 
 
 def test_failures_that_the_old_version_shares_are_no_evidence():
-    test = rollout.BadVersionTest(SETTINGS)
+    test = versiontest.BadVersionTest(SETTINGS)
     rng = random.Random(1)
     old = Tally()
     new = {}
@@ -159,7 +160,7 @@
 
 
 def test_version_that_turns_bad_after_many_good_answers_is_found():
-    test = rollout.BadVersionTest(SETTINGS)
+    test = versiontest.BadVersionTest(SETTINGS)
     old = {'short': Tally(1000, 20)}
     good = {('short', f'n{n}'): Tally(500, 5) for n in range(4)}
     test.update(Evidence(old, good))
@@ -562,3 +563,35 @@
             assert (await call(host, '/once/', 'r1')).status == 200
 
     asyncio.run(main())
+
+
+def test_state_of_an_earlier_order_does_not_end_a_repeated_one():
+    rollouts = make_rollouts(ManualClock())
+    rollouts.put_order(ORDER)
+    rollouts.close('plain', RolloutState.REVERTED)
+    rollouts.put_order(RolloutOrder('plain', 9, 'v2', 14_000))
+    status = RolloutStatus('plain', 'v2', RolloutState.REVERTED)
+    rollouts.put_status(status)
+    assert rollouts.get('plain').is_open
+
+
+def test_delayed_completion_of_a_former_holder_is_not_overwritten():
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=1) as site:
+            await wait_until(lambda: find_holders(site))
+            site.order_rollout('plain', 'v2', 60)
+            await wait_until(lambda: site.get_rollout_states('plain'))
+            (host,) = site.hosts.values()
+            done = {'service': 'plain', 'to': 'v2', 'state': 'done'}
+            site.store.put('status', 'rollout/plain', done)
+            rollouts = host.host.rollouts
+            conductor = host.duties.conductor
+            conduct = conductor._conducts['plain']
+            conduct.plan = rollout.Plan(Stage.REVERT)
+            conduct.is_final = True
+            await wait_until(lambda: not rollouts.list_open())
+            assert rollouts.get('plain').state is RolloutState.DONE
+            states = site.get_rollout_states('plain')
+            assert ('v2', 'reverted') not in states
+
+    asyncio.run(main())
