--- a/pearrun/decisions/rollout.py
+++ b/pearrun/decisions/rollout.py
@@ -21,6 +21,8 @@
 class RolloutSettings:
     """Limits of roll-outs.
 
+    :param enabled: whether this deployment has roll-outs; otherwise all
+        versions serve side by side.
     :param exposed_share: share of a service's calls that a bad version may
         get between the order and its deadline.
     :param budget_fraction: fraction of that share that is planned for.
@@ -59,6 +61,7 @@
         of the version.
     """
 
+    enabled: bool = True
     exposed_share: float = 0.1
     budget_fraction: float = 0.95
     smallest_canary_share: float = 0.015
--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -115,6 +115,7 @@
                 zone=entry.zone,
                 address=entry.address,
                 state=entry.state.value,
+                version=entry.version,
                 reclaimable=entry.reclaimable,
                 leaves_ms=entry.leaves_ms,
                 source=self.source.value,
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -165,13 +165,14 @@
         config_ms=int(bounds.get('config_ms', 2000)),
         lease_ms=int(bounds.get('lease_ms', 3000)),
         heartbeat_ms=int(fields.get('beat_ms', DEFAULT_HEARTBEAT_MS)),
-        rollout=decode_rollout(bounds),
+        rollout=decode_rollout(fields.get('contracts'), bounds),
     )
 
 
-def decode_rollout(bounds):
+def decode_rollout(contracts, bounds):
     """Decode the limits of roll-outs.
 
+    :param contracts: what the deployment offers; ``None`` if unknown.
     :raises ValueError: the share is not a fraction.
     """
     defaults = RolloutSettings()
@@ -179,6 +180,7 @@
     if not 0 <= share <= 1:
         raise ValueError(f'expose_share is not a fraction: {share}')
     return RolloutSettings(
+        enabled=contracts is None or 'rollout' in contracts,
         exposed_share=share,
         smallest_canary_share=min(defaults.smallest_canary_share, share / 4),
         largest_canary_share=min(defaults.largest_canary_share, share / 3),
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -19,6 +19,7 @@
 from pearrun.decisions.versiontest import Evidence
 from pearrun.decisions.versiontest import Tally
 from pearrun.platform import rolloutlog
+from pearrun.platform import settings as settings_module
 from pearrun.rollouts import evidence as evidence_module
 from pearrun.rollouts import orders
 from pearrun.rollouts.answers import AnswerCounts
@@ -248,6 +249,15 @@
     assert select_versions(rollouts) == [{'v1'}] * 400
 
 
+def test_all_versions_serve_where_there_are_no_roll_outs():
+    contracts = ['base', 'drain']
+    settings = settings_module.decode_rollout(contracts, {})
+    fleet = make_rollouts(ManualClock()).fleet
+    rollouts = Rollouts(ManualClock(), fleet, settings)
+    assert select_versions(rollouts, calls=1) == [{'v1', 'v2'}]
+    assert settings_module.decode_rollout(['rollout'], {}).enabled
+
+
 def test_host_that_hears_nothing_sends_nothing_to_the_new_version():
     clock = ManualClock()
     rollouts = make_rollouts(clock)
