--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -420,6 +420,7 @@
             self.model,
             self.settings,
             self._estimate_unreported(),
+            self.random,
         )
         number = self.endpoint_ids.index(best.id)
         call.uncached_tokens = max(0, call.tokens - best.cached_tokens)
--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -156,7 +156,14 @@
     )
 
 
-def choose(candidates, demand, model, settings, unreported=NO_UNREPORTED_LOAD):
+def choose(
+    candidates,
+    demand,
+    model,
+    settings,
+    unreported=NO_UNREPORTED_LOAD,
+    rng=random,
+):
     """Choose an endpoint by the expected time to the first token.
 
     The endpoint with the least time is the best choice only if no other host
@@ -168,6 +175,7 @@
     :param candidates: a list of :class:`Candidate`.
     :param model: the :class:`EngineModel` of their service.
     :param unreported: the :class:`UnreportedLoad` of other hosts.
+    :param rng: source of random numbers.
     :returns: ``(candidate, milliseconds)``; ``(None, 0)`` without candidates.
     """
     if not candidates:
@@ -189,12 +197,14 @@
     chosen = costs[0]
     if unreported.work_ms:
         chosen = choose_by_headroom(
-            costs, demand, preferred, unreported, settings
+            costs, demand, preferred, unreported, settings, rng
         )
     return chosen.candidate, chosen.wait_ms
 
 
-def choose_by_headroom(costs, demand, preferred, unreported, settings):
+def choose_by_headroom(
+    costs, demand, preferred, unreported, settings, rng=random
+):
     """Choose an endpoint while other hosts place calls concurrently.
 
     A call with a long shared prefix is sent to an endpoint that has the prefix
@@ -204,6 +214,7 @@
 
     :param costs: a list of :class:`Cost`, the least first.
     :param preferred: id of the endpoint that all hosts prefer.
+    :param rng: source of random numbers.
     :returns: one of ``costs``.
     """
     if demand.shared_tokens >= settings.affinity_tokens:
@@ -214,7 +225,7 @@
             return affine
     level = find_fill_level(costs, unreported.work_ms * settings.spread_factor)
     headrooms = [max(0.0, level - cost.cost_ms) for cost in costs]
-    return random.choices(costs, headrooms)[0]
+    return rng.choices(costs, headrooms)[0]
 
 
 def find_affine(costs, demand, preferred):
--- a/tests/test_stale_placement.py
+++ b/tests/test_stale_placement.py
@@ -19,6 +19,16 @@
     return summarize(Simulation(WORKLOADS[name], hosts).run(SECONDS))
 
 
+def test_simulations_of_one_seed_place_calls_alike():
+    # The choice of endpoints drew from the global source of random numbers.
+    simulations = [Simulation(WORKLOADS['reconcile'], 83) for _ in range(2)]
+    first, second = (simulation.run(SECONDS) for simulation in simulations)
+    assert first
+    assert [call.uncached_tokens for call in first] == [
+        call.uncached_tokens for call in second
+    ]
+
+
 @pytest.mark.parametrize('hosts', [83, 195])
 def test_few_calls_are_late_with_any_number_of_hosts(hosts):
     """Guards against hosts that all choose the same endpoints.
