Relay benchmark: start the entry host's program

What was seen: the benchmark ended with 'host not ready' after ten seconds. Cause: it started python -m pearrun.platform, a module that was removed.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -35,6 +35,8 @@
 HOST_READY = f'127.0.1.1:{FIRST_PORT + 21}'
 PLAIN_ENDPOINT = f'127.0.0.1:{FIRST_PORT + 10}'
 ENGINE_ENDPOINT = f'127.0.0.1:{FIRST_PORT + 12}'
+# Relative to the repository, in which the benchmark is started.
+HOST_PROGRAM = 'deploy/run_host.py'
 # Number of events in each stream.
 EVENTS = 5
 MAX_BODY_BYTES = 1024 * 1024
@@ -127,7 +129,7 @@
         while not os.path.exists(settings):
             time.sleep(0.05)
         host = subprocess.Popen(
-            [sys.executable, '-m', 'pearrun.platform'],
+            [sys.executable, '-S', HOST_PROGRAM],
             env={**os.environ, 'PEARRUN_BOOT': settings},
             stdout=subprocess.DEVNULL,
         )
