Soak: runs beside each other do not share a directory or a subnet

What was seen: of two soaks of one seed, the second one reported findings of the first one's fleet (seven 'runs' findings and more), the first one that no host renews the lease. Cause: both wrote host-N.toml to one directory, so the hosts of the first run that restarted used the store, the endpoints and the ports of the second one. Loopback subnets were chosen by the process id modulo 250, so that two test runs could also meet on the fixed metrics port. Change: a run locks its directory, and a second one ends with a clear error; subnets are reserved by listening in them, as blocks of ports are, for all tests that start hosts. The test of the directory fails before (no error).

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import os
 import socket
 
@@ -45,6 +46,7 @@
 # free when it is chosen may be in use when it is bound.
 BLOCK_PORTS = 400
 RESERVED_BLOCKS = []
+SUBNETS = 250
 
 
 def choose_ports():
@@ -85,6 +87,28 @@
     raise RuntimeError('no free port is left')
 
 
+@functools.cache
+def reserve_subnet():
+    """Reserve a loopback subnet for this test run.
+
+    Hosts listen on fixed ports too, so concurrent runs need other addresses.
+
+    :returns: a number N; no other run uses 127.N.0.0/16 until this one ends.
+    """
+    for offset in range(SUBNETS):
+        number = 1 + (os.getpid() + offset) % SUBNETS
+        listener = socket.socket()
+        try:
+            listener.bind((f'127.{number}.0.1', FIRST_PORT))
+            listener.listen()
+        except OSError:
+            listener.close()
+            continue
+        RESERVED_BLOCKS.append(listener)
+        return number
+    raise RuntimeError('no loopback subnet is free')
+
+
 def build_team_tree(version=0):
     """Return the team tree of the tests with a version."""
     tree = settings_module.parse_yaml(TEAM_TREE_YAML, settings_module.TeamTree)
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -8,7 +8,6 @@
 import contextlib
 import dataclasses
 import json
-import os
 
 from pearrun.clock import Clock
 from pearrun.http1 import client
@@ -23,6 +22,7 @@
 from pearrun.standins.platformsite import StandinSite
 from pearrun.standins.platformsite import STREAM_HOST
 from tests.builders import find_free_port
+from tests.builders import reserve_subnet
 
 
 class FakeLogWriter:
@@ -53,9 +53,7 @@
             f'127.0.0.1:{find_free_port()}', f'127.0.0.1:{find_free_port()}'
         )
         self.hosts = {}
-        # Differs from that of other test runs on this machine, since the
-        # metrics port is fixed.
-        self.subnet = 1 + os.getpid() % 250
+        self.subnet = reserve_subnet()
         self.ports = {
             'front': find_free_port(),
             'ready': find_free_port(),
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 from absl import app
 from absl import flags
 
+from tests.soak.directory import DirectoryInUseError
 from tests.soak.play import run_seed
 
 FLAGS = flags.FLAGS
@@ -21,15 +22,13 @@
     for seed in range(first, first + FLAGS.seeds):
         directory = pathlib.Path(FLAGS.logs) / f'seed-{seed}'
         directory.mkdir(parents=True, exist_ok=True)
-        findings, evidence = asyncio.run(
-            run_seed(
-                seed,
-                FLAGS.length_s * 1000,
-                directory,
-                FLAGS.hosts,
-                FLAGS.crashing,
-            )
+        run = run_seed(
+            seed, FLAGS.length_s * 1000, directory, FLAGS.hosts, FLAGS.crashing
         )
+        try:
+            findings, evidence = asyncio.run(run)
+        except DirectoryInUseError as exc:
+            raise SystemExit(f'seed {seed} was not run: {exc}') from exc
         statuses = collections.Counter(r.status for r in evidence.records)
         print(
             f'seed {seed}: {len(evidence.injected)} faults, '
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -12,6 +12,7 @@
 from tests.platformsite import wait_until
 from tests.soak import checks
 from tests.soak import faults
+from tests.soak.directory import lock_directory
 from tests.soak.plan import generate_plan
 from tests.soak.site import Replica
 from tests.soak.site import SoakSite
@@ -117,8 +118,15 @@
     :param crashing: whether a request that crashes endpoints is sent
         repeatedly.
     :returns: ``(findings, evidence)``.
+    :raises DirectoryInUseError: another run uses the directory.
     """
     directory = pathlib.Path(directory or tempfile.mkdtemp(prefix='soak-'))
+    with lock_directory(directory):
+        return await play(seed, length_ms, directory, hosts, crashing)
+
+
+async def play(seed, length_ms, directory, hosts, crashing):
+    """Run the soak in a directory of its own; see :func:`run_seed`."""
     replicas = [Replica(*arguments) for arguments in REPLICAS]
     names = tuple(f'host-{number}' for number in range(1, hosts + 1))
     site = SoakSite(directory, names, replicas)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import os
 import pathlib
 
 from pearrun.clock import Clock
@@ -17,6 +16,7 @@
 from pearrun.standins.platformsite import render_settings
 from pearrun.standins.platformsite import StandinSite
 from tests.builders import find_free_port
+from tests.builders import reserve_subnet
 from tests.soak.process import HostProcess
 
 GRACE_S = 4
@@ -103,7 +103,7 @@
 
     async def start_host(self, number, name):
         """Write a host's settings and start its process."""
-        ip = f'127.{1 + os.getpid() % 250}.{number}.1'
+        ip = f'127.{reserve_subnet()}.{number}.1'
         addresses = PlatformAddresses(
             await self.add_link(f'store-{name}', self.store_address),
             await self.add_link(f'api-{name}', self.api_address),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from tests import builders
 from tests.soak import checks
 from tests.soak import faults
+from tests.soak.directory import DirectoryInUseError
 from tests.soak.play import run_seed
 from tests.soak.process import Exit
 from tests.soak.process import HostProcess
@@ -78,6 +80,24 @@
     assert len(list(checks.check_lease(evidence))) == (not renewed)
 
 
+def test_run_beside_another_in_one_directory_is_refused(tmp_path):
+    # The first run's hosts restarted with the settings of the second one.
+    async def main():
+        first = asyncio.create_task(run_seed(11, 10, tmp_path))
+        await asyncio.sleep(0)
+        with pytest.raises(DirectoryInUseError, match=str(tmp_path)):
+            await run_seed(11, 10, tmp_path)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+
+    asyncio.run(main())
+
+
+def test_subnet_of_another_run_is_not_used():
+    reserve = builders.reserve_subnet.__wrapped__
+    assert reserve() != reserve()
+
+
 def test_sighup_at_startup_is_distinguished_from_handled_one(tmp_path):
     settings = tmp_path / 'boot.toml'
     settings.write_text('node = 1')
