--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -89,6 +89,9 @@
         self.members = MemberFollower(
             self.host, self.store, self.make_own_member(), self.holds_lease
         )
+        self.links = PeerLinks(
+            self.host, self.make_own_member(), self.reports, self.reporter
+        )
         self.stop = asyncio.Event()
         self.tasks = []
 
@@ -103,12 +106,6 @@
             link_mbps=settings.link_mbps,
         )
 
-    def make_peer_links(self):
-        """Return the :class:`PeerLinks` to the other hosts."""
-        return PeerLinks(
-            self.host, self.make_own_member(), self.reports, self.reporter
-        )
-
     def make_duties(self):
         """Return the :class:`Duties`; ``None`` if none are configured."""
         settings = self.settings
@@ -192,7 +189,7 @@
             self.members.run(),
             QuarantineFollower(self.host, self.store).run(),
             self.reporter.run(),
-            self.make_peer_links().run(),
+            self.links.run(),
             self.watch_settings(),
             statelog.log_state(self),
         ]
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import zlib
 
@@ -30,7 +31,7 @@
             await wait_until(lambda: first.host.members.count() == 2)
             member = first.host.members.members['host-2']
             gone = dataclasses.replace(member, address='127.0.0.1:9')
-            links = first.make_peer_links()
+            links = first.links
             link_task = asyncio.create_task(links._maintain_link(gone))
             await asyncio.sleep(0.5)
             assert not links.down
@@ -138,3 +139,51 @@
     bomb = zlib.compress(bytes(reports.MAX_BUNDLE_BYTES + 1))
     with pytest.raises(exceptions.WireFormatError):
         reports.decode_bundle(bomb)
+
+
+class Partition:
+    """Refuses connections between zones, as a partition with resets does."""
+
+    def __init__(self, site):
+        self.zones = {
+            f'ws://{daemon.settings.ip}:{daemon.settings.first_port}/': (
+                daemon.settings.zone
+            )
+            for daemon in site.hosts.values()
+        }
+        self.active = False
+
+    def connect(self, zone, address, **options):
+        """Replace the ``connect`` of a host in a zone."""
+        if self.active and self.zones[address] != zone:
+            raise ConnectionRefusedError('partitioned')
+        return connect(address, **options)
+
+
+def test_hubs_find_each_other_soon_after_a_partition(monkeypatch):
+    # They were excluded for up to 6 s more, and the usage of hosts that did
+    # not hear of the lease holder was missing in a report.
+    async def scenario(site, daemons):
+        partition = Partition(site)
+        for daemon in daemons:
+            daemon.links.connect = functools.partial(
+                partition.connect, daemon.settings.zone
+            )
+        await asyncio.sleep(peerlinks.STARTUP_MS / 1000)
+        hubs = find_hubs(daemons)
+        names = {hub.settings.name for hub in hubs}
+        partition.active = True
+        for hub in hubs:
+            for member, task in list(hub.links.links.items()):
+                if member.zone != hub.settings.zone:
+                    task.cancel()
+                    del hub.links.links[member]
+        # Longer than the first period for which hosts are considered down.
+        await asyncio.sleep(peerlinks.MIN_DOWN_MS / 1000 + 0.5)
+        assert any(hub.links._find_down() & names for hub in hubs)
+        partition.active = False
+        await asyncio.sleep(2)
+        for hub in hubs:
+            assert not hub.links._find_down() & names
+
+    run_with_hubs(scenario, monkeypatch)
