Quotas: buckets created early are not left empty after a loss of all hosts

Cause: a host that does not know the others may use a small share of each limit. A bucket created then began at half of that share of the burst, a twentieth or less, and stayed there when the share grew; one created 0.3 s later began at half of the burst. The log shows levels of 35,000 units (burst 700,000) beside a reserve of 143,000 for the other hosts' use, until 19.3 s. The smaller the first share, the larger the fleet, the longer. Change: when a host has heard of all others and all have started together, buckets get the rest of their initial level. A host that starts alone still assumes nothing: hosts restarted in turn would add up to several bursts. Evidence: test_customer_below_its_limit_is_served_after_a_loss_of_all_hosts fails before and passes now; the simulations of the limit, with the same level at a restart of all hosts, stay within it (43 tests).

--- a/pearrun/decisions/quota.py
+++ b/pearrun/decisions/quota.py
@@ -47,6 +47,10 @@
 # For this long after its start, a host assumes that listed hosts which have
 # not reported are starting too.  Links are up about a second after a start.
 STARTUP_MS = 5000
+# Hosts whose starts are at most this far apart were started together.
+RESTART_SPREAD_MS = 1500
+# Fraction of the hosts that were started together after a loss of all hosts.
+RESTARTED_FRACTION = 0.9
 # Share of the limit for a host that does not know the other hosts yet.
 UNKNOWN_MEMBERS_SHARE = 0.1
 # Fraction of the tolerated excess that is used; the rest covers calls that
@@ -111,6 +115,22 @@
     return min(1.0, STARTUP_FACTOR * (1 + reporting) / (1 + others))
 
 
+def is_restarted_fleet(own_ms, started_ms):
+    """Return whether all hosts were lost, and have started again together.
+
+    Nobody then knows how full the buckets were.  A host that starts alone
+    must not assume anything: hosts that are restarted one after the other
+    would add up to several bursts.
+
+    :param own_ms: when this host started, in Unix milliseconds.
+    :param started_ms: the same of all listed hosts.
+    """
+    together = sum(
+        abs(other_ms - own_ms) <= RESTART_SPREAD_MS for other_ms in started_ms
+    )
+    return together >= RESTARTED_FRACTION * len(started_ms)
+
+
 @dataclasses.dataclass
 class RateAverage:
     """Moving average of units per second, starting from an idle period."""
@@ -155,15 +175,28 @@
 class SharedBucket:
     """The token bucket of one customer as seen by one host.
 
-    :param burst: this host's share of the maximum level.
+    :param burst: the maximum level.
     :param now_ms: monotonic time.
+    :param share: the fraction of the limit that this host may use.
     """
 
-    def __init__(self, burst, now_ms):
-        self.level = burst * INITIAL_LEVEL_SHARE
+    def __init__(self, burst, now_ms, share=1.0):
+        self.share = share
+        self.level = burst * share * INITIAL_LEVEL_SHARE
         self.updated_ms = now_ms
         self.peers = {}
 
+    def raise_share(self, burst, share):
+        """Add the initial level of a larger share of the limit.
+
+        Otherwise a bucket that was created before the hosts had heard of each
+        other would stay nearly empty, and reject calls of customers below
+        their limits.
+        """
+        if share > self.share:
+            self.level += burst * (share - self.share) * INITIAL_LEVEL_SHARE
+            self.share = share
+
     def refill(self, rate_per_s, burst, now_ms):
         """Add the accrued units, less the assumed usage of silent hosts."""
         elapsed_s = max(0, now_ms - self.updated_ms) / 1000.0
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -40,6 +40,7 @@
         self.totals = {}
         self.rates = {}
         self._has_full_share = False
+        self._is_restarted_fleet = False
         self._reported_runs = set()
         self._ended_units = {}
         self._averaged_totals = {}
@@ -184,7 +185,15 @@
             members.listed,
             age_ms,
         )
-        self._has_full_share = members.listed and share >= 1.0
+        if members.listed and share >= 1.0:
+            self._has_full_share = True
+            own = members.members.get(members.own_name)
+            self._is_restarted_fleet = own is not None and (
+                quota.is_restarted_fleet(
+                    own.started_ms,
+                    [item.started_ms for item in members.members.values()],
+                )
+            )
         return share
 
     def _refill_bucket(self, customer, now, share):
@@ -194,8 +203,10 @@
         """
         bucket = self.buckets.get(customer.name)
         if bucket is None:
-            bucket = quota.SharedBucket(customer.burst * share, now)
+            bucket = quota.SharedBucket(customer.burst, now, share)
             self.buckets[customer.name] = bucket
+        if self._is_restarted_fleet:
+            bucket.raise_share(customer.burst, share)
         rate = quota.compute_refill_rate(
             customer.rate_per_s,
             customer.burst,
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -104,8 +104,10 @@
         self.reported = [0.0] * hosts
         self.reported_ms = [now] * hosts
         self.rates = [None] * hosts
-        level = BURST * self._share(now)
-        self.buckets = [quota.SharedBucket(level, now) for _ in range(hosts)]
+        share = self._share(now)
+        self.buckets = [
+            quota.SharedBucket(BURST, now, share) for _ in range(hosts)
+        ]
 
     def _share(self, now):
         reported = 0 if now < self.linked_ms else len(self.totals) - 1
@@ -132,7 +134,9 @@
         rate = quota.compute_refill_rate(
             RATE, BURST, SETTINGS, through_hubs=bool(self.delay_ms)
         )
-        bucket.refill(rate * self._share(now), BURST, now)
+        share = self._share(now)
+        bucket.raise_share(BURST, share)
+        bucket.refill(rate * share, BURST, now)
 
     def _report(self, sender, now):
         total = self.totals[sender]
--- a/tests/test_quota_cost.py
+++ b/tests/test_quota_cost.py
@@ -1,9 +1,12 @@
 """CPU cost of quota enforcement on a host of a large fleet."""
 
+import dataclasses
+
 import pytest
 
 from pearrun.decisions import quota
 from pearrun.run import Run
+from pearrun.shared.configuration import Customer
 from pearrun.shared.members import Member
 from pearrun.shared.quotas import AdmittedUnits
 from tests.platformsite import configure
@@ -72,3 +75,46 @@
     assert len(host.quotas.buckets) == len(CUSTOMERS)
     assert len(counted) <= max_counts
     assert not listed
+
+
+@dataclasses.dataclass(frozen=True)
+class QuotaCall:
+    """The part of a call that its customer's quota depends on."""
+
+    customer: Customer
+    units: float
+
+
+def count_admitted_after_restart(restarted):
+    """Return how many of ten calls a host admits just after its start.
+
+    :param restarted: how many of the hosts have started with it.
+    """
+    host = make_large_fleet_host()
+    own = host.members.own_name
+    for number in range(HOSTS):
+        started_ms = 60_000 if number < restarted else 1
+        host.members.put(Member(f'h{number}', '10.0.0.1:1', 'z', started_ms))
+    host.members.put(Member(own, '10.0.0.1:1', 'z', 60_000))
+    host.members.listed = False
+    host.quotas.started_ms = host.clock.now()
+    customer = host.config.current.customers[CUSTOMERS[0]]
+    # Before the list of hosts is read.
+    host.quotas.admit(QuotaCall(customer, 200))
+    host.members.listed = True
+    for number in range(HOSTS):
+        host.members.note_report(f'h{number}')
+    # The others use 0.55 of the limit.
+    report = {CUSTOMERS[0]: AdmittedUnits(1.0, 0.55 * customer.rate_per_s)}
+    host.quotas.put_report(RUN, report)
+    return sum(host.quotas.admit(QuotaCall(customer, 2000)) for _ in range(10))
+
+
+def test_customer_below_its_limit_is_served_after_a_loss_of_all_hosts():
+    # The level of a bucket created before the hosts had heard of each other
+    # stayed at a twentieth, and a fifth of the calls was rejected.
+    assert count_admitted_after_restart(HOSTS) == 10
+
+
+def test_host_that_starts_alone_assumes_nothing_of_the_quota():
+    assert count_admitted_after_restart(HOSTS // 2) <= 1
