Roll-outs: trouble that both versions share no longer reverts good ones

Change: answers wait 0.6 s for those of the old version (not once all calls have moved); under suspicion the calls that the move does not need go to the new version; 0.52 for one endpoint; every route has to speak for the version; half of the tolerated number is planned for, less the calls that hosts send before they hear of a decision.

--- a/pearrun/decisions/rollout.py
+++ b/pearrun/decisions/rollout.py
@@ -11,10 +11,13 @@
 the deadline, on a few endpoints, which then run as full as the old ones.  The
 calls move at the latest time that leaves the old endpoints' calls time to end,
 and the roll-out completes unless the new version turns bad under full load.
+While there is evidence against it, the calls do not move, and what the move
+would have used of the exposed share is spent on more answers.
 """
 
 import dataclasses
 import enum
+import math
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,10 +28,17 @@
         versions serve side by side.
     :param exposed_share: share of a service's calls that a bad version may
         get between the order and its deadline.
+    :param exposed_slack: number of calls by which that share may be exceeded.
     :param budget_fraction: fraction of that share that is planned for.
+    :param slack_fraction: fraction of that number that is planned for.
+    :param unheard_ms: time for which hosts may still follow an earlier
+        decision; the calls of that time are taken off the slack.
     :param smallest_canary_share: smallest share of the calls that the new
         version gets before they move.
-    :param largest_canary_share: the largest one, for services with few calls.
+    :param largest_canary_share: the largest one, unless the exposed share
+        leaves room for more.
+    :param largest_suspect_share: the largest share while there is evidence
+        against the new version.
     :param canary_answers: answers of the new version to aim for.
     :param trial_endpoints: endpoints of the new version that are tried under
         load before the calls move.
@@ -51,11 +61,14 @@
         least.
     :param suspicion_fraction: fraction of the threshold of evidence above
         which the calls do not move yet.
+    :param judge_delay_ms: how long the answers of the new version wait for
+        those that the old one gave at the same time.
     :param evidence_threshold: logarithm of the likelihood ratio from which a
         version is bad.  A good one passes it in less than one of e to that
         power sequences of answers.
     :param good_evidence: negated logarithm of the likelihood ratio without
         which the calls do not move.
+    :param good_route_evidence: the same for each route.
     :param endpoint_fraction: fraction of the threshold that the answers of one
         endpoint can contribute, so that its own failure is not taken for one
         of the version.
@@ -63,9 +76,13 @@
 
     enabled: bool = True
     exposed_share: float = 0.1
+    exposed_slack: float = 0.0
     budget_fraction: float = 0.95
+    slack_fraction: float = 0.5
+    unheard_ms: float = 150
     smallest_canary_share: float = 0.015
     largest_canary_share: float = 0.03
+    largest_suspect_share: float = 0.15
     canary_answers: int = 60
     trial_endpoints: int = 2
     trial_load: float = 1.5
@@ -80,9 +97,11 @@
     base_bad_rate: float = 0.02
     added_bad_rate: float = 0.2
     suspicion_fraction: float = 0.4
+    judge_delay_ms: float = 600
     evidence_threshold: float = 9.5
     good_evidence: float = 2.0
-    endpoint_fraction: float = 0.6
+    good_route_evidence: float = 0.0
+    endpoint_fraction: float = 0.52
 
 
 class Stage(enum.Enum):
@@ -127,7 +146,10 @@
     :param elapsed_ms: time since the order.
     :param duration_ms: time from the order to its deadline.
     :param score: evidence that the new version is bad, 1 if it is.
+    :param suspicion: that evidence with the answers that wait for those of
+        the old version.
     :param balance: log-likelihood ratio of all answers.
+    :param route_balances: the same by route.
     :param moved_ms: how long all calls have gone to the new version;
         ``None`` if they do not yet.
     :param answer_ms: mean time of an answer by route.
@@ -137,7 +159,9 @@
     elapsed_ms: float
     duration_ms: float
     score: float
+    suspicion: float
     balance: float
+    route_balances: dict[str, float]
     moved_ms: float | None
     answer_ms: dict[str, float]
     endpoints: int
@@ -155,31 +179,35 @@
         return Plan(Stage.REVERT)
     counts = evidence.count_by_route()
     left_ms = progress.duration_ms - progress.elapsed_ms
-    is_suspect = progress.score >= settings.suspicion_fraction
+    is_due = left_ms <= settings.completion_margin_ms
+    if not counts:
+        return Plan(Stage.CANARY)
+    is_suspect = progress.suspicion >= settings.suspicion_fraction
     if progress.moved_ms is not None:
-        is_due = left_ms <= settings.completion_margin_ms
         settle_ms = (
             settings.shortest_settle_ms if is_due else settings.settle_ms
         )
         done = progress.moved_ms >= settle_ms and not is_suspect
         stage = Stage.COMPLETE if done else Stage.MOVE
         return Plan(stage, frozenset(counts))
-    share = compute_canary_share(progress, evidence, settings)
-    shares = divide_share(share, counts)
-    is_proven = (
-        evidence.count_new() >= settings.min_answers
-        and progress.balance <= -settings.good_evidence
-    )
-    if is_suspect or not counts:
-        return Plan(Stage.CANARY, share=share, route_shares=shares)
-    leads = compute_leads(progress, evidence, settings)
+    budget = compute_budget(progress, evidence, settings)
+    if is_suspect:
+        share = compute_suspect_share(budget, left_ms, settings)
+        return Plan(
+            Stage.CANARY,
+            share=share,
+            route_shares=divide_share(share, counts),
+        )
+    share = compute_canary_share(budget, settings)
+    leads = compute_leads(progress, evidence, budget, settings)
     routes = frozenset()
-    if is_proven:
+    if is_proven(progress, evidence, settings):
         routes = frozenset(
             route for route, lead_ms in leads.items() if left_ms <= lead_ms
         )
     if routes == frozenset(counts):
         return Plan(Stage.MOVE, routes)
+    shares = divide_share(share, counts)
     trial = plan_trial(progress, settings)
     if left_ms <= min(leads.values()) + trial.duration_ms:
         share = max(share, trial.share)
@@ -187,6 +215,54 @@
     return Plan(Stage.CANARY, routes, share, shares)
 
 
+def is_proven(progress, evidence, settings):
+    """Return whether the answers speak for the new version."""
+    return (
+        evidence.count_new() >= settings.min_answers
+        and progress.balance <= -settings.good_evidence
+        and all(
+            balance <= -settings.good_route_evidence
+            for balance in progress.route_balances.values()
+        )
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Budget:
+    """Calls that the new version may get until the deadline.
+
+    :param expected: calls of both versions until then.
+    :param rate: their number per millisecond.
+    :param total: calls that the new version may get.
+    :param left: what is left of them.
+    :param move: what the move of all calls needs of them.
+    """
+
+    expected: float
+    rate: float
+    total: float
+    left: float
+    move: float
+
+
+def compute_budget(progress, evidence, settings):
+    """Return the :class:`Budget` of a roll-out."""
+    elapsed_ms = max(1.0, progress.elapsed_ms)
+    rate = sum(evidence.count_by_route().values()) / elapsed_ms
+    expected = rate * progress.duration_ms
+    total = settings.budget_fraction * settings.exposed_share * expected
+    slack = settings.exposed_slack - rate * settings.unheard_ms
+    total += settings.slack_fraction * max(0.0, slack)
+    move_ms = settings.completion_margin_ms + settings.settle_ms
+    return Budget(
+        expected,
+        rate,
+        total,
+        total - evidence.count_new(),
+        rate * (move_ms - settings.spread_ms),
+    )
+
+
 def divide_share(share, counts):
     """Divide a share of all calls so that all routes get as many answers.
 
@@ -223,20 +299,33 @@
     return max(1, int(endpoints * share / settings.trial_load + 0.01))
 
 
-def compute_canary_share(progress, evidence, settings):
-    """Return the share of the calls that give the answers aimed for."""
-    answers = sum(evidence.count_by_route().values())
-    if not answers:
-        return settings.smallest_canary_share
-    expected = answers * progress.duration_ms / max(1.0, progress.elapsed_ms)
-    share = round(settings.canary_answers / expected, 3)
-    return max(
-        settings.smallest_canary_share,
-        min(settings.largest_canary_share, share),
-    )
+def compute_canary_share(budget, settings):
+    """Return the share of the calls that give the answers aimed for.
+
+    :param budget: the :class:`Budget`.
+    """
+    expected = max(1.0, budget.expected)
+    spare = budget.total - budget.move - settings.trial_share * expected
+    largest = max(settings.largest_canary_share, min(0.5, spare / expected))
+    share = min(largest, settings.canary_answers / expected)
+    return round(max(settings.smallest_canary_share, share), 3)
+
+
+def compute_suspect_share(budget, left_ms, settings):
+    """Return the share of the calls that settles what speaks against it.
+
+    It takes what the move of the calls does not need.
+
+    :param budget: the :class:`Budget`.
+    :param left_ms: time until the deadline.
+    """
+    calls = max(1.0, budget.rate * left_ms)
+    move = min(budget.move, calls)
+    share = min(settings.largest_suspect_share, (budget.left - move) / calls)
+    return max(settings.smallest_canary_share, math.floor(share * 1000) / 1000)
 
 
-def compute_leads(progress, evidence, settings):
+def compute_leads(progress, evidence, budget, settings):
     """Return how long before the deadline the calls of each route move.
 
     All routes get the time that completion takes, or less if the exposed
@@ -248,24 +337,22 @@
     elapsed_ms = max(1.0, progress.elapsed_ms)
     counts = evidence.count_by_route()
     rates = {route: n / elapsed_ms for route, n in counts.items()}
-    expected = sum(rates.values()) * progress.duration_ms
-    budget = settings.budget_fraction * settings.exposed_share * expected
-    budget -= evidence.count_new()
     lead_ms = min(
         settings.completion_margin_ms + settings.settle_ms,
-        settings.spread_ms + max(0.0, budget) / max(1e-9, sum(rates.values())),
+        settings.spread_ms + max(0.0, budget.left) / max(1e-9, budget.rate),
     )
-    budget -= sum(rates.values()) * max(0.0, lead_ms - settings.spread_ms)
+    left = budget.left
+    left -= budget.rate * max(0.0, lead_ms - settings.spread_ms)
     leads = dict.fromkeys(counts, lead_ms)
     for route in sorted(rates, key=rates.get):
-        if not rates[route] or budget <= 0:
+        if not rates[route] or left <= 0:
             continue
         wanted_ms = settings.completion_margin_ms
         wanted_ms += settings.long_call_factor * progress.answer_ms.get(
             route, 0.0
         )
-        more_ms = min(wanted_ms - lead_ms, budget / rates[route])
+        more_ms = min(wanted_ms - lead_ms, left / rates[route])
         if more_ms > 0:
             leads[route] += more_ms
-            budget -= rates[route] * more_ms
+            left -= rates[route] * more_ms
     return leads
--- a/pearrun/duties/conductor.py
+++ b/pearrun/duties/conductor.py
@@ -145,14 +145,20 @@
         now = self.host.clock.now()
         board = self.host.evidence
         evidence = board.sum(order.service, order.number)
-        conduct.test.update(evidence)
-        conduct.update_turn(now)
         moved_since_ms = conduct.moved_since_ms
+        conduct.test.update(
+            evidence,
+            now,
+            self.settings.judge_delay_ms if moved_since_ms is None else 0,
+        )
+        conduct.update_turn(now)
         progress = rollout.Progress(
             elapsed_ms=now - known.ordered_ms,
             duration_ms=order.duration_ms,
             score=conduct.test.score,
+            suspicion=conduct.test.suspicion,
             balance=conduct.test.balance,
+            route_balances=dict(conduct.test.provisional.route_balances),
             moved_ms=None if moved_since_ms is None else now - moved_since_ms,
             answer_ms=board.get_answer_ms(order.service, order.number),
             endpoints=self.rollouts.count_endpoints(order.service, order.to),
@@ -180,10 +186,11 @@
             elapsed_ms=progress.elapsed_ms,
             duration_ms=order.duration_ms,
             score=round(conduct.test.score, 2),
+            suspicion=round(conduct.test.suspicion, 2),
             balance=round(conduct.test.balance, 1),
             scores={
                 route: round(score, 1)
-                for route, score in conduct.test.by_route.items()
+                for route, score in conduct.test.provisional.by_route.items()
             },
             old=describe(evidence.old.values()),
             new=describe(evidence.new.values()),
--- a/pearrun/platform/settings.py
+++ b/pearrun/platform/settings.py
@@ -182,6 +182,7 @@
     return RolloutSettings(
         enabled=contracts is None or 'rollout' in contracts,
         exposed_share=share,
+        exposed_slack=float(bounds.get('expose_slack', 0)),
         smallest_canary_share=min(defaults.smallest_canary_share, share / 4),
         largest_canary_share=min(defaults.largest_canary_share, share / 3),
     )
