Roll-outs: a service without calls is done by its deadline

What operators saw (by reading): the roll-out of a service that gets no calls stayed running for ever, since its version had no answers to speak for it. Cause: decide() waits for answers in every case. A holder that hears only a part of the hosts does not take that for idleness. Evidence: the test on two hosts and stand-ins fails before (no state but running within 4 s of an order of 3 s) and passes now.

--- a/pearrun/decisions/rollout.py
+++ b/pearrun/decisions/rollout.py
@@ -154,6 +154,7 @@
         ``None`` if they do not yet.
     :param answer_ms: mean time of an answer by route.
     :param endpoints: number of endpoints of the new version.
+    :param is_idle: whether the service is known to get no calls.
     """
 
     elapsed_ms: float
@@ -165,6 +166,7 @@
     moved_ms: float | None
     answer_ms: dict[str, float]
     endpoints: int
+    is_idle: bool = False
 
 
 def decide(progress, evidence, settings):
@@ -181,7 +183,10 @@
     left_ms = progress.duration_ms - progress.elapsed_ms
     is_due = left_ms <= settings.completion_margin_ms
     if not counts:
-        return Plan(Stage.CANARY)
+        # An idle service exposes no callers, and there will be no answers to
+        # wait for.
+        done = is_due and progress.is_idle
+        return Plan(Stage.COMPLETE if done else Stage.CANARY)
     is_suspect = progress.suspicion >= settings.suspicion_fraction
     if progress.moved_ms is not None:
         settle_ms = (
--- a/pearrun/duties/conductor.py
+++ b/pearrun/duties/conductor.py
@@ -19,6 +19,11 @@
 # How long one selection of endpoints gets the small share, so that several
 # endpoints of the new version are tried.
 TURN_MS = 3000
+# Fraction of the hosts from which notes are needed to call a service idle; a
+# partitioned holder hears only a part of them.
+INFORMED_FRACTION = 0.9
+# Expected concurrent calls below which a service is idle.
+MAX_IDLE_BUSY = 0.01
 
 
 class Conduct:
@@ -162,6 +167,7 @@
             moved_ms=None if moved_since_ms is None else now - moved_since_ms,
             answer_ms=board.get_answer_ms(order.service, order.number),
             endpoints=self.rollouts.count_endpoints(order.service, order.to),
+            is_idle=self._is_idle(order),
         )
         plan = rollout.decide(progress, evidence, self.settings)
         if plan == conduct.plan:
@@ -198,6 +204,13 @@
         self._apply_own_notice(conduct)
         self.notify_peers()
 
+    def _is_idle(self, order):
+        """Return whether nearly all hosts say that a service gets no calls."""
+        heard = self.host.evidence.count_runs(order.service, order.number)
+        if heard < INFORMED_FRACTION * self.host.count_hosts():
+            return False
+        return self.host.demands.sum_all(order.service).busy < MAX_IDLE_BUSY
+
     def _apply_own_notice(self, conduct):
         """Let this host's own calls follow the decision."""
         notice = conduct.make_notice(RolloutState.RUNNING)
--- a/pearrun/rollouts/evidence.py
+++ b/pearrun/rollouts/evidence.py
@@ -98,6 +98,10 @@
                     new[key] = new.get(key, Tally()) + tally
         return Evidence(old, new)
 
+    def count_runs(self, service, number):
+        """Return from how many runs of hosts there are notes."""
+        return len(self._find(service, number))
+
     def get_answer_ms(self, service, number):
         """Return the mean time of an answer by route, in milliseconds."""
         by_route = {}
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -217,6 +217,34 @@
     assert late.share == SETTINGS.smallest_canary_share
 
 
+def test_service_without_calls_completes_before_the_deadline():
+    # Its roll-out never ended.
+    nothing = Evidence({}, {})
+    for elapsed_ms, is_idle, stage in (
+        (9_000, True, Stage.CANARY),
+        (13_500, False, Stage.CANARY),
+        (13_500, True, Stage.COMPLETE),
+    ):
+        progress = make_progress(
+            elapsed_ms, balance=0.0, route_balances={}, is_idle=is_idle
+        )
+        plan = rollout.decide(progress, nothing, SETTINGS)
+        assert plan.stage is stage
+
+
+def test_roll_out_of_a_service_without_calls_is_done_on_hosts():
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=2) as site:
+            await wait_until(lambda: find_holders(site))
+            site.order_rollout('plain', 'v2', 3)
+            await start_version(site, 'v2')
+            await wait_until(
+                lambda: ('v2', 'done') in site.get_rollout_states('plain'), 4
+            )
+
+    asyncio.run(main())
+
+
 def test_service_with_few_calls_uses_the_exposed_slack():
     settings = rollout.RolloutSettings(exposed_slack=50)
     evidence = Evidence({'short': Tally(10, 0)}, {})
