Paths: hosts tell each other which paths to endpoints have failed

Cause: a call on a kept connection may have run when the connection breaks. 84 hosts keep connections to 45 endpoints, and each host met each broken path by itself: 176 calls ended with one reset connection, 99 with several tries, 94 with one connection that acknowledged nothing for 450 ms. Refused and reset connections were not counted against the zone. Change: a host that meets silence tells all others, which close their idle connections to that endpoint; after a reset or refused connection it tries three more endpoints of the zone, and if none can be reached, tells the hosts of its own zone, which avoid the zone and close their idle connections to it. New connections fail before a call is sent, so that it goes elsewhere. Nobody stops using an endpoint on another host's word alone: the reporter's own path may be broken. Tests: idle connections of all hosts through hubs, a zone that cannot be reached, one endpoint that refuses (tests/test_paths.py); without the notes the others keep their connections.

--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -85,6 +85,7 @@
         self.host.remove_host_reports = self.reports.remove_host
         self.host.selection.notify_peers = self.reporter.trigger_round
         self.host.quarantine.notify_peers = self.reporter.trigger_round
+        self.host.paths.notify_peers = self.reporter.trigger_round
         self.duties = self.make_duties()
         self.members = MemberFollower(
             self.host, self.store, self.make_own_member(), self.holds_lease
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -70,6 +70,10 @@
         except exceptions.EndpointUnreachableError as exc:
             silent = isinstance(exc, exceptions.EndpointSilentError)
             self._record_failure(refused=True, silent=silent)
+            if silent:
+                self.host.paths.note_silent(endpoint.record)
+            if not silent and not self._is_retiring():
+                self.host.paths.note_broken(endpoint.record)
             is_down = isinstance(exc, exceptions.EndpointDownError)
             if is_down and not self._is_retiring():
                 self.host.crashes.note_down(endpoint.id)
@@ -304,13 +308,16 @@
         """Record that the connection broke before the response ended."""
         silent = exceptions.is_peer_silent(exc)
         self._record_failure(silent=silent)
+        record = self.selected.endpoint.record
         if silent:
             # The idle connections to this endpoint may be dead as well,
             # and each could cost a call that must not be retried.
-            self.host.pools.close_idle(self.selected.endpoint.id)
+            self.host.paths.note_silent(record)
             return
         if self._is_retiring():
             return
+        if self.forwarding_since_ms is None:
+            self.host.paths.note_broken(record)
         self.trace.fingerprint = self.call.fingerprint
         now = self.host.clock.now()
         ran_ms = now - self.sent_ms
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -16,6 +16,7 @@
 from pearrun.shared.loads import Loads
 from pearrun.shared.members import MEMBER_TOPIC
 from pearrun.shared.members import Members
+from pearrun.shared.paths import Paths
 from pearrun.shared.pools import EndpointPools
 from pearrun.shared.quarantine import Quarantine
 from pearrun.shared.quotas import Quotas
@@ -66,6 +67,14 @@
             self.feed,
             self.rollouts,
         )
+        self.paths = Paths(
+            clock,
+            settings.name,
+            settings.zone,
+            self.fleet,
+            self.selection,
+            self.pools,
+        )
         self.quarantine = Quarantine(clock)
         self.crashes.handle_crashes = self.quarantine.handle_crashes
         self.crashes.retract_crash = self.quarantine.retract_crash
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -35,8 +35,8 @@
     :param usage: its counts of calls.
     :param evidence: its counts of answers for open roll-outs.
     :param feeds: topic changes that this host has read from the store.
-    :param suspects: requests that were running when endpoints crashed, if
-        any have to be sent.
+    :param alerts: requests that were running when endpoints crashed, and
+        paths that failed, if any have to be sent.
     :param zone: sums for its zone; ``None`` if it is not a hub.
     :param coverage: which reports the sums include; ``None`` if it is not a
         hub.
@@ -48,7 +48,7 @@
     usage: bytes
     evidence: tuple[bytes, ...] = ()
     feeds: tuple[bytes, ...] = ()
-    suspects: tuple[bytes, ...] = ()
+    alerts: tuple[bytes, ...] = ()
     zone: bytes | None = None
     coverage: bytes | None = None
     zone_reports: tuple[bytes, ...] = ()
@@ -126,11 +126,11 @@
         usage = [] if current.usage is sent_usage else [current.usage]
         usage.extend(current.evidence)
         if plan.mesh:
-            return [current.own, *usage, *current.feeds, *current.suspects]
+            return [current.own, *usage, *current.feeds, *current.alerts]
         messages = []
         if member.name in plan.targets:
             messages.extend(self._select_hub_messages(current, member))
-            messages.extend(current.suspects)
+            messages.extend(current.alerts)
         if member.name == self.receiver.find_holder():
             # No reports: a host that receives them acts as a hub, and the
             # link of the lease holder may be too slow for that.
@@ -220,16 +220,16 @@
         ended = self.receiver.take_ended()
         zone_placed = self.receiver.take_zone_placements()
         suspects_due = host.quarantine.collect_updates()
-        suspects = self._encode_suspects(suspects_due)
+        alerts = self._encode_suspects(suspects_due) + self._encode_paths()
         if self.plan is None or not self.plan.is_hub:
-            return Round(reports.encode(own), usage, evidence, feeds, suspects)
+            return Round(reports.encode(own), usage, evidence, feeds, alerts)
         forwarded = [*sums, *(reports.encode(item) for item in ended)]
         return Round(
             reports.encode(own),
             usage,
             evidence,
             feeds,
-            suspects,
+            alerts,
             reports.encode(self._sum_zone(own, zone_placed)),
             reports.encode(self.receiver.make_coverage()),
             tuple(zone_reports),
@@ -280,6 +280,19 @@
         note = reports.SuspectNote(self.host.settings.name, aged)
         return (reports.encode(note),)
 
+    def _encode_paths(self):
+        """Return the encoded :class:`PathNote` in a tuple, if any."""
+        failures = self.host.paths.collect_updates()
+        if not failures:
+            return ()
+        now = self.host.clock.now()
+        aged = tuple(
+            dataclasses.replace(failure, at_ms=now - failure.at_ms)
+            for failure in failures
+        )
+        note = reports.PathNote(self.host.settings.name, aged)
+        return (reports.encode(note),)
+
     def _make_report(
         self, run, hosts, loads, admitted, placed, demands, engines
     ):
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -98,6 +98,8 @@
                     self._remove_runs(name)
                 case reports.SuspectNote(name, suspects):
                     self._apply_suspects(name, suspects)
+                case reports.PathNote(_, failures):
+                    self._apply_paths(failures)
                 case reports.ConfigCopy(name, raw):
                     self._apply_config(name, raw)
 
@@ -270,6 +272,17 @@
             forward=self.host.feed.through_hubs,
         )
 
+    def _apply_paths(self, failures):
+        """Apply another host's path failures."""
+        now = self.clock.now() - self._delay_ms
+        self.host.paths.merge(
+            [
+                dataclasses.replace(failure, at_ms=now - failure.at_ms)
+                for failure in failures
+            ],
+            forward=self.host.feed.through_hubs,
+        )
+
     def _apply_config(self, name, raw):
         """Offer another host's copy of the configuration."""
         try:
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -23,6 +23,7 @@
 from pearrun.shared import cbor
 from pearrun.shared import suspects as suspect_codec
 from pearrun.shared.loads import Load
+from pearrun.shared.paths import PathFailure
 from pearrun.shared.prompts import PromptPlacement
 from pearrun.shared.quotas import AdmittedUnits
 
@@ -153,6 +154,18 @@
     suspects: tuple[Suspect, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class PathNote:
+    """Paths on which endpoints could not be reached.
+
+    :param host: the sender.
+    :param failures: :class:`PathFailure` objects with ages in milliseconds.
+    """
+
+    host: HostName
+    failures: tuple[PathFailure, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class ConfigCopy:
     """The sender's configuration, as encoded in the store."""
@@ -169,6 +182,7 @@
     | TopicFeed
     | HostEnded
     | SuspectNote
+    | PathNote
     | ConfigCopy
 )
 
@@ -259,6 +273,9 @@
         case SuspectNote(host, suspects):
             fields = [suspect_codec.to_fields(item) for item in suspects]
             return cbor2.dumps(['suspects', host, fields])
+        case PathNote(host, failures):
+            fields = [dataclasses.astuple(item) for item in failures]
+            return cbor2.dumps(['paths', host, fields])
         case ConfigCopy(host, raw):
             return cbor2.dumps(['config', host, raw])
 
@@ -374,6 +391,11 @@
                 return SuspectNote(
                     host, tuple(map(suspect_codec.from_fields, suspects))
                 )
+            case 'paths':
+                host, failures = fields
+                return PathNote(
+                    host, tuple(PathFailure(*item) for item in failures)
+                )
             case 'config':
                 return ConfigCopy(*fields)
     except (ValueError, TypeError, IndexError, AttributeError) as exc:
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -195,6 +195,18 @@
         endpoint.pause.begin(now)
         return endpoint.pause.length_ms
 
+    def pause_zone(self, zone):
+        """Avoid the endpoints of a zone that this host's zone cannot reach."""
+        health = self.zones.setdefault(zone, avoidance.ZoneHealth())
+        now = self.clock.now()
+        if not health.pause.holds(now):
+            health.pause.begin(now)
+
+    def is_zone_paused(self, zone):
+        """Return whether the endpoints of a zone are being avoided."""
+        health = self.zones.get(zone)
+        return health is not None and health.pause.holds(self.clock.now())
+
     def _get_zone_health(self, endpoint):
         zone = endpoint.record.zone
         return self.zones.setdefault(zone, avoidance.ZoneHealth())
