Quotas: a listed host that is gone does not delay buckets after a loss of all

What callers would see (by reading, docs/decisions.md, 'What is left'): a host that was replaced stays listed and never reports, so that after a loss of all hosts the others have no full share for 5 s and their buckets stay empty. Change: a fifth of the listed hosts may be missing or older.

--- a/pearrun/decisions/quota.py
+++ b/pearrun/decisions/quota.py
@@ -49,8 +49,9 @@
 STARTUP_MS = 5000
 # Hosts whose starts are at most this far apart were started together.
 RESTART_SPREAD_MS = 1500
-# Fraction of the hosts that were started together after a loss of all hosts.
-RESTARTED_FRACTION = 0.9
+# Fraction of the listed hosts that were started together after a loss of all
+# hosts, and that have to report.  Hosts that were replaced stay listed.
+RESTARTED_FRACTION = 0.8
 # Share of the limit for a host that does not know the other hosts yet.
 UNKNOWN_MEMBERS_SHARE = 0.1
 # Fraction of the tolerated excess that is used; the rest covers calls that
--- a/pearrun/platform/usagelog.py
+++ b/pearrun/platform/usagelog.py
@@ -57,7 +57,6 @@
             TOPIC, [(make_key(run), encode(run)) for run in runs]
         )
 
-
     async def close_window(self, window, fencing):
         """Write that a window, and all before it, may be committed.
 
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -185,8 +185,8 @@
             members.listed,
             age_ms,
         )
-        if members.listed and share >= 1.0:
-            self._has_full_share = True
+        if members.listed and share >= quota.RESTARTED_FRACTION:
+            self._has_full_share = share >= 1.0
             own = members.members.get(members.own_name)
             self._is_restarted_fleet = own is not None and (
                 quota.is_restarted_fleet(
