--- a/pearrun/platform/usagelog.py
+++ b/pearrun/platform/usagelog.py
@@ -10,9 +10,9 @@
 from pearrun.usage.saver import SavedRun
 
 TOPIC = 'usage'
-# Prefix of the keys that name the last window that a holder may have committed.
-# Each window and holder has a key of its own, so that a delayed write does not
-# replace a later one.
+# Prefix of the keys that name the last window that a holder may have
+# committed.  Each window and holder has a key of its own, so that a delayed
+# write does not replace a later one.
 CLOSED_PREFIX = 'closed/'
 # The store removes keys without a value.
 CLOSED_VALUE = b'1'
