Peer links: hosts plan their links more often while they start

Cause: a host looks for new links every 0.2 s, and at its first look it has not read the list of hosts yet. Change: every 50 ms during the first second. Evidence, eight hosts with hubs on loopback, three restarts of all, time from the last start until all have reports of all: 0.75, 0.31, 0.30 s before; 0.35, 0.14, 0.22 s after, beside other load.

--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -48,6 +48,8 @@
 # all hosts would choose other hubs.
 STARTUP_MS = 1000
 STARTUP_REDIAL_DELAY_MS = 50
+# Until hosts have heard of each other, they reject calls of large customers.
+STARTUP_PLAN_CHECK_INTERVAL_MS = 50
 # How often this host's configuration is sent to a peer that has an older one.
 CONFIG_COPY_INTERVAL_MS = 1000
 
@@ -104,7 +106,10 @@
             try:
                 while True:
                     self._update_links()
-                    await asyncio.sleep(to_seconds(PLAN_CHECK_INTERVAL_MS))
+                    interval_ms = PLAN_CHECK_INTERVAL_MS
+                    if self._is_starting():
+                        interval_ms = STARTUP_PLAN_CHECK_INTERVAL_MS
+                    await asyncio.sleep(to_seconds(interval_ms))
             finally:
                 for link in self.links.values():
                     link.cancel()
@@ -169,6 +174,9 @@
                 targets=len(plan.targets),
             ).info('role among hosts')
 
+    def _is_starting(self):
+        return self.host.clock.since(self.started_ms) < STARTUP_MS
+
     def _find_down(self):
         """Return the names of the hosts that are considered down."""
         listed = self.host.members.members
@@ -215,7 +223,7 @@
                 logger.bind(peer=member.name, cause=repr(e)).info(
                     'peer link down'
                 )
-            if self.host.clock.since(self.started_ms) < STARTUP_MS:
+            if self._is_starting():
                 await asyncio.sleep(to_seconds(STARTUP_REDIAL_DELAY_MS))
                 continue
             delay_ms = REDIAL_DELAY_MS
