--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -29,10 +29,10 @@
 PING_INTERVAL_MS = 1000
 PING_TIMEOUT_MS = 1500
 REDIAL_DELAY_MS = 200
-# The same for a host that is considered down.  It has to be short: while the
-# hubs of two failure domains cannot reach each other after a partition, their
-# hosts do not hear of the lease holder, nor it of their usage.
-DOWN_REDIAL_DELAY_MS = 1000
+# The same for a hub that is excluded.  It has to be short: while the hubs of
+# two failure domains cannot reach each other after a partition, their hosts do
+# not hear of the lease holder, nor it of their usage.
+EXCLUDED_REDIAL_DELAY_MS = 1000
 # How long closing a link waits for the peer's close frame: a stopping host is
 # killed soon, and must not wait for a peer that is cut off.
 CLOSE_TIMEOUT_MS = 100
@@ -84,6 +84,7 @@
         self.links = {}
         self.config_sent_ms = {}
         self.down = {}
+        self.excluded = frozenset()
         self.connect = connect
         self.roles = None
         self.started_ms = host.clock.now()
@@ -138,12 +139,15 @@
         )
         self._apply_plan(plan)
         names = set(plan.targets)
+        self.excluded = frozenset()
         if down:
-            # Hubs that are down are still dialled.  They become hubs again as
-            # soon as they are reached.
-            names |= topology.plan_links(
+            # Excluded hubs are still dialled.  They become hubs again as soon
+            # as they are reached.
+            all_up = topology.plan_links(
                 self.own, members.values(), frozenset(), used_as_hub
-            ).targets
+            )
+            self.excluded = all_up.targets - plan.targets
+            names |= self.excluded
         if not plan.mesh:
             names.add(holder)
         wanted = {
@@ -179,17 +183,14 @@
 
     def _find_down(self):
         """Return the names of the hosts that are considered down."""
+        now = self.host.clock.now()
         listed = self.host.members.members
         return {
             member.name
-            for member in self.down
-            if self._is_down(member) and listed.get(member.name) == member
+            for member, down in self.down.items()
+            if now < down.until_ms and listed.get(member.name) == member
         }
 
-    def _is_down(self, member):
-        down = self.down.get(member)
-        return down is not None and self.host.clock.now() < down.until_ms
-
     def _note_down(self, member):
         """Record that a host could not be reached."""
         now = self.host.clock.now()
@@ -227,8 +228,8 @@
                 await asyncio.sleep(to_seconds(STARTUP_REDIAL_DELAY_MS))
                 continue
             delay_ms = REDIAL_DELAY_MS
-            if self._is_down(member):
-                delay_ms = DOWN_REDIAL_DELAY_MS
+            if member.name in self.excluded:
+                delay_ms = EXCLUDED_REDIAL_DELAY_MS
             self._note_down(member)
             await asyncio.sleep(to_seconds(delay_ms))
 
