Usage log: a malformed entry does not keep hosts from claiming the lease

By reading: a malformed key of a closed window raised an error at each attempt to claim the lease after a loss of its log, so that nobody held it. Change: it is logged, and all windows that ended before the loss are closed. Evidence: test_malformed_entry_of_a_closed_window_closes_all_windows fails before (WireFormatError). Quotas: the question whether all hosts started together in a method of its own.

--- a/pearrun/platform/usagelog.py
+++ b/pearrun/platform/usagelog.py
@@ -74,17 +74,24 @@
         """Return the last window that a holder may have committed.
 
         :returns: a :class:`ClosedWindow` with the highest fencing token;
-            ``None`` if no holder has written one.
+            ``None`` if no holder has written one, or an entry is malformed.
         :raises StoreConflictError: the topic has changed meanwhile, or an
             outdated copy of it was read.
         :raises StoreError: the store did not respond.
         """
         records, end = await self.store.read_newest(TOPIC)
-        closed = [
-            decode_closed(record.key)
+        keys = [
+            record.key
             for record in records
             if record.key.startswith(CLOSED_PREFIX)
         ]
+        try:
+            closed = [decode_closed(key) for key in keys]
+        except exceptions.WireFormatError as exc:
+            logger.bind(topic=TOPIC, code=exc.code).error(
+                f'malformed entry ignored: {exc.message}'
+            )
+            return None
         if not closed:
             return None
         last = ClosedWindow(
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -187,15 +187,17 @@
         )
         if members.listed and share >= quota.RESTARTED_FRACTION:
             self._has_full_share = share >= 1.0
-            own = members.members.get(members.own_name)
-            self._is_restarted_fleet = own is not None and (
-                quota.is_restarted_fleet(
-                    own.started_ms,
-                    [item.started_ms for item in members.members.values()],
-                )
-            )
+            self._is_restarted_fleet = self._check_starts()
         return share
 
+    def _check_starts(self):
+        """Return whether this host was started together with the others."""
+        listed = self.members.members
+        own = listed.get(self.members.own_name)
+        return own is not None and quota.is_restarted_fleet(
+            own.started_ms, [member.started_ms for member in listed.values()]
+        )
+
     def _refill_bucket(self, customer, now, share):
         """Return a customer's bucket, refilled up to now.
 
--- a/tests/test_usage_saving.py
+++ b/tests/test_usage_saving.py
@@ -370,6 +370,15 @@
     asyncio.run(main())
 
 
+def test_malformed_entry_of_a_closed_window_closes_all_windows():
+    async def main():
+        entries = StoreEntries()
+        entries.values['closed/7/x'] = b'1'
+        assert await usagelog.UsageLog(entries).read_closed() is None
+
+    asyncio.run(main())
+
+
 def compute_lost_share(rng, hosts, rate_per_s=300):
     """Return the share of a window's counts lost when all hosts lose power.
 
