--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -17,6 +17,7 @@
 from pearrun import exceptions
 from pearrun.clock import to_seconds
 from pearrun.decisions import topology
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 
 # How often the inputs of the link plan are checked for changes, and how often
@@ -250,7 +251,7 @@
                 copy = reports.ConfigCopy(
                     self.own.name, self.host.config.current.raw
                 )
-                messages.append(reports.encode(copy))
+                messages.append(reportcodec.encode(copy))
             if messages:
                 await link.send(self.reporter.bundle(messages))
 
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -6,6 +6,7 @@
 from pearrun.clock import to_seconds
 from pearrun.rollouts.evidence import make_note
 from pearrun.run import Run
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
 
@@ -159,7 +160,7 @@
         key = tuple(messages)
         bundle = self._bundles.get(key)
         if bundle is None:
-            bundle = self._bundles[key] = reports.encode_bundle(
+            bundle = self._bundles[key] = reportcodec.encode_bundle(
                 self.host.settings.name, self.plan.is_hub, messages
             )
         self._sent_bytes += len(bundle)
@@ -212,7 +213,7 @@
         usage = self._encode_usage()
         evidence = self._encode_evidence()
         feeds = tuple(
-            reports.encode(batch)
+            reportcodec.encode(batch)
             for feed in host.feeds.values()
             for batch in feed.take_pending()
         )
@@ -222,16 +223,18 @@
         suspects_due = host.quarantine.collect_updates()
         alerts = self._encode_suspects(suspects_due) + self._encode_paths()
         if self.plan is None or not self.plan.is_hub:
-            return Round(reports.encode(own), usage, evidence, feeds, alerts)
-        forwarded = [*sums, *(reports.encode(item) for item in ended)]
+            return Round(
+                reportcodec.encode(own), usage, evidence, feeds, alerts
+            )
+        forwarded = [*sums, *(reportcodec.encode(item) for item in ended)]
         return Round(
-            reports.encode(own),
+            reportcodec.encode(own),
             usage,
             evidence,
             feeds,
             alerts,
-            reports.encode(self._sum_zone(own, zone_placed)),
-            reports.encode(self.receiver.make_coverage()),
+            reportcodec.encode(self._sum_zone(own, zone_placed)),
+            reportcodec.encode(self.receiver.make_coverage()),
             tuple(zone_reports),
             tuple(forwarded),
         )
@@ -253,7 +256,7 @@
                 run.host, run.started_ms, counts, current_window
             )
             note = reports.UsageNote(run, counts, current_window)
-            encoded = reports.encode(note)
+            encoded = reportcodec.encode(note)
             self._usage = ((usage.changes, current_window), encoded)
         return encoded
 
@@ -265,7 +268,7 @@
         ]
         for note in notes:
             self.host.evidence.put(note)
-        return tuple(reports.encode(note) for note in notes)
+        return tuple(reportcodec.encode(note) for note in notes)
 
     def encode_initial(self):
         """Return the encoded messages that a new link carries first."""
@@ -278,7 +281,7 @@
         now = self.host.clock.now()
         aged = tuple(suspect.to_ages(now) for suspect in suspects)
         note = reports.SuspectNote(self.host.settings.name, aged)
-        return (reports.encode(note),)
+        return (reportcodec.encode(note),)
 
     def _encode_paths(self):
         """Return the encoded :class:`PathNote` in a tuple, if any."""
@@ -291,7 +294,7 @@
             for failure in failures
         )
         note = reports.PathNote(self.host.settings.name, aged)
-        return (reports.encode(note),)
+        return (reportcodec.encode(note),)
 
     def _make_report(
         self, run, hosts, loads, admitted, placed, demands, engines
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -7,6 +7,7 @@
 
 from pearrun import exceptions
 from pearrun.rollouts.evidence import RolloutNote
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 from pearrun.shared.ownreports import OwnReports
 from pearrun.shared.prompts import PromptPart
@@ -70,7 +71,9 @@
             in the messages do not include.
         :raises WireFormatError: the data is not a bundle.
         """
-        bundle = reports.decode_bundle(data, self._seen_reports.__contains__)
+        bundle = reportcodec.decode_bundle(
+            data, self._seen_reports.__contains__
+        )
         self.apply(bundle, delay_ms)
 
     def apply(self, bundle, delay_ms=0):
--- a/tests/test_ownreports.py
+++ b/tests/test_ownreports.py
@@ -8,6 +8,7 @@
 from pearrun.decisions.topology import LinkPlan
 from pearrun.run import Run
 from pearrun.shared import loads
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
 from pearrun.shared.members import Member
@@ -136,8 +137,8 @@
         reports.Coverage('hub', {'h': (1, 4), 'h2': (1, 9)}),
         make_report(HUB, 1, loads={'e': Load(5, 400), 'f': Load(1, 0)}),
     ]
-    encoded = [reports.encode(message) for message in messages]
-    receiver.receive(reports.encode_bundle('hub', True, encoded))
+    encoded = [reportcodec.encode(message) for message in messages]
+    receiver.receive(reportcodec.encode_bundle('hub', True, encoded))
     assert receiver.host.loads.get('e') == Load(3, 300)
     assert receiver.host.loads.get('f') == Load(1, 0)
     assert 'h2' in receiver.host.members.reporting
@@ -147,7 +148,7 @@
     """Return the encoded report of a busy host."""
     host_number = int(run.host[1:])
     chosen = [ENDPOINTS[(host_number * 3 + k) % 50] for k in range(3)]
-    return reports.encode(
+    return reportcodec.encode(
         make_report(
             run,
             number,
@@ -168,7 +169,7 @@
     for number in range(hosts):
         run = Run(f'h{number + 1}', 1, 'zone-a')
         encoded = make_zone_report(run, 1)
-        receiver.receive(reports.encode_bundle(run.host, False, [encoded]))
+        receiver.receive(reportcodec.encode_bundle(run.host, False, [encoded]))
     member = Member('plain', '10.0.0.9:1', 'zone-a', 1)
     messages = reporter.select_messages(reporter._make_round(), member, None)
     return len(reporter.bundle(messages))
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from pearrun.shared import paths
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 from pearrun.shared.paths import PathFailure
 from tests.builders import ManualClock
@@ -90,7 +91,7 @@
 def test_failures_are_encoded_without_loss():
     failures = (make_failure(20), make_failure(30, None))
     note = reports.PathNote('h2', failures)
-    assert reports.decode(reports.encode(note)) == note
+    assert reportcodec.decode(reportcodec.encode(note)) == note
 
 
 def find_endpoint(daemon, name):
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -12,6 +12,7 @@
 from pearrun import exceptions
 from pearrun.decisions.topology import LinkPlan
 from pearrun.shared import peerlinks
+from pearrun.shared import reportcodec
 from pearrun.shared import reporter
 from pearrun.shared import reports
 from pearrun.standins.platformsite import make_config
@@ -128,17 +129,17 @@
 
 
 def test_a_large_bundle_is_compressed_and_a_damaged_one_rejected():
-    message = reports.encode(reports.HostEnded('front-zone-a-1' * 400))
-    data = reports.encode_bundle('h', True, [message])
+    message = reportcodec.encode(reports.HostEnded('front-zone-a-1' * 400))
+    data = reportcodec.encode_bundle('h', True, [message])
     assert len(data) < 1000
-    ((ended, _),) = reports.decode_bundle(data).messages
+    ((ended, _),) = reportcodec.decode_bundle(data).messages
     assert ended == reports.HostEnded('front-zone-a-1' * 400)
     for damaged in (data[:-9], data[:20] + b'xx' + data[22:]):
         with pytest.raises(exceptions.WireFormatError):
-            reports.decode_bundle(damaged)
-    bomb = zlib.compress(bytes(reports.MAX_BUNDLE_BYTES + 1))
+            reportcodec.decode_bundle(damaged)
+    bomb = zlib.compress(bytes(reportcodec.MAX_BUNDLE_BYTES + 1))
     with pytest.raises(exceptions.WireFormatError):
-        reports.decode_bundle(bomb)
+        reportcodec.decode_bundle(bomb)
 
 
 class Partition:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,6 +25,7 @@
 from pearrun.platform.store import StoreClient
 from pearrun.relay.events import EventSplitter
 from pearrun.run import Run
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 from pearrun.shared.clocksync import CorrectedClock
 from pearrun.shared.configuration import CallKind
@@ -218,18 +219,20 @@
         reports.HostEnded(HostName('h')),
         reports.ConfigCopy(HostName('h'), b'raw'),
     ]
-    encoded = [reports.encode(message) for message in messages]
-    assert [reports.decode(item) for item in encoded] == messages
-    bundle = reports.decode_bundle(reports.encode_bundle('h', True, encoded))
+    encoded = [reportcodec.encode(message) for message in messages]
+    assert [reportcodec.decode(item) for item in encoded] == messages
+    bundle = reportcodec.decode_bundle(
+        reportcodec.encode_bundle('h', True, encoded)
+    )
     assert bundle.sender == 'h'
     assert bundle.from_hub
     assert bundle.messages == list(zip(messages, encoded, strict=True))
     for data in (b'', b'\x01', b'\x82\x61x\x61y', b'\x83\x61h\xf4\x81\x41x'):
         with pytest.raises(exceptions.WireFormatError):
-            reports.decode_bundle(data)
+            reportcodec.decode_bundle(data)
     for data in (b'', b'\x01', b'\x82\x61x\x61y'):
         with pytest.raises(exceptions.WireFormatError):
-            reports.decode(data)
+            reportcodec.decode(data)
 
 
 class StepClock:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -18,6 +18,7 @@
 from pearrun.decisions.quarantine import Suspects
 from pearrun.platform import quarantinelog
 from pearrun.shared import quarantine as quarantine_module
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 from pearrun.shared.quarantine import Quarantine
 from tests.crashes import count_crashed
@@ -256,7 +257,7 @@
         for suspect in suspects.suspects.values()
     )
     note = reports.SuspectNote('host-1', aged)
-    decoded = reports.decode(reports.encode(note))
+    decoded = reportcodec.decode(reportcodec.encode(note))
     assert decoded == note
     for suspect in decoded.suspects:
         known = suspects.suspects[suspect.fingerprint]
--- a/tests/test_reportreceiver.py
+++ b/tests/test_reportreceiver.py
@@ -6,6 +6,7 @@
 
 from pearrun import exceptions
 from pearrun.run import Run
+from pearrun.shared import reportcodec
 from pearrun.shared import reports
 from pearrun.shared.loads import Load
 from pearrun.shared.reportreceiver import ReportReceiver
@@ -28,17 +29,17 @@
 def encode_report(number, calls):
     """Return another host's encoded report of a number of calls."""
     loads = {'e': Load(calls, 0)}
-    return reports.encode(make_report(RUN, number, loads=loads))
+    return reportcodec.encode(make_report(RUN, number, loads=loads))
 
 
 def send(receiver, hub, *messages):
     """Pass encoded messages from a hub to a receiver."""
-    receiver.receive(reports.encode_bundle(hub, True, messages))
+    receiver.receive(reportcodec.encode_bundle(hub, True, messages))
 
 
 def test_a_report_that_two_hubs_forward_is_decoded_once(monkeypatch):
     decoded = []
-    decode = reports.decode
+    decode = reportcodec.decode
 
     def decode_and_count(data):
         decoded.append(data)
@@ -56,7 +57,7 @@
 def test_a_host_that_ends_twice_is_removed_twice():
     """Equal bytes identify copies of reports only, which have numbers."""
     receiver = make_receiver()
-    ended = reports.encode(reports.HostEnded('other'))
+    ended = reportcodec.encode(reports.HostEnded('other'))
     for number in (1, 2):
         send(receiver, 'hub-1', encode_report(number, number))
         assert receiver.host.loads.get('e').calls == number
@@ -86,11 +87,11 @@
 def forward_notice(receiver, notice, number):
     """Send a receiver a notice; return what it forwards after 50 ms."""
     report = dataclasses.replace(
-        reports.decode(encode_report(number, 0)),
+        reportcodec.decode(encode_report(number, 0)),
         run=Run(f'hub-{number}', 1, 'zone-b', True),
         duty=notice,
     )
-    send(receiver, 'hub', reports.encode(report))
+    send(receiver, 'hub', reportcodec.encode(report))
     time.sleep(0.05)
     return receiver.find_notice()
 
@@ -103,7 +104,7 @@
     """
     receiver = make_receiver()
     feed = reports.TopicFeed(4, 4, (), 100)
-    data = reports.encode_bundle('hub-1', True, [reports.encode(feed)])
+    data = reportcodec.encode_bundle('hub-1', True, [reportcodec.encode(feed)])
     began_ms = receiver.clock.now()
     receiver.receive(data, delay_ms=900)
     until_ms = receiver.clock.now() + 100
