--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -13,6 +13,7 @@
 from absl import app
 from absl import flags
 
+from pearrun.decisions import exposure
 from pearrun.decisions import rollout
 from pearrun.decisions import versiontest
 from pearrun.decisions.rollout import Stage
@@ -194,7 +195,7 @@
         if plan.stage is Stage.REVERT:
             is_new = False
         endpoints = self.site.endpoints
-        count = rollout.count_canaries(endpoints, plan.share, self.settings)
+        count = exposure.count_canaries(endpoints, plan.share, self.settings)
         is_loaded = moved or plan.share * endpoints / count >= 1
         if moved:
             endpoint = self.rng.randrange(endpoints)
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from pearrun.decisions import rollout
+from pearrun.decisions import exposure
 from pearrun.rollouts.orders import RolloutState
 from pearrun.rollouts.serviceversions import ServiceVersions
 
@@ -191,7 +191,7 @@
     def _choose_canaries(self, known, new):
         """Return the endpoints of the new version that get the small share."""
         prefix = f'{known.order.number}/{known.notice.turn}/'
-        count = rollout.count_canaries(
+        count = exposure.count_canaries(
             len(new), known.notice.share, self.settings
         )
         ranked = sorted(
--- a/tests/test_reportreceiver.py
+++ b/tests/test_reportreceiver.py
@@ -45,7 +45,7 @@
         decoded.append(data)
         return decode(data)
 
-    monkeypatch.setattr(reports, 'decode', decode_and_count)
+    monkeypatch.setattr(reportcodec, 'decode', decode_and_count)
     receiver = make_receiver()
     for number in range(1, 4):
         for hub in ('hub-1', 'hub-2'):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -12,6 +12,7 @@
 
 from benchmarks import rollout as simulation
 from pearrun import exceptions
+from pearrun.decisions import exposure
 from pearrun.decisions import rollout
 from pearrun.decisions import scaling
 from pearrun.decisions import versiontest
@@ -94,9 +95,9 @@
 
 
 def test_routes_with_few_calls_get_as_many_answers_as_the_others():
-    shares = rollout.divide_share(0.03, {'long': 100, 'short': 900})
+    shares = exposure.divide_share(0.03, {'long': 100, 'short': 900})
     assert shares == {'long': 0.15, 'short': 0.017}
-    assert rollout.divide_share(0.03, {'rare': 4, 'short': 996}) == {
+    assert exposure.divide_share(0.03, {'rare': 4, 'short': 996}) == {
         'rare': 0.5,
         'short': 0.028,
     }
@@ -131,8 +132,8 @@
     # A deadline so near that the calls would exceed the share.
     progress = make_progress(4_000, duration_ms=5_000)
     evidence = make_evidence(4_000)
-    budget = rollout.compute_budget(progress, evidence, SETTINGS)
-    leads = rollout.compute_leads(progress, evidence, budget, SETTINGS)
+    budget = exposure.compute_budget(progress, evidence, SETTINGS)
+    leads = exposure.compute_leads(progress, evidence, budget, SETTINGS)
     exposed = evidence.count_new() + sum(
         rate * max(0, leads[route] - SETTINGS.spread_ms) / 1000
         for route, rate in (('long', 41), ('short', 262))
@@ -210,7 +211,7 @@
     assert plan.stage is Stage.CANARY
     assert plan.share > 2 * SETTINGS.smallest_canary_share
     evidence = make_evidence(10_000)
-    budget = rollout.compute_budget(make_progress(10_000), evidence, SETTINGS)
+    budget = exposure.compute_budget(make_progress(10_000), evidence, SETTINGS)
     expected = plan.share * budget.rate * 4_000 + budget.move
     assert evidence.count_new() + expected <= budget.total
     late = decide(13_900, new=430, suspicion=0.5)
@@ -248,11 +249,11 @@
 def test_service_with_few_calls_uses_the_exposed_slack():
     settings = rollout.RolloutSettings(exposed_slack=50)
     evidence = Evidence({'short': Tally(10, 0)}, {})
-    budget = rollout.compute_budget(make_progress(5_000), evidence, settings)
-    assert rollout.compute_canary_share(budget, settings) == 0.5
+    budget = exposure.compute_budget(make_progress(5_000), evidence, settings)
+    assert exposure.compute_canary_share(budget, settings) == 0.5
     assert (
-        rollout.compute_canary_share(
-            rollout.compute_budget(make_progress(5_000), evidence, SETTINGS),
+        exposure.compute_canary_share(
+            exposure.compute_budget(make_progress(5_000), evidence, SETTINGS),
             SETTINGS,
         )
         == SETTINGS.largest_canary_share
