Tests: the reader forwards to all hosts before extra reads are counted

Its log: the third host's entry was listed by the reader 1.05 s after the others', so that its link came up 1.2 s after theirs; until then that host read for itself, as it should, and the count had begun. The count now begins when all hosts have reports of all; what it checks is unchanged.

--- a/tests/test_late_drains.py
+++ b/tests/test_late_drains.py
@@ -175,6 +175,12 @@
             await wait_until(
                 lambda: sum(d.reporter.plan.is_reader for d in hosts) == 1
             )
+            # A host that the reader does not know yet reads for itself.
+            await wait_until(
+                lambda: all(
+                    d.host.members.count_reporting() == 2 for d in hosts
+                )
+            )
             await asyncio.sleep(1.0)
             site.store.calls.clear()
             await asyncio.sleep(3.0)
