Peer links: links are planned more often only until the hosts are listed

Cause, presumed: during the first second hosts looked for new links every 50 ms, while entries of hosts were still being listed, and dialled hubs that were replaced a moment later. Change: every 50 ms only until the list has been read. After a loss of all hosts the list is complete then.

--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -49,7 +49,8 @@
 # all hosts would choose other hubs.
 STARTUP_MS = 1000
 STARTUP_REDIAL_DELAY_MS = 50
-# Until hosts have heard of each other, they reject calls of large customers.
+# How often the inputs are checked until the list of hosts has been read.  Hosts
+# reject calls of large customers until they have heard of each other.
 STARTUP_PLAN_CHECK_INTERVAL_MS = 50
 # How often this host's configuration is sent to a peer that has an older one.
 CONFIG_COPY_INTERVAL_MS = 1000
@@ -108,9 +109,9 @@
             try:
                 while True:
                     self._update_links()
-                    interval_ms = PLAN_CHECK_INTERVAL_MS
-                    if self._is_starting():
-                        interval_ms = STARTUP_PLAN_CHECK_INTERVAL_MS
+                    interval_ms = STARTUP_PLAN_CHECK_INTERVAL_MS
+                    if self.host.members.listed:
+                        interval_ms = PLAN_CHECK_INTERVAL_MS
                     await asyncio.sleep(to_seconds(interval_ms))
             finally:
                 for link in self.links.values():
@@ -179,9 +180,6 @@
                 targets=len(plan.targets),
             ).info('role among hosts')
 
-    def _is_starting(self):
-        return self.host.clock.since(self.started_ms) < STARTUP_MS
-
     def _find_down(self):
         """Return the names of the hosts that are considered down."""
         now = self.host.clock.now()
@@ -225,7 +223,7 @@
                 logger.bind(peer=member.name, cause=repr(e)).info(
                     'peer link down'
                 )
-            if self._is_starting():
+            if self.host.clock.since(self.started_ms) < STARTUP_MS:
                 await asyncio.sleep(to_seconds(STARTUP_REDIAL_DELAY_MS))
                 continue
             delay_ms = REDIAL_DELAY_MS
