--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -49,7 +49,7 @@
 # all hosts would choose other hubs.
 STARTUP_MS = 1000
 STARTUP_REDIAL_DELAY_MS = 50
-# How often the inputs are checked until the list of hosts has been read.  Hosts
+# How often the inputs are checked until the list of hosts has been read: hosts
 # reject calls of large customers until they have heard of each other.
 STARTUP_PLAN_CHECK_INTERVAL_MS = 50
 # How often this host's configuration is sent to a peer that has an older one.
