Relay: the limit that an endpoint names is logged with the call

The call's line now has endpoint_limit, the metrics pearrun_limited_answers_total; a malformed value is a coded line and changes nothing. Stand-in endpoints can name a limit and record when calls arrive. No change of logic: endpoints are chosen as before.

--- a/pearrun/http1/messages.py
+++ b/pearrun/http1/messages.py
@@ -82,6 +82,19 @@
     return None
 
 
+def get_all_headers(headers, name):
+    """Return all values of a header as text, in their order.
+
+    :param headers: pairs of bytes.
+    :param name: the name in lower case, as bytes.
+    """
+    return [
+        value.decode('latin-1')
+        for key, value in headers
+        if key.lower() == name
+    ]
+
+
 def drop_hop_by_hop(headers, extra=frozenset()):
     """Return the end-to-end headers.
 
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -1,9 +1,11 @@
 """Decoding of callers' requests and encoding of endpoint requests."""
 
 import json
+import math
 
 from pearrun import exceptions
 from pearrun.http1.messages import drop_hop_by_hop
+from pearrun.http1.messages import get_all_headers
 from pearrun.platform import headers as header_names
 from pearrun.relay.call import Call
 from pearrun.relay.responsekinds import ResponseKind
@@ -160,6 +162,23 @@
     return tuple(parts)
 
 
+def decode_rate(value):
+    """Decode a rate.
+
+    :returns: calls per second.
+    :raises WireFormatError: the value is not a finite number from 0 on.
+    """
+    try:
+        rate_per_s = float(value)
+    except ValueError as exc:
+        raise exceptions.WireFormatError(
+            f'invalid rate limit {value!r}'
+        ) from exc
+    if not math.isfinite(rate_per_s) or rate_per_s < 0:
+        raise exceptions.WireFormatError(f'invalid rate limit {value!r}')
+    return rate_per_s
+
+
 class EndpointCodec:
     """Encodes and decodes the messages of endpoints and callers."""
 
@@ -206,6 +225,16 @@
             return ResponseKind.UNSEALED
         return ResponseKind.ANSWER
 
+    def decode_rate_limit(self, head):
+        """Return the rate limit that an endpoint names in a response.
+
+        :returns: calls per second from all hosts together, the lowest if
+            several are named; ``None`` if none is.
+        :raises WireFormatError: a value is not a rate.
+        """
+        values = get_all_headers(head.headers, header_names.RATE_LIMIT)
+        return min(map(decode_rate, values), default=None)
+
     def forward_headers(self, head):
         """Return the headers of a response that are sent to the caller."""
         return drop_hop_by_hop(head.headers, DROPPED_RESPONSE_HEADERS)
--- a/pearrun/platform/headers.py
+++ b/pearrun/platform/headers.py
@@ -18,6 +18,8 @@
 URGENCY = b'pearrun-urgency'
 AUTHORIZATION = b'authorization'
 RETRY_AFTER = b'Retry-After'
+# Requests per second that an endpoint accepts from all hosts together.
+RATE_LIMIT = b'server-limit'
 DUTY_HOLDER = 'Pearrun-Duty-Holder'
 FENCING_TOKEN = 'Pearrun-Fence-Token'
 
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from loguru import logger
+
 from pearrun import exceptions
 from pearrun.decisions.evidence import is_call_stable
 from pearrun.relay.events import EventSplitter
@@ -26,6 +28,8 @@
 # Responses to other requests that are skipped before the connection is
 # closed.
 MAX_STRAY_RESPONSES = 3
+# Responses that the expected endpoint is known to have sent for this call.
+LIMITING_KINDS = (ResponseKind.ANSWER, ResponseKind.NOT_RUN)
 
 
 class Exchange:
@@ -159,6 +163,8 @@
             self._record_broken(exc)
             return OutcomeUnknown(exc.message), None
         self.host.selection.note_answer(self.selected.endpoint)
+        if kind in LIMITING_KINDS:
+            self._note_rate_limit(head)
         match kind:
             case ResponseKind.NOT_RUN | ResponseKind.WRONG_ENDPOINT:
                 return await self._read_refusal(head, kind)
@@ -170,6 +176,18 @@
             return await self._forward_stream(head, resume)
         return await self._forward_response(head)
 
+    def _note_rate_limit(self, head):
+        """Record the rate limit that the endpoint names, if any."""
+        try:
+            limit = self.host.codec.decode_rate_limit(head)
+        except exceptions.WireFormatError as exc:
+            logger.bind(
+                endpoint=self.selected.endpoint.id, code=exc.code
+            ).warning(exc.message)
+            return
+        self.trace.endpoint_limit = limit
+        self.host.counters.limited_answers += limit is not None
+
     async def _read_matching_head(self):
         """Read response heads until one belongs to this call.
 
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -40,7 +40,8 @@
 
     ``runs`` counts the attempts in which an endpoint ran the call or may
     have run it; ``outcome_pending`` is true while an attempt whose request
-    was written has no outcome yet.
+    was written has no outcome yet; ``endpoint_limit`` is the rate limit, in
+    calls per second, that the last answering endpoint named.
     """
 
     def __init__(self, call, started_ms):
@@ -54,6 +55,7 @@
         self.expected_ms = 0.0
         self.reason = ''
         self.fingerprint = None
+        self.endpoint_limit = None
         self.ending = None
         self.status = 0
 
@@ -119,4 +121,5 @@
             config=host.config.version,
             list_age_ms=host.list_age_ms(now_ms),
             fingerprint=self.fingerprint,
+            endpoint_limit=self.endpoint_limit,
         ).info('call')
--- a/pearrun/shared/counters.py
+++ b/pearrun/shared/counters.py
@@ -18,6 +18,7 @@
         self.sends = 0
         self.repeats = 0
         self.rejected = 0
+        self.limited_answers = 0
         self.first_byte = {}
         self.response = {}
 
@@ -43,6 +44,7 @@
         lines.append(f'pearrun_sends_total {self.sends}')
         lines.append(f'pearrun_repeated_sends_total {self.repeats}')
         lines.append(f'pearrun_rejected_requests_total {self.rejected}')
+        lines.append(f'pearrun_limited_answers_total {self.limited_answers}')
         for call, topic in sorted(store_calls):
             labels = f'call="{call}",topic="{topic}"'
             count = store_calls[call, topic]
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -34,6 +34,8 @@
     :param unsealed: omit the signature (``Pearrun-Runner-Seal``).
     :param extra: send a second response after a complete one.
     :param stray_first: first send the response to another request.
+    :param rate_limit: value of the header ``Server-Limit`` in responses;
+        ``None`` for none.
     :param crash_on: crash when a request with this body starts to run.
     :param crash_after_events: number of events that a stream of such a
         request sends before the crash.
@@ -49,6 +51,7 @@
     unsealed: bool = False
     extra: bool = False
     stray_first: bool = False
+    rate_limit: str | None = None
     crash_on: bytes | None = None
     crash_after_events: int = 0
 
@@ -85,6 +88,7 @@
         self.address = None
         self.faults = RunnerFaults()
         self.runs = []
+        self.arrivals_ms = []
         self.connections = 0
         self.event_ms = 2
         self.work_ms = 2
@@ -133,10 +137,12 @@
         if expected not in (None, self.id):
             await caller.reply(421, [(b'Pearrun-Runner-Id', self.id.encode())])
             return
+        self.arrivals_ms.append(CLOCK.now())
         if faults.full:
             headers = [
                 (b'Pearrun-Not-Run', b'1'),
                 (b'Pearrun-Attempt-Id', attempt.encode()),
+                *self._make_limit_headers(),
             ]
             await caller.reply(503, headers, b'full')
             return
@@ -154,7 +160,10 @@
             raise
 
     async def _run(self, request, caller, run, attempt):
-        headers = [(b'Pearrun-Attempt-Id', attempt.encode())]
+        headers = [
+            (b'Pearrun-Attempt-Id', attempt.encode()),
+            *self._make_limit_headers(),
+        ]
         if not self.faults.unsealed:
             signature = f'seal.{self.id}.{attempt}'.encode()
             headers.append((b'Pearrun-Runner-Seal', signature))
@@ -169,6 +178,12 @@
         else:
             await self._send_response(request, caller, headers)
 
+    def _make_limit_headers(self):
+        rate_limit = self.faults.rate_limit
+        if rate_limit is None:
+            return []
+        return [(b'Server-Limit', rate_limit.encode())]
+
     def _is_crashed_by(self, request):
         crash_on = self.faults.crash_on
         return crash_on is not None and request.body == crash_on
