--- a/pearrun/decisions/placement.py
+++ b/pearrun/decisions/placement.py
@@ -17,15 +17,9 @@
 """
 
 import dataclasses
-import functools
-import hashlib
 import random
 
-# Number of cached hashes of endpoint ids and prompt parts, at about 150 bytes
-# each: more than the endpoints and subjects in use at a time.
-MAX_CACHED_HASHES = 8192
-HASH_BYTES = 8
-HASH_MASK = (1 << (8 * HASH_BYTES)) - 1
+from pearrun.decisions import rendezvous
 
 
 @dataclasses.dataclass(frozen=True)
@@ -264,22 +258,11 @@
     """Return the id of the endpoint that all hosts prefer for a key."""
     if affinity is None or not candidates:
         return None
-    key = hash_name(affinity)
+    key = rendezvous.hash_name(affinity)
     preferred = None
     highest = -1
     for candidate in candidates:
-        weight = (key * hash_name(candidate.id)) & HASH_MASK
+        weight = rendezvous.compute_weight(key, candidate.id)
         if weight > highest:
             preferred, highest = candidate.id, weight
     return preferred
-
-
-@functools.lru_cache(MAX_CACHED_HASHES)
-def hash_name(name):
-    """Return an odd hash of a name, the same on every host.
-
-    The truncated product of two such hashes ranks endpoints for a key as well
-    as a hash of both names would, without another hash computation.
-    """
-    digest = hashlib.blake2b(name.encode(), digest_size=HASH_BYTES).digest()
-    return int.from_bytes(digest) | 1
