Endpoint limits: hosts keep to the limit that an endpoint names, together

Callers: the endpoint in need got as many calls as before, 16 in 4 s where 1.8 a second allows 15.8 and 12 where 1 a second allows 11.

Cause: no host read the header Server-Limit; endpoints are chosen by their expected wait alone, and what an endpoint says reached at most the host that heard it. Evidence: calls at an even rate to the endpoint by all nine hosts after their answers had named the limit, and no use of the header in the code.

Fix: a host that hears a limit tells all others at once; N + 2 hosts, ranked by rendezvous hashing, share a limit of N by token buckets that start empty, and all others send nothing. No coordinator is needed, and an equal division among all hosts, which sends next to nothing, is avoided. The limit is lifted by an answer without it, in steps. Calls that no endpoint takes are refused at once. The scaler's need counts a limited endpoint by what it takes.

--- a/pearrun/duties/scaler.py
+++ b/pearrun/duties/scaler.py
@@ -1,10 +1,12 @@
 """Autoscaling: orders endpoints for the load while holding the lease."""
 
 import asyncio
+import math
 
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun.decisions import ratelimit
 from pearrun.decisions import scaling
 from pearrun.states import EndpointState
 
@@ -165,7 +167,7 @@
             model.tokens_per_ms,
             self._find_slots(service),
             self.settings,
-        )
+        ) + self._count_displaced(service_name, demand)
         past[now] = max(past.get(now, 0), needed)
         for old in [
             at for at in past if now - at > self.settings.reclaimable_hold_ms
@@ -185,6 +187,19 @@
                 answers=round(model.answers),
             ).info('endpoints needed')
 
+    def _count_displaced(self, service_name, demand):
+        """Return how many endpoints replace what rate limits turn away.
+
+        :param demand: the :class:`Demand` of all hosts.
+        """
+        endpoints = len(self.host.fleet.find_by_service(service_name))
+        rates = self.host.limits.get_rates(service_name)
+        if not rates:
+            return 0
+        answer_ms = self.host.demands.get_answer_ms(service_name)
+        usual_per_s = demand.busy * 1000.0 / answer_ms / endpoints
+        return math.ceil(ratelimit.count_displaced(rates, usual_per_s))
+
     def _compute_need(self, service_name, now):
         """Return the :class:`Need` derived from the recorded needs."""
         return scaling.compute_need(
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -86,6 +86,7 @@
         self.host.selection.notify_peers = self.reporter.trigger_round
         self.host.quarantine.notify_peers = self.reporter.trigger_round
         self.host.paths.notify_peers = self.reporter.trigger_round
+        self.host.limits.notify_peers = self.reporter.trigger_round
         self.duties = self.make_duties()
         self.members = MemberFollower(
             self.host, self.store, self.make_own_member(), self.holds_lease
@@ -282,6 +283,7 @@
             ),
             'rollouts_open': len(self.host.rollouts.list_open()),
             'quarantined': len(self.host.quarantine.known.quarantined),
+            'endpoints_limited': self.host.limits.count(),
             'quarantine_refusals_total': self.host.quarantine.refused,
             'store_calls_total': self.store.calls.total(),
             'store_failures_total': self.store.failures,
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -164,7 +164,7 @@
             return OutcomeUnknown(exc.message), None
         self.host.selection.note_answer(self.selected.endpoint)
         if kind in LIMITING_KINDS:
-            self._note_rate_limit(head)
+            self._note_rate_limit(head, kind)
         match kind:
             case ResponseKind.NOT_RUN | ResponseKind.WRONG_ENDPOINT:
                 return await self._read_refusal(head, kind)
@@ -176,17 +176,25 @@
             return await self._forward_stream(head, resume)
         return await self._forward_response(head)
 
-    def _note_rate_limit(self, head):
-        """Record the rate limit that the endpoint names, if any."""
+    def _note_rate_limit(self, head, kind):
+        """Record the rate limit that the endpoint names, or that it has none.
+
+        A refusal may lack the limit although the endpoint still has one.
+        """
+        endpoint_id = self.selected.endpoint.id
         try:
             limit = self.host.codec.decode_rate_limit(head)
         except exceptions.WireFormatError as exc:
-            logger.bind(
-                endpoint=self.selected.endpoint.id, code=exc.code
-            ).warning(exc.message)
+            logger.bind(endpoint=endpoint_id, code=exc.code).warning(
+                exc.message
+            )
             return
         self.trace.endpoint_limit = limit
-        self.host.counters.limited_answers += limit is not None
+        if limit is not None:
+            self.host.counters.limited_answers += 1
+            self.host.limits.note_named(endpoint_id, limit)
+        elif kind is ResponseKind.ANSWER:
+            self.host.limits.note_unlimited(endpoint_id, self.sent_ms)
 
     async def _read_matching_head(self):
         """Read response heads until one belongs to this call.
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -98,7 +98,7 @@
                 call, service, trace, tried, unconnected
             )
             if selected is None:
-                await self._fail(call, caller, trace, 'no endpoint')
+                await self._fail_unplaced(call, service, caller, trace)
                 return
             trace.expected_ms = selected.expected_ms
             if not trace.attempts:
@@ -115,6 +115,7 @@
                 await self._refuse(call, caller, trace, 503, retry_after_ms)
                 return
             trace.record_attempt(selected, self.clock.now())
+            self.host.limits.take(selected.endpoint)
             exchange = Exchange(self.host, call, service, caller, trace)
             outcome = await exchange.run(selected, resume)
             delivered = not isinstance(outcome, NotRun) or outcome.delivered
@@ -263,6 +264,16 @@
                 call, caller, trace, 503, NO_ENDPOINT_RETRY_AFTER_MS
             )
 
+    async def _fail_unplaced(self, call, service, caller, trace):
+        """End a call for which no endpoint is left."""
+        wait_ms = self.host.limits.get_wait_ms(service.name)
+        if trace.attempts or not wait_ms:
+            await self._fail(call, caller, trace, 'no endpoint')
+            return
+        trace.reason = 'endpoint limits'
+        retry_after_ms = self._compute_retry_after_ms(call, wait_ms)
+        await self._refuse(call, caller, trace, 503, retry_after_ms)
+
     async def _time_out(self, call, caller, trace):
         trace.reason = trace.reason or 'timeout'
         if caller.head_sent:
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -10,6 +10,7 @@
 from pearrun.shared.crashdetector import CrashDetector
 from pearrun.shared.crashprobe import CrashProbe
 from pearrun.shared.demands import Demands
+from pearrun.shared.endpointlimits import EndpointLimits
 from pearrun.shared.engines import Engines
 from pearrun.shared.feed import Feed
 from pearrun.shared.fleet import Fleet
@@ -57,6 +58,9 @@
         self.engines = Engines(clock)
         self.members = Members(clock, settings.name)
         self.pools = EndpointPools(self.count_hosts)
+        self.limits = EndpointLimits(
+            clock, settings.name, settings.zone, self.fleet, self.members
+        )
         self.selection = Selection(
             clock,
             settings.zone,
@@ -66,6 +70,7 @@
             self.demands,
             self.feed,
             self.rollouts,
+            self.limits,
         )
         self.paths = Paths(
             clock,
@@ -131,6 +136,7 @@
         removed = self.fleet.remove(endpoint.id)
         self.crashes.note_removed(endpoint.id)
         self.pools.remove(endpoint.id)
+        self.limits.forget(endpoint.id)
         if removed is not None:
             logger.bind(
                 endpoint=endpoint.id,
--- a/pearrun/shared/reportcodec.py
+++ b/pearrun/shared/reportcodec.py
@@ -18,6 +18,7 @@
 from pearrun.run import Run
 from pearrun.shared import cbor
 from pearrun.shared import suspects as suspect_codec
+from pearrun.shared.endpointlimits import LimitReport
 from pearrun.shared.loads import Load
 from pearrun.shared.paths import PathFailure
 from pearrun.shared.prompts import PromptPlacement
@@ -28,6 +29,7 @@
 from pearrun.shared.reports import DutyNotice
 from pearrun.shared.reports import HostEnded
 from pearrun.shared.reports import HostReport
+from pearrun.shared.reports import LimitNote
 from pearrun.shared.reports import PathNote
 from pearrun.shared.reports import SuspectNote
 from pearrun.shared.reports import TopicFeed
@@ -117,6 +119,9 @@
         case PathNote(host, failures):
             fields = [dataclasses.astuple(item) for item in failures]
             return cbor2.dumps(['paths', host, fields])
+        case LimitNote(host, limits):
+            fields = [dataclasses.astuple(item) for item in limits]
+            return cbor2.dumps(['limits', host, fields])
         case ConfigCopy(host, raw):
             return cbor2.dumps(['config', host, raw])
 
@@ -237,6 +242,11 @@
                 return PathNote(
                     host, tuple(PathFailure(*item) for item in failures)
                 )
+            case 'limits':
+                host, limits = fields
+                return LimitNote(
+                    host, tuple(LimitReport(*item) for item in limits)
+                )
             case 'config':
                 return ConfigCopy(*fields)
     except (ValueError, TypeError, IndexError, AttributeError) as exc:
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -36,8 +36,8 @@
     :param usage: its counts of calls.
     :param evidence: its counts of answers for open roll-outs.
     :param feeds: topic changes that this host has read from the store.
-    :param alerts: requests that were running when endpoints crashed, and
-        paths that failed, if any have to be sent.
+    :param alerts: requests that were running when endpoints crashed, paths
+        that failed and rate limits of endpoints, if any have to be sent.
     :param zone: sums for its zone; ``None`` if it is not a hub.
     :param coverage: which reports the sums include; ``None`` if it is not a
         hub.
@@ -221,7 +221,11 @@
         ended = self.receiver.take_ended()
         zone_placed = self.receiver.take_zone_placements()
         suspects_due = host.quarantine.collect_updates()
-        alerts = self._encode_suspects(suspects_due) + self._encode_paths()
+        alerts = (
+            *self._encode_suspects(suspects_due),
+            *self._encode_paths(),
+            *self._encode_limits(host.limits.collect_updates()),
+        )
         if self.plan is None or not self.plan.is_hub:
             return Round(
                 reportcodec.encode(own), usage, evidence, feeds, alerts
@@ -272,7 +276,11 @@
 
     def encode_initial(self):
         """Return the encoded messages that a new link carries first."""
-        return self._encode_suspects(self.host.quarantine.take_snapshot())
+        host = self.host
+        return (
+            *self._encode_suspects(host.quarantine.take_snapshot()),
+            *self._encode_limits(host.limits.make_snapshot()),
+        )
 
     def _encode_suspects(self, suspects):
         """Return the encoded :class:`SuspectNote` in a tuple, if any."""
@@ -296,6 +304,21 @@
         note = reports.PathNote(self.host.settings.name, aged)
         return (reportcodec.encode(note),)
 
+    def _encode_limits(self, limits):
+        """Return the encoded :class:`LimitNote` in a tuple, if any.
+
+        :param limits: :class:`LimitReport` objects.
+        """
+        if not limits:
+            return ()
+        now = self.host.clock.now()
+        aged = tuple(
+            dataclasses.replace(report, at_ms=now - report.at_ms)
+            for report in limits
+        )
+        note = reports.LimitNote(self.host.settings.name, aged)
+        return (reportcodec.encode(note),)
+
     def _make_report(
         self, run, hosts, loads, admitted, placed, demands, engines
     ):
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -103,6 +103,8 @@
                     self._apply_suspects(name, suspects)
                 case reports.PathNote(_, failures):
                     self._apply_paths(failures)
+                case reports.LimitNote(name, limits):
+                    self._apply_limits(name, limits)
                 case reports.ConfigCopy(name, raw):
                     self._apply_config(name, raw)
 
@@ -286,6 +288,18 @@
             forward=self.host.feed.through_hubs,
         )
 
+    def _apply_limits(self, name, limits):
+        """Apply another host's reports of endpoints' rate limits."""
+        now = self.clock.now() - self._delay_ms
+        self.host.limits.merge(
+            [
+                dataclasses.replace(report, at_ms=now - report.at_ms)
+                for report in limits
+            ],
+            name,
+            forward=self.host.feed.through_hubs,
+        )
+
     def _apply_config(self, name, raw):
         """Offer another host's copy of the configuration."""
         try:
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -11,6 +11,7 @@
 from pearrun.rollouts import orders
 from pearrun.rollouts.evidence import RolloutNote
 from pearrun.run import Run
+from pearrun.shared.endpointlimits import LimitReport
 from pearrun.shared.loads import Load
 from pearrun.shared.paths import PathFailure
 from pearrun.shared.prompts import PromptPlacement
@@ -148,6 +149,18 @@
     failures: tuple[PathFailure, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class LimitNote:
+    """Rate limits that endpoints have named or lifted.
+
+    :param host: the sender.
+    :param reports: :class:`LimitReport` objects with ages in milliseconds.
+    """
+
+    host: HostName
+    reports: tuple[LimitReport, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class ConfigCopy:
     """The sender's configuration, as encoded in the store."""
@@ -165,6 +178,7 @@
     | HostEnded
     | SuspectNote
     | PathNote
+    | LimitNote
     | ConfigCopy
 )
 
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -48,13 +48,23 @@
         the calls of other hosts.
     :param feed: the :class:`Feed`; says whether the hosts use hubs.
     :param rollouts: the :class:`Rollouts`, which select the version.
+    :param limits: the :class:`EndpointLimits`.
 
     ``notify_peers`` is called to report a large prompt to the other hosts
     immediately.
     """
 
     def __init__(
-        self, clock, zone, fleet, loads, engines, demands, feed, rollouts
+        self,
+        clock,
+        zone,
+        fleet,
+        loads,
+        engines,
+        demands,
+        feed,
+        rollouts,
+        limits,
     ):
         self.clock = clock
         self.zone = zone
@@ -64,6 +74,7 @@
         self.demands = demands
         self.feed = feed
         self.rollouts = rollouts
+        self.limits = limits
         self.prefixes = PrefixIndex()
         self._placements = []
         self.zones = {}
@@ -82,6 +93,7 @@
             for endpoint in self.fleet.find_by_service(service.name)
             if endpoint.id not in tried
         ]
+        endpoints = self.limits.filter_allowed(endpoints)
         endpoints = self.rollouts.select(
             service.name, endpoints, call.id, call.route.name, bool(tried)
         )
