--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,7 +23,12 @@
         directory = pathlib.Path(FLAGS.logs) / f'seed-{seed}'
         directory.mkdir(parents=True, exist_ok=True)
         run = run_seed(
-            seed, FLAGS.length_s * 1000, directory, FLAGS.hosts, FLAGS.crashing
+            seed,
+            FLAGS.length_s * 1000,
+            directory,
+            FLAGS.hosts,
+            FLAGS.crashing,
+            FLAGS.limited,
         )
         try:
             findings, evidence = asyncio.run(run)
@@ -57,5 +62,6 @@
     flags.DEFINE_bool(
         'crashing', False, 'Also send a request that crashes endpoints.'
     )
+    flags.DEFINE_bool('limited', False, 'Also let endpoints name rate limits.')
     flags.DEFINE_string('logs', '/tmp/pearrun-soak', 'Directory for logs.')
     app.run(main)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,8 @@
   lease.
 - A request that crashed three endpoints is sent to few more, and no other
   request is refused because of it.
+- An endpoint that names a rate limit gets few more calls than it allows; see
+  :mod:`tests.soak.limits`.
 - No process exits unless it was told to.
 - After all faults have ended, every host serves calls and has the newest
   configuration, and one of them holds the lease on the duties.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -90,6 +90,19 @@
     duration_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class LimitEndpoint:
+    """An endpoint names a rate limit for ``duration_ms``.
+
+    :param endpoint: name of the replica that the endpoint runs as.
+    :param rate_limit: calls per second, as the header's value.
+    """
+
+    endpoint: str
+    rate_limit: str
+    duration_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class ReplaceEndpoint:
     """An endpoint ends and another one replaces it.
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -31,6 +31,13 @@
     endpoints: tuple[str, ...]
     faults: tuple[faults.TimedFault, ...]
 
+    def add(self, timed):
+        """Return a plan with further :class:`TimedFault` objects."""
+        merged = sorted(
+            (*self.faults, *timed), key=lambda fault: fault.start_ms
+        )
+        return dataclasses.replace(self, faults=tuple(merged))
+
 
 def generate_plan(seed, length_ms, hosts, endpoints):
     """Generate a plan; equal arguments give equal plans.
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -13,6 +13,8 @@
 from tests.soak import checks
 from tests.soak import faults
 from tests.soak.directory import lock_directory
+from tests.soak.limits import check_limits
+from tests.soak.limits import generate_limits
 from tests.soak.plan import generate_plan
 from tests.soak.site import Replica
 from tests.soak.site import SoakSite
@@ -100,6 +102,9 @@
                 site.set_endpoint_fault(replica, kind, True)
                 await asyncio.sleep(to_seconds(duration_ms))
                 site.set_endpoint_fault(replica, kind, False)
+            case faults.LimitEndpoint(endpoint, rate_limit, duration_ms):
+                replica = site.replicas[endpoint]
+                await site.limit_endpoint(replica, rate_limit, duration_ms)
             case faults.ReplaceEndpoint(endpoint, drained, same_address):
                 replica = site.replicas[endpoint]
                 await site.replace_endpoint(replica, drained, same_address)
@@ -108,7 +113,12 @@
 
 
 async def run_seed(
-    seed, length_ms, directory=None, hosts=DEFAULT_HOSTS, crashing=False
+    seed,
+    length_ms,
+    directory=None,
+    hosts=DEFAULT_HOSTS,
+    crashing=False,
+    limited=False,
 ):
     """Run the soak with one seed.
 
@@ -117,20 +127,24 @@
     :param hosts: number of entry hosts; above 16 they use hubs.
     :param crashing: whether a request that crashes endpoints is sent
         repeatedly.
+    :param limited: whether endpoints name rate limits at times.
     :returns: ``(findings, evidence)``.
     :raises DirectoryInUseError: another run uses the directory.
     """
     directory = pathlib.Path(directory or tempfile.mkdtemp(prefix='soak-'))
     with lock_directory(directory):
-        return await play(seed, length_ms, directory, hosts, crashing)
+        return await play(seed, length_ms, directory, hosts, crashing, limited)
 
 
-async def play(seed, length_ms, directory, hosts, crashing):
+async def play(seed, length_ms, directory, hosts, crashing, limited):
     """Run the soak in a directory of its own; see :func:`run_seed`."""
     replicas = [Replica(*arguments) for arguments in REPLICAS]
     names = tuple(f'host-{number}' for number in range(1, hosts + 1))
     site = SoakSite(directory, names, replicas)
     plan = generate_plan(seed, length_ms, names, tuple(site.replicas))
+    if limited:
+        added = generate_limits(seed, length_ms, tuple(site.replicas))
+        plan = plan.add(added)
     injector = FaultInjector(site)
     traffic = Traffic(site, seed)
     if crashing:
@@ -165,7 +179,9 @@
         recovery_calls=recovery_calls,
         lease_renewed=renewed,
     )
-    return checks.check_all(evidence), evidence
+    findings = checks.check_all(evidence)
+    findings.extend(check_limits(evidence, site.limit_periods))
+    return findings, evidence
 
 
 def list_crash_faults(site):
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -5,6 +5,7 @@
 import pathlib
 
 from pearrun.clock import Clock
+from pearrun.clock import to_seconds
 from pearrun.standins.link import Link
 from pearrun.standins.link import LinkConfig
 from pearrun.standins.link import LinkMode
@@ -17,6 +18,7 @@
 from pearrun.standins.platformsite import StandinSite
 from tests.builders import find_free_port
 from tests.builders import reserve_subnet
+from tests.soak.limits import LimitPeriod
 from tests.soak.process import HostProcess
 
 GRACE_S = 4
@@ -42,6 +44,7 @@
     :param runner: the current endpoint.
     :param generation: number of the current endpoint, from 1 on.
     :param restarting: whether a crashed endpoint is being replaced.
+    :param rate_limit: the rate limit that the current endpoint names.
     """
 
     name: str
@@ -51,6 +54,7 @@
     runner: PlatformRunner = None
     generation: int = 0
     restarting: bool = False
+    rate_limit: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +87,7 @@
         self.version = 0
         self.crash_on = None
         self.crash_times_ms = []
+        self.limit_periods = []
         self.clock = Clock()
         self.tasks = set()
         self.ports = {
@@ -140,6 +145,7 @@
     async def start_endpoint(self, replica, same_address=False):
         """Start a replica's next endpoint and write its entry."""
         replica.generation += 1
+        replica.rate_limit = None
         name = f'{replica.name}-{replica.generation}'
         runner = PlatformRunner(name, replica.service, replica.zone)
         runner.work_ms = WORK_MS
@@ -216,10 +222,29 @@
     def set_endpoint_fault(self, replica, fault, enabled):
         """Enable or disable a fault of a replica's current endpoint."""
         faults = self.make_base_faults()
+        faults.rate_limit = replica.rate_limit
         if enabled:
             setattr(faults, fault.value, True)
         replica.runner.faults = faults
 
+    async def limit_endpoint(self, replica, rate_limit, duration_ms):
+        """Let a replica's current endpoint name a rate limit for a while."""
+        runner = replica.runner
+        if replica.rate_limit is not None or runner.ended_ms is not None:
+            return
+        replica.rate_limit = runner.faults.rate_limit = rate_limit
+        begin_ms = self.clock.now()
+        await asyncio.sleep(to_seconds(duration_ms))
+        end_ms = runner.ended_ms or self.clock.now()
+        self.limit_periods.append(
+            LimitPeriod(
+                runner, replica.name, float(rate_limit), begin_ms, end_ms
+            )
+        )
+        runner.faults.rate_limit = None
+        if replica.runner is runner:
+            replica.rate_limit = None
+
     # configuration
 
     def change_routes(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,19 @@
     assert len(crashes) >= checks.QUARANTINE_CRASHES
 
 
+def test_limited_endpoints_have_no_findings(tmp_path):
+    findings, evidence = asyncio.run(
+        run_seed(302, LENGTH_MS, tmp_path, limited=True)
+    )
+    assert not findings
+    limited = [
+        timed
+        for timed in evidence.injected
+        if isinstance(timed.fault, faults.LimitEndpoint)
+    ]
+    assert limited
+
+
 def test_hosts_with_hubs_have_no_findings(tmp_path):
     findings, _ = asyncio.run(run_seed(7, LENGTH_MS, tmp_path, hosts=18))
     assert not findings
