Endpoint limits: the share of a host that has ended passes to another

A killed host stays listed for ten minutes. If it is among the few that a limit is divided among, its share was lost as long: with three of five gone 24 calls in 20 s were sent, where 60 are allowed. Hosts that have not reported for 2 s are passed over now; a host that hears hardly any other passes over none, so that an isolated one does not take the shares of all. test_share_of_a_host_that_has_ended_passes_to_another failed before.

--- a/pearrun/shared/endpointlimits.py
+++ b/pearrun/shared/endpointlimits.py
@@ -13,6 +13,7 @@
 from pearrun.decisions import ratelimit
 from pearrun.ids import EndpointId
 from pearrun.shared.members import Member
+from pearrun.shared.runreports import REPORT_VALID_MS
 
 # A limit that stays the same is reported again after this time, in case the
 # last report was lost, and to keep it valid.
@@ -67,17 +68,19 @@
     :param zone: its zone.
     :param fleet: the :class:`Fleet`.
     :param members: the :class:`Members`, among which limits are divided.
+    :param feed: the :class:`Feed`; says whether the hosts use hubs.
 
     ``notify_peers`` is called to report a new or lifted limit to the other
     hosts immediately.
     """
 
-    def __init__(self, clock, name, zone, fleet, members):
+    def __init__(self, clock, name, zone, fleet, members, feed):
         self.clock = clock
         self.name = name
         self.zone = zone
         self.fleet = fleet
         self.members = members
+        self.feed = feed
         self.notify_peers = lambda: None
         self._known = collections.OrderedDict()
         self._pending = {}
@@ -147,11 +150,19 @@
             known.ranked = ratelimit.rank_senders(
                 record.id, record.zone, self._list_members()
             )
-        senders = known.ranked[
-            : ratelimit.count_senders(rate, len(known.ranked))
-        ]
+        ranked = self._drop_silent(known.ranked)
+        senders = ranked[: ratelimit.count_senders(rate, len(ranked))]
         return rate / len(senders) if self.name in senders else 0.0
 
+    def _drop_silent(self, names):
+        """Return hosts without those that have ended or are cut off.
+
+        With hubs, only the hosts of this host's zone are heard one by one.
+        """
+        zone = self.zone if self.feed.through_hubs else None
+        silent = self.members.list_silent(REPORT_VALID_MS, zone)
+        return [name for name in names if name not in silent]
+
     def _list_members(self):
         """Return all hosts; the list on the store may lack this one."""
         listed = self.members.members
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -59,7 +59,12 @@
         self.members = Members(clock, settings.name)
         self.pools = EndpointPools(self.count_hosts)
         self.limits = EndpointLimits(
-            clock, settings.name, settings.zone, self.fleet, self.members
+            clock,
+            settings.name,
+            settings.zone,
+            self.fleet,
+            self.members,
+            self.feed,
         )
         self.selection = Selection(
             clock,
--- a/pearrun/shared/members.py
+++ b/pearrun/shared/members.py
@@ -57,20 +57,24 @@
         self.reporting.add(name)
         self.last_seen_ms[name] = self.clock.now()
 
-    def list_silent(self, silent_ms):
+    def list_silent(self, silent_ms, zone=None):
         """Return the other hosts that have not reported for some time.
 
+        :param zone: the zone whose hosts are considered; ``None`` for all.
         :returns: names of hosts.  If more than half of the others are silent,
             this host is assumed to be disconnected, and the list is empty.
         """
+        others = [
+            member
+            for member in self.others()
+            if zone is None or member.zone == zone
+        ]
         silent = [
             member.name
-            for member in self.others()
+            for member in others
             if self.clock.since(self.last_seen_ms[member.name]) > silent_ms
         ]
-        if len(silent) * 2 > len(self.others()):
-            return []
-        return silent
+        return [] if len(silent) * 2 > len(others) else silent
 
     def remove(self, name):
         """Remove a host that has left.
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -13,6 +13,7 @@
 from pearrun.shared import reports
 from pearrun.shared.endpointlimits import EndpointLimits
 from pearrun.shared.endpointlimits import LimitReport
+from pearrun.shared.feed import Feed
 from pearrun.shared.fleet import EndpointRecord
 from pearrun.shared.fleet import Fleet
 from pearrun.shared.members import Member
@@ -64,7 +65,12 @@
             zone = f'zone-{number % 3}'
             self.members.put(Member(other, '', zone, number))
         self.limits = EndpointLimits(
-            self.clock, name, 'zone-0', make_fleet(), self.members
+            self.clock,
+            name,
+            'zone-0',
+            make_fleet(),
+            self.members,
+            Feed(self.clock),
         )
 
     def send(self):
@@ -152,6 +158,39 @@
     assert len(sent_ms) >= 0.7 * 20 * rate_per_s
 
 
+def report_to_each_other(hosts):
+    """Let every host hear of every other one."""
+    for host in hosts:
+        for other in hosts:
+            host.members.note_report(other.limits.name)
+
+
+def test_share_of_a_host_that_has_ended_passes_to_another():
+    hosts = make_hosts(9)
+    for host in hosts:
+        host.limits.note_named('p1', 3.0)
+    sent = {
+        host.limits.name: send_greedily([host], [50] * 60) for host in hosts
+    }
+    ended = [host for host in hosts if sent[host.limits.name]][:3]
+    left = [host for host in hosts if host not in ended]
+    sent_ms = []
+    for _ in range(20):
+        report_to_each_other(left)
+        sent_ms.extend(send_greedily(left, [50] * 20))
+    assert len(sent_ms) >= 0.7 * 20 * 3.0
+    assert count_most(sent_ms) <= 1.5 * 3.0 * 4 + 5
+
+
+def test_isolated_host_does_not_use_the_shares_of_others():
+    hosts = make_hosts(9)
+    for host in hosts:
+        host.limits.note_named('p1', 3.0)
+    advance(hosts, 10_000)
+    for host in hosts:
+        assert len(send_greedily([host], [50] * 400)) <= 20 * 3.0 / 5 + 1
+
+
 def test_endpoint_with_a_limit_of_zero_is_tried_at_times():
     hosts = make_hosts(9)
     for host in hosts:
