Pools: the limit of connections follows the number of hosts

A pool kept the limit of its creation. Created before the list of hosts was read it may hold the connections of all: 4,536 of 630 at nine hosts; hosts that were added later changed nothing.

--- a/pearrun/shared/pools.py
+++ b/pearrun/shared/pools.py
@@ -16,6 +16,8 @@
 # Fraction of an endpoint's connection limit that all hosts together may use;
 # the rest is reserved for new hosts and for connections being closed.
 USED_SHARE = 0.8
+# Connections that a host may open however many hosts there are.
+MIN_CONNECTIONS = 2
 
 
 class EndpointPools:
@@ -31,19 +33,23 @@
     def get(self, record, service):
         """Return the pool of an endpoint, creating it if necessary.
 
+        Its limit follows the number of hosts and the configuration.
+
         :param record: an :class:`EndpointRecord`.
         :param service: its :class:`Service`.
         """
+        settings = self._make_settings(service)
         pool = self._pools.get(record.id)
         if pool is None:
-            shared = service.max_connections * USED_SHARE
-            limit = max(2, int(shared / max(1, self.count_hosts())))
-            settings = PoolSettings(
-                limit, CONNECT_TIMEOUT_MS, TCP_USER_TIMEOUT_MS
-            )
             pool = self._pools[record.id] = Pool(record.address, settings)
+        pool.settings = settings
         return pool
 
+    def _make_settings(self, service):
+        shared = service.max_connections * USED_SHARE
+        limit = max(MIN_CONNECTIONS, int(shared / max(1, self.count_hosts())))
+        return PoolSettings(limit, CONNECT_TIMEOUT_MS, TCP_USER_TIMEOUT_MS)
+
     def close_idle(self, endpoint_id):
         """Close the idle connections to an endpoint but keep its pool."""
         pool = self._pools.get(endpoint_id)
