--- a/pearrun/decisions/ratelimit.py
+++ b/pearrun/decisions/ratelimit.py
@@ -1,6 +1,6 @@
 """Division of an endpoint's rate limit among the hosts.
 
-Load pattern: an endpoint in need accepts a few calls per second from all
+Load pattern: an overloaded endpoint accepts a few calls per second from all
 hosts together, often fewer than there are hosts, while calls arrive at all of
 them.  An equal share would be one call in many seconds at each host, and lost
 at hosts that have no call for it.  Only a few hosts therefore send to such an
@@ -8,9 +8,9 @@
 rendezvous hashing, so that they agree without messages.  The hosts of the
 endpoint's own failure domain come first: they reach it in a partition.
 
-The limit ends with an answer that does not name it, so that a few calls have
-to be sent however low the limit is.  It is then raised in steps, since calls
-of all hosts at once could bring the endpoint into need again.
+Only an answer without the limit ends it, so that a few calls have to be sent
+however low it is.  Calls are then allowed in steps, since those of all hosts
+at once could overload the endpoint again.
 """
 
 import dataclasses
@@ -24,7 +24,7 @@
 # Unused calls of a host accumulate for this long.
 BURST_MS = 1000
 # Lower limits are treated as this one: an endpoint that gets no calls cannot
-# say that its need has ended.
+# say that it is no longer overloaded.
 MIN_RATE_PER_S = 0.1
 # A limit that no answer has confirmed for this long ends: the answer that
 # lifted it may have been lost.  At MIN_RATE_PER_S every sender gets an answer
@@ -42,8 +42,8 @@
     """The rate limit of one endpoint.
 
     :param rate_per_s: calls per second from all hosts together.
-    :param at_ms: when an answer last named it; of a lifted limit, when the
-        call was sent whose answer lifted it.
+    :param at_ms: when an answer last advertised it; if it is lifted, when
+        the call was sent whose answer lifted it.
     :param lifted_ms: when this host learned that it is lifted; ``None`` if
         it is not.
     """
@@ -54,7 +54,7 @@
 
     @property
     def ended_ms(self):
-        """When it ended, or will end if no answer names it again."""
+        """When it ended, or will end if no answer advertises it again."""
         if self.lifted_ms is not None:
             return self.lifted_ms
         return self.at_ms + VALID_MS
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -226,10 +226,10 @@
         return ResponseKind.ANSWER
 
     def decode_rate_limit(self, head):
-        """Return the rate limit that an endpoint names in a response.
+        """Return the rate limit that an endpoint advertises in a response.
 
         :returns: calls per second from all hosts together, the lowest if
-            several are named; ``None`` if none is.
+            several are advertised; ``None`` if none is.
         :raises WireFormatError: a value is not a rate.
         """
         values = get_all_headers(head.headers, header_names.RATE_LIMIT)
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -177,7 +177,7 @@
         return await self._forward_response(head)
 
     def _note_rate_limit(self, head, kind):
-        """Record the rate limit that the endpoint names, or that it has none.
+        """Record the rate limit that the endpoint advertises, if any.
 
         A refusal may lack the limit although the endpoint still has one.
         """
@@ -192,7 +192,7 @@
         self.trace.endpoint_limit = limit
         if limit is not None:
             self.host.counters.limited_answers += 1
-            self.host.limits.note_named(endpoint_id, limit)
+            self.host.limits.note_advertised(endpoint_id, limit)
         elif kind is ResponseKind.ANSWER:
             self.host.limits.note_unlimited(endpoint_id, self.sent_ms)
 
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -41,7 +41,7 @@
     ``runs`` counts the attempts in which an endpoint ran the call or may
     have run it; ``outcome_pending`` is true while an attempt whose request
     was written has no outcome yet; ``endpoint_limit`` is the rate limit, in
-    calls per second, that the last answering endpoint named.
+    calls per second, that the last answering endpoint advertised.
     """
 
     def __init__(self, call, started_ms):
--- a/pearrun/shared/endpointlimits.py
+++ b/pearrun/shared/endpointlimits.py
@@ -1,8 +1,8 @@
-"""Rate limits that endpoints name, as known to this host.
+"""Rate limits that endpoints advertise, as known to this host.
 
-An endpoint names its limit in its answers, to the hosts that call it, but for
-all hosts together.  Hosts therefore tell each other of every limit, and divide
-it as :mod:`pearrun.decisions.ratelimit` describes.
+An endpoint advertises its limit in its answers, to the hosts that call it, but
+for all hosts together.  Hosts therefore report every limit to each other, and
+divide it as :mod:`pearrun.decisions.ratelimit` describes.
 """
 
 import collections
@@ -18,8 +18,8 @@
 # A limit that stays the same is reported again after this time, in case the
 # last report was lost, and to keep it valid.
 REPEAT_INTERVAL_MS = 5000
-# Limits sent in one message, and kept: more than endpoints are in need at a
-# time.
+# Limits sent in one message, and kept: more than endpoints are overloaded at
+# a time.
 MAX_SENT = 64
 MAX_KNOWN = 1024
 
@@ -28,8 +28,8 @@
 class LimitReport:
     """What an answer said about an endpoint's rate limit.
 
-    :param rate_per_s: the limit; of a lifted one, the last that was named.
-    :param is_lifted: whether the answer named no limit any more.
+    :param rate_per_s: the limit; if it is lifted, the last one.
+    :param is_lifted: whether the answer advertised no limit any more.
     :param at_ms: when the answer came, or, if it lifted the limit, when its
         call was sent; in messages, the time since then.
     """
@@ -172,17 +172,17 @@
 
     # what answers say
 
-    def note_named(self, endpoint_id, rate_per_s):
-        """Record that an answer named a limit."""
+    def note_advertised(self, endpoint_id, rate_per_s):
+        """Record that an answer advertised a limit."""
         now = self.clock.now()
         self._apply(LimitReport(endpoint_id, rate_per_s, False, now), 'answer')
 
     def note_unlimited(self, endpoint_id, sent_ms):
-        """Record that an answer named no limit.
+        """Record that an answer advertised no limit.
 
         :param sent_ms: when its call was sent.  The endpoint may have begun
-            that answer before its need, so that only calls sent after the
-            limit was last named can lift it.
+            that answer before it was overloaded, so that only a call sent
+            after the limit was last advertised can lift it.
         """
         known = self._known.get(endpoint_id)
         if known is None:
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -296,11 +296,7 @@
         failures = self.host.paths.collect_updates()
         if not failures:
             return ()
-        now = self.host.clock.now()
-        aged = tuple(
-            dataclasses.replace(failure, at_ms=now - failure.at_ms)
-            for failure in failures
-        )
+        aged = reports.convert_times(failures, self.host.clock.now())
         note = reports.PathNote(self.host.settings.name, aged)
         return (reportcodec.encode(note),)
 
@@ -311,11 +307,7 @@
         """
         if not limits:
             return ()
-        now = self.host.clock.now()
-        aged = tuple(
-            dataclasses.replace(report, at_ms=now - report.at_ms)
-            for report in limits
-        )
+        aged = reports.convert_times(limits, self.host.clock.now())
         note = reports.LimitNote(self.host.settings.name, aged)
         return (reportcodec.encode(note),)
 
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -281,10 +281,7 @@
         """Apply another host's path failures."""
         now = self.clock.now() - self._delay_ms
         self.host.paths.merge(
-            [
-                dataclasses.replace(failure, at_ms=now - failure.at_ms)
-                for failure in failures
-            ],
+            reports.convert_times(failures, now),
             forward=self.host.feed.through_hubs,
         )
 
@@ -292,10 +289,7 @@
         """Apply another host's reports of endpoints' rate limits."""
         now = self.clock.now() - self._delay_ms
         self.host.limits.merge(
-            [
-                dataclasses.replace(report, at_ms=now - report.at_ms)
-                for report in limits
-            ],
+            reports.convert_times(limits, now),
             name,
             forward=self.host.feed.through_hubs,
         )
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -151,7 +151,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LimitNote:
-    """Rate limits that endpoints have named or lifted.
+    """Rate limits that endpoints have advertised or lifted.
 
     :param host: the sender.
     :param reports: :class:`LimitReport` objects with ages in milliseconds.
@@ -183,6 +183,17 @@
 )
 
 
+def convert_times(items, now_ms):
+    """Convert times to ages for a message, or the ages of a message to times.
+
+    :param items: objects with ``at_ms``.
+    :returns: a tuple of their copies.
+    """
+    return tuple(
+        dataclasses.replace(item, at_ms=now_ms - item.at_ms) for item in items
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Bundle:
     """Messages sent together over a link.
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -17,28 +17,30 @@
 TOLD_MS = 500
 
 
-def find_excess(arrivals_ms, named_ms, rate_per_s, until_ms):
+def find_excess(arrivals_ms, advertised_ms, rate_per_s, until_ms):
     """Return the windows in which an endpoint got too many calls.
 
-    All calls count that arrive ``TOLD_MS`` after the limit was named, also
-    those of hosts that have not heard of it.
+    All calls count that arrive ``TOLD_MS`` after the limit was advertised,
+    also those of hosts that have not heard of it.
 
     :param arrivals_ms: when calls arrived at the endpoint.
-    :param named_ms: when it first named its limit.
+    :param advertised_ms: when it first advertised its limit.
     :param until_ms: the end of the last window.
-    :returns: pairs of a window's end, relative to ``named_ms``, and the
+    :returns: pairs of a window's end, relative to ``advertised_ms``, and the
         number of calls in it.
     """
     allowed = EXCESS_FACTOR * rate_per_s * WINDOW_MS / 1000 + EXCESS_CALLS
-    counted = [at_ms for at_ms in arrivals_ms if at_ms > named_ms + TOLD_MS]
-    ends = [named_ms + LEARNING_MS, until_ms, *counted]
+    counted = [
+        at_ms for at_ms in arrivals_ms if at_ms > advertised_ms + TOLD_MS
+    ]
+    ends = [advertised_ms + LEARNING_MS, until_ms, *counted]
     windows = []
     for end_ms in sorted(ends):
-        if not named_ms + LEARNING_MS <= end_ms <= until_ms:
+        if not advertised_ms + LEARNING_MS <= end_ms <= until_ms:
             continue
         count = sum(end_ms - WINDOW_MS < at <= end_ms for at in counted)
         if count > allowed:
-            windows.append((end_ms - named_ms, count))
+            windows.append((end_ms - advertised_ms, count))
     return windows
 
 
@@ -85,8 +87,8 @@
         self.answers.append(answer)
 
 
-async def name_limit(runner, value):
-    """Let an endpoint name a limit from its next answer on.
+async def advertise_limit(runner, value):
+    """Let an endpoint advertise a limit from its next answer on.
 
     :param value: the header's value; ``None`` to stop naming one.
     :returns: the time of the next call that arrives there.
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -62,6 +62,8 @@
     flags.DEFINE_bool(
         'crashing', False, 'Also send a request that crashes endpoints.'
     )
-    flags.DEFINE_bool('limited', False, 'Also let endpoints name rate limits.')
+    flags.DEFINE_bool(
+        'limited', False, 'Also let endpoints advertise rate limits.'
+    )
     flags.DEFINE_string('logs', '/tmp/pearrun-soak', 'Directory for logs.')
     app.run(main)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -92,7 +92,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LimitEndpoint:
-    """An endpoint names a rate limit for ``duration_ms``.
+    """An endpoint advertises a rate limit for ``duration_ms``.
 
     :param endpoint: name of the replica that the endpoint runs as.
     :param rate_limit: calls per second, as the header's value.
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -19,7 +19,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LimitPeriod:
-    """A period in which an endpoint named a limit in all answers.
+    """A period in which an endpoint advertised a limit in all answers.
 
     :param replica: name of the replica that the endpoint ran as.
     """
@@ -32,7 +32,7 @@
 
 
 def generate_limits(seed, length_ms, endpoints):
-    """Generate the limits that endpoints name, apart from other faults.
+    """Generate the limits that endpoints advertise, apart from other faults.
 
     :param endpoints: names of the endpoints' replicas.
     :returns: a list of :class:`TimedFault`.
@@ -78,7 +78,7 @@
 
 
 def list_arrivals(period, hosts):
-    """Return the calls that reached an endpoint while it named its limit.
+    """Return the calls that reached an endpoint while it advertised its limit.
 
     :param hosts: names of the hosts by attempt id.
     :returns: pairs of a time and a host, in order.
@@ -94,7 +94,7 @@
 def list_counted(evidence, period, arrivals):
     """Return when calls arrived that count towards the limit.
 
-    Calls count if their host has had an answer that named the limit for
+    Calls count if their host has had an answer that advertised the limit for
     half a second, and has had no fault of late.
     """
     told_ms = {}
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -127,7 +127,7 @@
     :param hosts: number of entry hosts; above 16 they use hubs.
     :param crashing: whether a request that crashes endpoints is sent
         repeatedly.
-    :param limited: whether endpoints name rate limits at times.
+    :param limited: whether endpoints advertise rate limits at times.
     :returns: ``(findings, evidence)``.
     :raises DirectoryInUseError: another run uses the directory.
     """
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -44,7 +44,7 @@
     :param runner: the current endpoint.
     :param generation: number of the current endpoint, from 1 on.
     :param restarting: whether a crashed endpoint is being replaced.
-    :param rate_limit: the rate limit that the current endpoint names.
+    :param rate_limit: the rate limit that the current endpoint advertises.
     """
 
     name: str
@@ -228,7 +228,7 @@
         replica.runner.faults = faults
 
     async def limit_endpoint(self, replica, rate_limit, duration_ms):
-        """Let a replica's current endpoint name a rate limit for a while."""
+        """Let a replica's endpoint advertise a rate limit for a while."""
         runner = replica.runner
         if replica.rate_limit is not None or runner.ended_ms is not None:
             return
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -13,27 +13,27 @@
 from tests.test_topology import run_with_hubs
 
 RUNNERS = [('p1', 'plain'), ('p2', 'plain'), ('p3', 'plain')]
-# How long an endpoint names its limit: several windows after the hosts must
-# have learnt of it.
+# How long an endpoint advertises its limit: several windows after the hosts
+# must have learnt of it.
 LIMITED_S = 9
 
 
 async def check_limit_is_kept(site, daemons, values):
     """Check the calls to an endpoint that names a limit.
 
-    :param values: the limits that it names, one after the other.
+    :param values: the limits that it advertises, one after the other.
     """
     runner = site.runners['p1']
     async with limits.Load(daemons):
         await asyncio.sleep(1)
-        named_ms = await limits.name_limit(runner, values[0])
+        advertised_ms = await limits.advertise_limit(runner, values[0])
         for value in values:
             runner.faults.rate_limit = value
             await asyncio.sleep(LIMITED_S / len(values))
-    until_ms = named_ms + LIMITED_S * 1000
+    until_ms = advertised_ms + LIMITED_S * 1000
     rate_per_s = max(map(float, values))
     assert not limits.find_excess(
-        runner.arrivals_ms, named_ms, rate_per_s, until_ms
+        runner.arrivals_ms, advertised_ms, rate_per_s, until_ms
     )
 
 
@@ -65,10 +65,10 @@
             daemons = site.hosts.values()
             load = limits.Load(daemons, 0.04, '/long/', **make_prompt())
             async with load:
-                named_ms = await limits.name_limit(runner, '2')
+                advertised_ms = await limits.advertise_limit(runner, '2')
                 await asyncio.sleep(6)
             assert not limits.find_excess(
-                runner.arrivals_ms, named_ms, 2, named_ms + 6000
+                runner.arrivals_ms, advertised_ms, 2, advertised_ms + 6000
             )
             assert all(answer.status == 200 for answer in load.answers)
 
@@ -80,13 +80,13 @@
     return daemon.host.limits.count() > 0
 
 
-def test_hosts_call_an_endpoint_again_after_its_need():
+def test_hosts_call_an_endpoint_again_once_its_limit_is_lifted():
     async def main():
         async with run_site(make_config(), RUNNERS, hosts=5) as site:
             runner = site.runners['p1']
             daemons = list(site.hosts.values())
             async with limits.Load(daemons):
-                await limits.name_limit(runner, '1')
+                await limits.advertise_limit(runner, '1')
                 await wait_until(lambda: all(map(is_limited, daemons)))
                 runner.faults.rate_limit = None
                 await wait_until(lambda: not any(map(is_limited, daemons)), 15)
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -1,4 +1,4 @@
-"""Rate limits that endpoints name: decoding and the share of each host."""
+"""Rate limits of endpoints: decoding, and the share of each host."""
 
 from hypothesis import given
 from hypothesis import settings
@@ -142,7 +142,7 @@
 def test_hosts_that_send_greedily_keep_to_a_limit(rate_per_s, count, steps):
     hosts = make_hosts(count)
     for host in hosts:
-        host.limits.note_named('p1', rate_per_s)
+        host.limits.note_advertised('p1', rate_per_s)
     sent_ms = send_greedily(hosts, steps)
     allowed = limits.EXCESS_FACTOR * rate_per_s * limits.WINDOW_MS / 1000
     assert count_most(sent_ms) <= allowed + limits.EXCESS_CALLS
@@ -153,7 +153,7 @@
 def test_hosts_use_most_of_a_limit(count, rate_per_s):
     hosts = make_hosts(count)
     for host in hosts:
-        host.limits.note_named('p1', rate_per_s)
+        host.limits.note_advertised('p1', rate_per_s)
     sent_ms = send_greedily(hosts, [50] * 400)
     assert len(sent_ms) >= 0.7 * 20 * rate_per_s
 
@@ -168,7 +168,7 @@
 def test_share_of_a_host_that_has_ended_passes_to_another():
     hosts = make_hosts(9)
     for host in hosts:
-        host.limits.note_named('p1', 3.0)
+        host.limits.note_advertised('p1', 3.0)
     sent = {
         host.limits.name: send_greedily([host], [50] * 60) for host in hosts
     }
@@ -185,7 +185,7 @@
 def test_isolated_host_does_not_use_the_shares_of_others():
     hosts = make_hosts(9)
     for host in hosts:
-        host.limits.note_named('p1', 3.0)
+        host.limits.note_advertised('p1', 3.0)
     advance(hosts, 10_000)
     for host in hosts:
         assert len(send_greedily([host], [50] * 400)) <= 20 * 3.0 / 5 + 1
@@ -194,7 +194,7 @@
 def test_endpoint_with_a_limit_of_zero_is_tried_at_times():
     hosts = make_hosts(9)
     for host in hosts:
-        host.limits.note_named('p1', 0.0)
+        host.limits.note_advertised('p1', 0.0)
     assert 1 <= len(send_greedily(hosts, [50] * 500)) <= 4
 
 
@@ -202,7 +202,7 @@
     (host,) = make_hosts(1)
     sent_ms = host.clock.now()
     host.clock.advance(10)
-    host.limits.note_named('p1', 1.0)
+    host.limits.note_advertised('p1', 1.0)
     host.clock.advance(10)
     host.limits.note_unlimited('p1', sent_ms)
     host.clock.advance(ratelimit.RAMP_MS + 1)
@@ -215,7 +215,7 @@
 def test_lifted_limit_does_not_release_all_hosts_at_once():
     hosts = make_hosts(84)
     for host in hosts:
-        host.limits.note_named('p1', 1.0)
+        host.limits.note_advertised('p1', 1.0)
     advance(hosts, 1000)
     for host in hosts:
         host.limits.note_unlimited('p1', host.clock.now())
@@ -226,7 +226,7 @@
 
 def test_unconfirmed_limit_ends():
     (host,) = make_hosts(1)
-    host.limits.note_named('p1', 0.0)
+    host.limits.note_advertised('p1', 0.0)
     host.clock.advance(ratelimit.VALID_MS + ratelimit.RAMP_MS + 1)
     assert host.send()
     assert not host.is_limited()
@@ -234,14 +234,14 @@
 
 def test_limit_of_a_former_process_does_not_hold_for_its_successor():
     (host,) = make_hosts(1)
-    host.limits.note_named('p1@1', 0.0)
+    host.limits.note_advertised('p1@1', 0.0)
     assert host.send()
 
 
 def test_host_without_a_list_of_hosts_does_not_call_limited_endpoints():
     (host,) = make_hosts(1)
     host.members.listed = False
-    host.limits.note_named('p1', 5.0)
+    host.limits.note_advertised('p1', 5.0)
     assert not send_greedily([host], [100] * 50)
 
 
@@ -269,7 +269,7 @@
     host.limits.notify_peers = lambda: rounds.append(host.clock.now())
     reported = 0
     for _ in range(100):
-        host.limits.note_named('p1', 2.0)
+        host.limits.note_advertised('p1', 2.0)
         reported += len(host.limits.collect_updates())
         host.clock.advance(100)
     assert len(rounds) == 1
@@ -278,11 +278,11 @@
 
 def test_limit_that_another_host_believes_to_be_lifted_is_reported_again():
     (host,) = make_hosts(1)
-    host.limits.note_named('p1', 2.0)
+    host.limits.note_advertised('p1', 2.0)
     host.limits.collect_updates()
     host.clock.advance(100)
     merge(host, 2.0, host.clock.now() - 200, is_lifted=True)
-    host.limits.note_named('p1', 2.0)
+    host.limits.note_advertised('p1', 2.0)
     assert len(host.limits.collect_updates()) == 1
 
 
