--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -10,6 +10,7 @@
 from pearrun.decisions import lease
 from pearrun.decisions import quota
 from pearrun.decisions import scaling
+from pearrun.decisions.demand import Demand
 from pearrun.decisions.lease import LeaseRecord
 from pearrun.decisions.lease import LeaseView
 from pearrun.decisions.lease import RecordKind
@@ -417,3 +418,25 @@
             assert Scaler(daemon.host, None)._find_slots(service) == 8
 
     asyncio.run(main())
+
+
+def test_limited_endpoints_raise_the_need():
+    async def main():
+        async with run_site(make_scaled_config()) as site:
+            for number in range(6):
+                await site.add_runner(f'm{number}', 'model')
+            (daemon,) = site.hosts.values()
+            host = daemon.host
+            await wait_until(lambda: len(host.fleet.endpoints) == 6)
+            service = host.config.current.services['model']
+            answer_ms = host.demands.get_answer_ms('model')
+            # 4 calls per second and endpoint.
+            demand = Demand(busy=24 * answer_ms / 1000)
+            scaler = Scaler(host, None)
+            assert scaler._count_displaced(service.name, demand) == 0
+            host.limits.note_advertised('m1', 1.0)
+            host.limits.note_advertised('m2', 0.0)
+            host.limits.note_advertised('m3', 9.0)
+            assert scaler._count_displaced(service.name, demand) == 2
+
+    asyncio.run(main())
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -372,9 +372,15 @@
 ORDER = RolloutOrder('plain', 5, 'v2', 14_000)
 
 
-def select_versions(rollouts, calls=400, route='short', is_retry=False):
-    """Return the versions to which calls may be sent, one for each call."""
-    endpoints = rollouts.fleet.find_by_service('plain')
+def select_versions(
+    rollouts, calls=400, route='short', is_retry=False, endpoints=None
+):
+    """Return the versions to which calls may be sent, one for each call.
+
+    :param endpoints: those that accept calls; by default all that are listed.
+    """
+    if endpoints is None:
+        endpoints = rollouts.fleet.find_by_service('plain')
     return [
         {
             endpoint.record.version
@@ -412,6 +418,21 @@
     assert {'v2'} not in select_versions(rollouts)
 
 
+def test_new_version_does_not_replace_rate_limited_endpoints_of_the_old_one():
+    clock = ManualClock()
+    rollouts = make_rollouts(clock)
+    rollouts.put_order(ORDER)
+    rollouts.put_notice(make_notice(share=0.03), 1, clock.now())
+    endpoints = [
+        endpoint
+        for endpoint in rollouts.fleet.find_by_service('plain')
+        if endpoint.record.version == 'v2'
+    ]
+    selected = select_versions(rollouts, endpoints=endpoints)
+    assert 0 < selected.count({'v2'}) < 30
+    assert {'v1', 'v2'} not in selected
+
+
 def test_only_moved_routes_go_to_the_new_version():
     clock = ManualClock()
     rollouts = make_rollouts(clock)
