Endpoint limits: the end of a low limit is noticed sooner

A limit of 0 counted as 0.1 a second, and all senders began with empty buckets, so that the first calls came after 20 s, all at once. Silent hosts are looked for once in a round instead of at each call.

--- a/pearrun/decisions/ratelimit.py
+++ b/pearrun/decisions/ratelimit.py
@@ -25,7 +25,7 @@
 BURST_MS = 1000
 # Lower limits are treated as this one: an endpoint that gets no calls cannot
 # say that it is no longer overloaded.
-MIN_RATE_PER_S = 0.1
+MIN_RATE_PER_S = 0.25
 # A limit that no answer has confirmed for this long ends: the answer that
 # lifted it may have been lost.  At MIN_RATE_PER_S every sender gets an answer
 # within this time.
@@ -104,37 +104,66 @@
     return min(hosts, int(rate_per_s) + EXTRA_SENDERS)
 
 
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """A host's share of a limit.
+
+    :param calls_per_s: 0 if it sends nothing to the endpoint.
+    :param initial_calls: below 1, and different for each sender, so that
+        their first calls are not sent at the same moment.
+    """
+
+    calls_per_s: float = 0.0
+    initial_calls: float = 0.0
+
+
+NO_SHARE = Share()
+
+
+def compute_share(rate_per_s, name, ranked):
+    """Return a host's :class:`Share` of a limit.
+
+    :param ranked: names of the hosts; see :func:`rank_senders`.
+    """
+    count = count_senders(rate_per_s, len(ranked))
+    senders = ranked[:count]
+    if name not in senders:
+        return NO_SHARE
+    position = senders.index(name) + 1
+    return Share(rate_per_s / count, 1.0 - position / count)
+
+
 class CallAllowance:
     """The calls that one host may send to a limited endpoint.
 
-    It starts empty: other hosts may not have heard of the limit yet.
-
     :param now_ms: monotonic time.
     """
 
     def __init__(self, now_ms):
-        self.calls = 0.0
+        self.calls = None
         self.updated_ms = now_ms
 
-    def refill(self, share_per_s, now_ms):
+    def refill(self, share, now_ms):
         """Add the calls that have accrued.
 
-        :param share_per_s: this host's share of the limit; 0 if it sends
-            nothing to the endpoint.
+        :param share: the host's :class:`Share` of the limit.
         """
+        if self.calls is None:
+            self.calls = share.initial_calls
         elapsed_ms = now_ms - self.updated_ms
         self.updated_ms = now_ms
-        capacity = max(1.0, share_per_s * BURST_MS / 1000.0)
-        accrued = share_per_s * elapsed_ms / 1000.0
+        capacity = max(1.0, share.calls_per_s * BURST_MS / 1000.0)
+        accrued = share.calls_per_s * elapsed_ms / 1000.0
         self.calls = min(capacity, self.calls + accrued)
 
     def has_call(self):
         """Return whether a call may be sent now."""
-        return self.calls >= 1.0
+        return self.calls is not None and self.calls >= 1.0
 
     def take(self):
         """Take the call that is being sent."""
-        self.calls -= 1.0
+        if self.calls is not None:
+            self.calls -= 1.0
 
 
 def count_displaced(rates, usual_per_s):
--- a/pearrun/shared/endpointlimits.py
+++ b/pearrun/shared/endpointlimits.py
@@ -22,6 +22,8 @@
 # a time.
 MAX_SENT = 64
 MAX_KNOWN = 1024
+# How often to check which hosts have not reported: about once in a round.
+SILENT_CHECK_INTERVAL_MS = 200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +84,8 @@
         self.members = members
         self.feed = feed
         self.notify_peers = lambda: None
+        self._silent = []
+        self._silent_checked_ms = clock.now() - SILENT_CHECK_INTERVAL_MS
         self._known = collections.OrderedDict()
         self._pending = {}
 
@@ -137,31 +141,36 @@
         return rate
 
     def _compute_share(self, record, known, rate):
-        """Return this host's share of a limit, in calls per second.
+        """Return this host's :class:`Share` of a limit.
 
         A host that has not read the list of hosts sends nothing: it cannot
         know how many others send too.
         """
         members = self.members
         if not members.listed:
-            return 0.0
+            return ratelimit.NO_SHARE
         if known.ranked_at_change != members.changes:
             known.ranked_at_change = members.changes
             known.ranked = ratelimit.rank_senders(
                 record.id, record.zone, self._list_members()
             )
-        ranked = self._drop_silent(known.ranked)
-        senders = ranked[: ratelimit.count_senders(rate, len(ranked))]
-        return rate / len(senders) if self.name in senders else 0.0
+        return ratelimit.compute_share(
+            rate, self.name, self._drop_silent(known.ranked)
+        )
 
     def _drop_silent(self, names):
         """Return hosts without those that have ended or are cut off.
 
         With hubs, only the hosts of this host's zone are heard one by one.
         """
-        zone = self.zone if self.feed.through_hubs else None
-        silent = self.members.list_silent(REPORT_VALID_MS, zone)
-        return [name for name in names if name not in silent]
+        now = self.clock.now()
+        if now - self._silent_checked_ms >= SILENT_CHECK_INTERVAL_MS:
+            self._silent_checked_ms = now
+            zone = self.zone if self.feed.through_hubs else None
+            self._silent = self.members.list_silent(REPORT_VALID_MS, zone)
+        if not self._silent:
+            return names
+        return [name for name in names if name not in self._silent]
 
     def _list_members(self):
         """Return all hosts; the list on the store may lack this one."""
