Shutdown: a call that has just timed out does not end it early

Found by reading the change once more. expire_calls rescheduled every timeout, also those that had expired and whose answer was still being written; asyncio raises RuntimeError then, so that the daemon would have ended with open connections and its entry in the list of hosts. Expired timeouts are left alone now. test_shutdown_does_not_fail_on_a_call_that_has_just_timed_out failed before (RuntimeError: Cannot change state of expired Timeout).

--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -97,7 +97,8 @@
         """Let all calls in progress time out now."""
         now_s = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
-            timeout.reschedule(now_s)
+            if not timeout.expired():
+                timeout.reschedule(now_s)
 
     async def _serve(self, call, service, caller, trace):
         """Send the call, with retries, until it succeeds or fails."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,16 +2,20 @@
 
 import asyncio
 
+import pytest
+
 from pearrun import exceptions
 from pearrun.decisions.budget import RetryBudget
 from pearrun.http1 import client
 from pearrun.platform import membership
 from pearrun.platform.daemon import Daemon
 from pearrun.platform.settings import RetrySettings
+from pearrun.relay.relay import Relay
 from pearrun.shared.members import Member
 from pearrun.standins.platformsite import make_config
 from tests.platformsite import call
 from tests.platformsite import make_headers
+from tests.platformsite import make_host_context
 from tests.platformsite import make_prompt
 from tests.platformsite import run_site
 from tests.platformsite import wait_until
@@ -33,6 +37,18 @@
 TWO_MODEL = [('m1', 'model'), ('m2', 'model')]
 
 
+def test_shutdown_does_not_fail_on_a_call_that_has_just_timed_out():
+    async def main():
+        relay = Relay(make_host_context())
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0) as timeout:
+                relay._timeouts.add(timeout)
+                await asyncio.sleep(1)
+        relay.expire_calls()
+
+    asyncio.run(main())
+
+
 def test_call_that_outlasts_a_shutdown_is_answered():
     # Its connection was closed without an answer.
     async def main():
