--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -285,6 +285,9 @@
             'config_age_ms': self.host.config.age_ms(),
             'endpoints': len(self.host.fleet.endpoints),
             'endpoint_list_age_ms': self.host.list_age_ms(now) or -1,
+            'endpoint_answer_age_ms': (
+                self.host.selection.answer_age_ms() or -1
+            ),
             'hosts': self.host.count_hosts(),
             'endpoint_crashes_total': self.host.crashes.total,
             'lease_held': int(
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -120,6 +120,7 @@
             quota_left=host.quotas.get_level(call),
             config=host.config.version,
             list_age_ms=host.list_age_ms(now_ms),
+            answer_age_ms=host.selection.answer_age_ms(),
             fingerprint=self.fingerprint,
             endpoint_limit=self.endpoint_limit,
         ).info('call')
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -78,6 +78,7 @@
         self.prefixes = PrefixIndex()
         self._placements = []
         self.zones = {}
+        self.answered_ms = None
         self.notify_peers = lambda: None
         self.settings = placement.PlacementSettings()
 
@@ -183,8 +184,18 @@
 
     def note_answer(self, endpoint):
         """Record any answer from an endpoint, including an error."""
+        self.answered_ms = self.clock.now()
         self._get_zone_health(endpoint).note_answer()
 
+    def answer_age_ms(self):
+        """Return the time since the last answer of any endpoint.
+
+        :returns: milliseconds; ``None`` if none has answered this host.
+        """
+        if self.answered_ms is None:
+            return None
+        return self.clock.since(self.answered_ms)
+
     def note_success(self, endpoint):
         """Record a successful answer from an endpoint."""
         endpoint.failures = 0
