--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import dataclasses
 import json
 
@@ -24,6 +25,10 @@
 from tests.builders import find_free_port
 from tests.builders import reserve_subnet
 
+# Name of the host to which the current task belongs; ``None`` for callers and
+# stand-ins.
+HOST_NAME = contextvars.ContextVar('host_name', default=None)
+
 
 class FakeLogWriter:
     """Replaces the bounded log writer; never drops a line."""
@@ -83,7 +88,9 @@
         settings = settings_module.decode(fields)
         daemon = Daemon(settings, FakeLogWriter(), lambda: settings)
         self.hosts[settings.name] = daemon
+        token = HOST_NAME.set(settings.name)
         await daemon.start()
+        HOST_NAME.reset(token)
         return daemon
 
     async def stop(self):
