Endpoints: a host that has lost its own paths reaches them through another host

What callers saw: hosts that were partitioned from all endpoints, while callers, the store and the other hosts still reached them, refused nearly every call: 503 after 0.8 s of connects that timed out, or at once where they were refused.

Cause: a host took its own view of an endpoint for the endpoint's state.

Change: decisions/directpaths.py tells lost paths from endpoints that are down: two endpoints that accept no connection, and a probe of others that fails too. Such a service's new connections then go through another host (shared/tunnels.py, tunnelserver.py), which connects directly only, so that there is one hop. All that is decided and counted about a call stays at the host that accepted it. Proxies are found by asking (decisions/proxies.py), at the same cost in a fleet of any size, and only hosts of the list are let in. Reports of failed endpoints wait until it is known whose paths failed: a host without paths made all others close their idle connections, and its crash evidence and answers of versions counted.

--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -248,6 +248,12 @@
     code = 1508
 
 
+class NoPathError(EndpointUnreachableError):
+    """Neither this host nor another one that was asked has a path."""
+
+    code = 1510
+
+
 class CrashedEndpointsError(BackendError):
     """Endpoints crashed while running the request; it is not retried."""
 
@@ -335,6 +341,12 @@
     code = 1820
 
 
+class UnknownHostError(PearrunError):
+    """A connection for hosts came from an address that is not a host's."""
+
+    code = 1821
+
+
 class ConfigConflictError(PearrunError):
     """Another operator published a configuration first."""
 
@@ -395,6 +407,7 @@
     EndpointUnreachableError,
     EndpointSilentError,
     EndpointDownError,
+    NoPathError,
     CrashedEndpointsError,
     ConnectionBrokenError,
     MismatchedAnswerError,
@@ -404,6 +417,7 @@
     DutyCallError,
     LeaseEndedError,
     WireFormatError,
+    UnknownHostError,
     ConfigConflictError,
     ForeignBranchError,
     StaleOrderError,
--- a/pearrun/http1/pool.py
+++ b/pearrun/http1/pool.py
@@ -25,18 +25,22 @@
 
     :param address: ``IP:PORT``.
     :param settings: the :class:`PoolSettings`.
+    :param connect: opens a connection, given the settings and the id of the
+        call that needs it; by default, one to the address.
     """
 
-    def __init__(self, address, settings):
+    def __init__(self, address, settings, connect=None):
         self.address = address
         self.settings = settings
+        self.connect = connect or self._connect_directly
         self.idle = []
         self.open_connections = 0
         self.in_flight = set()
 
-    async def acquire(self):
+    async def acquire(self, request_id=None):
         """Return an idle connection or a new one.
 
+        :param request_id: id of the call that needs it.
         :returns: a :class:`ClientConnection`.
         :raises EndpointUnreachableError: no connection could be opened.
         :raises OverloadedError: all connections are in use.
@@ -50,15 +54,10 @@
             )
         self.open_connections += 1
         try:
-            connection = await client.connect(
-                self.address,
-                self.settings.connect_timeout_ms,
-                self.settings.user_timeout_ms,
-            )
+            return await self.connect(self.settings, request_id)
         except BaseException:
             self.open_connections -= 1
             raise
-        return connection
 
     async def fetch(
         self, method, target, headers, body, limit, check=lambda: None
@@ -109,6 +108,12 @@
         while self.idle:
             self.discard(self.idle.pop())
 
+    async def _connect_directly(self, settings, request_id):
+        del request_id
+        return await client.connect(
+            self.address, settings.connect_timeout_ms, settings.user_timeout_ms
+        )
+
     def _pop_idle(self):
         while self.idle:
             connection = self.idle.pop()
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -39,6 +39,7 @@
 from pearrun.shared.peerlinks import PeerLinks
 from pearrun.shared.reporter import Reporter
 from pearrun.shared.reportreceiver import ReportReceiver
+from pearrun.shared.tunnelserver import TunnelServer
 
 METRICS_PORT = 9464
 # How long new connections are accepted after the stop signal.  The platform
@@ -93,8 +94,13 @@
         self.members = MemberFollower(
             self.host, self.store, self.make_own_member(), self.holds_lease
         )
+        self.tunnel_server = TunnelServer(self.host)
         self.links = PeerLinks(
-            self.host, self.make_own_member(), self.reports, self.reporter
+            self.host,
+            self.make_own_member(),
+            self.reports,
+            self.reporter,
+            self.tunnel_server,
         )
         self.stop = asyncio.Event()
         self.tasks = []
@@ -229,9 +235,13 @@
 
     async def wait_for_requests(self, until_ms):
         """Wait until no request is open, or until a deadline."""
-        while self.front.active_requests and self.clock.now() < until_ms:
+        while self.count_open() and self.clock.now() < until_ms:
             await asyncio.sleep(to_seconds(STOP_POLL_MS))
 
+    def count_open(self):
+        """Return the number of requests and tunnels that are open."""
+        return self.front.active_requests + self.tunnel_server.active
+
     async def end(self):
         """Abort all connections and cancel all background tasks."""
         for server in (self.front, self.ready, self.metrics):
@@ -277,6 +287,7 @@
     def collect_gauges(self):
         """Return the current values of all gauges by name."""
         now = self.clock.now()
+        answer_age_ms = self.host.selection.answer_age_ms()
         return {
             'ready': int(self.host.is_ready()),
             'requests_open': self.front.active_requests,
@@ -286,8 +297,12 @@
             'endpoints': len(self.host.fleet.endpoints),
             'endpoint_list_age_ms': self.host.list_age_ms(now) or -1,
             'endpoint_answer_age_ms': (
-                self.host.selection.answer_age_ms() or -1
+                -1 if answer_age_ms is None else answer_age_ms
             ),
+            'services_unreachable': len(self.host.reachability.list_lost()),
+            'tunnels_open': self.tunnel_server.active,
+            'tunnels_served_total': self.tunnel_server.served,
+            'tunnels_used_total': self.host.tunnels.opened,
             'hosts': self.host.count_hosts(),
             'endpoint_crashes_total': self.host.crashes.total,
             'lease_held': int(
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -17,6 +17,7 @@
 from pearrun.rollouts.answers import MIN_PACE_EVENTS
 from pearrun.shared.configuration import CallKind
 from pearrun.shared.crashdetector import BrokenCall
+from pearrun.shared.tunneltransport import TunnelledConnection
 
 # Response bodies of services that do not stream are buffered up to this
 # size before they are forwarded, so that an incomplete one can still be
@@ -54,6 +55,7 @@
         self.sent_ms = 0
         self.forwarding_since_ms = None
         self.is_resumed = False
+        self.path_failed = False
         self.chunks = 0
 
     async def run(self, selected, resume):
@@ -68,21 +70,15 @@
         endpoint = selected.endpoint
         pool = self.host.pools.get(endpoint.record, self.service)
         try:
-            connection = await pool.acquire()
+            connection = await pool.acquire(self.call.id)
         except exceptions.OverloadedError as exc:
             return NotRun(exc.message, delivered=False)
         except exceptions.EndpointUnreachableError as exc:
-            silent = isinstance(exc, exceptions.EndpointSilentError)
-            self._record_failure(refused=True, silent=silent)
-            if silent:
-                self.host.paths.note_silent(endpoint.record)
-            if not silent and not self._is_retiring():
-                self.host.paths.note_broken(endpoint.record)
-            is_down = isinstance(exc, exceptions.EndpointDownError)
-            if is_down and not self._is_retiring():
-                self.host.crashes.note_down(endpoint.id)
+            self._note_unreachable(exc)
             return NotRun(exc.message, delivered=False)
         self.connection = connection
+        if isinstance(connection, TunnelledConnection):
+            self.trace.record_proxy(connection.proxy)
         head = None
         self.host.selection.begin(selected, self.call)
         self.prompt_pending = True
@@ -103,6 +99,28 @@
                 pool.release(connection, head)
         return outcome
 
+    def _note_unreachable(self, exc):
+        """Record that no connection to the endpoint was opened.
+
+        :param exc: the :class:`EndpointUnreachableError`.
+        """
+        if isinstance(exc, exceptions.NoPathError):
+            return
+        silent = isinstance(exc, exceptions.EndpointSilentError)
+        is_down = isinstance(exc, exceptions.EndpointDownError)
+        self._record_failure(refused=True, silent=silent)
+        record = self.selected.endpoint.record
+
+        def report():
+            if silent:
+                self.host.paths.note_silent(record)
+            elif not self._is_retiring():
+                self.host.paths.note_broken(record)
+                if is_down:
+                    self.host.crashes.note_down(record.id)
+
+        self.host.reachability.report_unless_lost(record.service, report)
+
     def _is_retiring(self):
         """Return whether a completing roll-out stops the endpoint."""
         record = self.selected.endpoint.record
@@ -112,6 +130,8 @@
         """Count the answer as evidence on the endpoint's version."""
         if isinstance(outcome, NotRun) or self._is_retiring():
             return
+        if self.path_failed:
+            return
         failed = not isinstance(outcome, Answered)
         self._note_answer(failed, self.host.clock.since(self.sent_ms))
 
@@ -332,18 +352,40 @@
 
     def _record_broken(self, exc):
         """Record that the connection broke before the response ended."""
+        if self._is_proxy_lost():
+            self.path_failed = True
+            return
         silent = exceptions.is_peer_silent(exc)
-        self._record_failure(silent=silent)
         record = self.selected.endpoint.record
+        self._record_failure(silent=silent)
         if silent:
+            self.host.reachability.note_unreached(record)
             # The idle connections to this endpoint may be dead as well,
             # and each could cost a call that must not be retried.
-            self.host.paths.note_silent(record)
-            return
-        if self._is_retiring():
-            return
-        if self.forwarding_since_ms is None:
-            self.host.paths.note_broken(record)
+            self.host.pools.close_idle(record.id)
+        self.path_failed = self.host.reachability.is_suspect(record.service)
+        if silent:
+            self.host.reachability.report_unless_lost(
+                record.service, lambda: self.host.paths.note_silent(record)
+            )
+        elif not self._is_retiring():
+            broken = self._describe_broken_call()
+            self.host.reachability.report_unless_lost(
+                record.service, lambda: self._report_broken(broken)
+            )
+
+    def _is_proxy_lost(self):
+        """Return whether the connection to another host broke."""
+        connection = self.connection
+        if not isinstance(connection, TunnelledConnection):
+            return False
+        if connection.proxy_lost:
+            record = self.selected.endpoint.record
+            self.host.tunnels.note_broken(record, connection.proxy)
+        return connection.proxy_lost
+
+    def _describe_broken_call(self):
+        """Return the :class:`BrokenCall` for the crash detector."""
         self.trace.fingerprint = self.call.fingerprint
         now = self.host.clock.now()
         ran_ms = now - self.sent_ms
@@ -353,10 +395,19 @@
             else now - self.forwarding_since_ms
         )
         call_was_stable = is_call_stable(ran_ms, answered_ms)
-        broken = BrokenCall(
+        return BrokenCall(
             self.call.fingerprint, ran_ms, now, call_was_stable, self.call.id
         )
-        self.host.crash_probe.note_broken(self.selected.endpoint, broken)
+
+    def _report_broken(self, broken):
+        """Report that the endpoint broke the call.
+
+        :param broken: the :class:`BrokenCall`.
+        """
+        endpoint = self.selected.endpoint
+        if self.forwarding_since_ms is None:
+            self.host.paths.note_broken(endpoint.record)
+        self.host.crash_probe.note_broken(endpoint, broken)
 
     def _record_failure(self, refused=False, silent=False):
         endpoint = self.selected.endpoint
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -105,7 +105,14 @@
         tried = set()
         unconnected = set()
         resume = ResumePoint(call.last_event_id)
+        was_lost = self.host.reachability.is_lost(service.name)
         while True:
+            is_lost = self.host.reachability.is_lost(service.name)
+            if is_lost and not was_lost:
+                # Another host may reach what accepted no connection from
+                # this one.
+                unconnected.clear()
+            was_lost = is_lost
             selected = self._choose_endpoint(
                 call, service, trace, tried, unconnected
             )
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -25,11 +25,13 @@
 
     :param after_ms: milliseconds from the call's arrival to this attempt.
     :param outcome: why the attempt failed; empty if it succeeded.
+    :param proxy: the host through which it was sent; empty if directly.
     """
 
     endpoint_id: EndpointId
     after_ms: int
     outcome: str = ''
+    proxy: str = ''
 
 
 class CallTrace:
@@ -69,6 +71,10 @@
         after_ms = now_ms - self.started_ms
         self.attempts.append(Attempt(selected.endpoint.id, after_ms))
 
+    def record_proxy(self, proxy):
+        """Record that the attempt is sent through another host."""
+        self.attempts[-1].proxy = proxy
+
     def record_written(self):
         """Record that the request was written: it may run from now on."""
         self.outcome_pending = True
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -6,6 +6,7 @@
 from pearrun.rollouts.versions import Rollouts
 from pearrun.shared.activeconfig import ActiveConfig
 from pearrun.shared.clocksync import CorrectedClock
+from pearrun.shared.connector import EndpointConnector
 from pearrun.shared.counters import Counters
 from pearrun.shared.crashdetector import CrashDetector
 from pearrun.shared.crashprobe import CrashProbe
@@ -19,9 +20,12 @@
 from pearrun.shared.members import Members
 from pearrun.shared.paths import Paths
 from pearrun.shared.pools import EndpointPools
+from pearrun.shared.pools import PROBE_SETTINGS
 from pearrun.shared.quarantine import Quarantine
 from pearrun.shared.quotas import Quotas
+from pearrun.shared.reachability import Reachability
 from pearrun.shared.selection import Selection
+from pearrun.shared.tunnels import Tunnels
 from pearrun.usage.counts import UsageCounts
 from pearrun.usage.table import UsageTable
 
@@ -57,7 +61,11 @@
         self.demands = Demands(clock)
         self.engines = Engines(clock)
         self.members = Members(clock, settings.name)
-        self.pools = EndpointPools(self.count_hosts)
+        self.reachability = Reachability(clock, self.fleet, PROBE_SETTINGS)
+        self.tunnels = Tunnels(clock, settings, self.members, PROBE_SETTINGS)
+        connector = EndpointConnector(self.reachability, self.tunnels)
+        self.pools = EndpointPools(self.count_hosts, connector.connect)
+        self.reachability.close_idle = self.pools.close_idle
         self.limits = EndpointLimits(
             clock,
             settings.name,
@@ -76,6 +84,7 @@
             self.feed,
             self.rollouts,
             self.limits,
+            self.reachability,
         )
         self.paths = Paths(
             clock,
--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -19,6 +19,7 @@
 from pearrun.decisions import topology
 from pearrun.shared import reportcodec
 from pearrun.shared import reports
+from pearrun.shared.tunnelmessages import TUNNEL_PATH
 
 # How often the inputs of the link plan are checked for changes, and how often
 # the plan is computed even if they have not changed.
@@ -76,13 +77,15 @@
     :param own: this host's :class:`Member`.
     :param receiver: the :class:`ReportReceiver`.
     :param reporter: the :class:`Reporter`.
+    :param tunnel_server: the :class:`TunnelServer`.
     """
 
-    def __init__(self, host, own, receiver, reporter):
+    def __init__(self, host, own, receiver, reporter, tunnel_server):
         self.host = host
         self.own = own
         self.receiver = receiver
         self.reporter = reporter
+        self.tunnel_server = tunnel_server
         self.links = {}
         self.config_sent_ms = {}
         self.down = {}
@@ -97,7 +100,7 @@
         """Accept links from peers and maintain the planned outgoing links."""
         settings = self.host.settings
         async with serve(
-            self._receive,
+            self._accept,
             settings.ip,
             settings.first_port,
             compression=None,
@@ -272,6 +275,13 @@
         self.config_sent_ms[member.name] = now
         return True
 
+    async def _accept(self, link):
+        """Serve a connection that another host has opened."""
+        if link.request.path == TUNNEL_PATH:
+            await self.tunnel_server.handle(link)
+        else:
+            await self._receive(link)
+
     async def _receive(self, link):
         """Process the bundles of one peer until its link ends."""
         try:
--- a/pearrun/shared/pools.py
+++ b/pearrun/shared/pools.py
@@ -1,5 +1,7 @@
 """Connection pools, one per endpoint."""
 
+import functools
+
 from pearrun.http1.pool import Pool
 from pearrun.http1.pool import PoolSettings
 
@@ -13,6 +15,8 @@
 # that may be retried reach another endpoint within their latency target when
 # a path breaks; 1,200 ms reduced the credit served over four days by 1.0%.
 TCP_USER_TIMEOUT_MS = 450
+# Limits of single connections, which belong to no pool.
+PROBE_SETTINGS = PoolSettings(1, CONNECT_TIMEOUT_MS, TCP_USER_TIMEOUT_MS)
 # Fraction of an endpoint's connection limit that all hosts together may use;
 # the rest is reserved for new hosts and for connections being closed.
 USED_SHARE = 0.8
@@ -24,10 +28,13 @@
     """The pools by endpoint id.
 
     :param count_hosts: returns the number of hosts that share the endpoints.
+    :param connect: opens a connection to an endpoint, given its record, the
+        :class:`PoolSettings` and the id of a call.
     """
 
-    def __init__(self, count_hosts):
+    def __init__(self, count_hosts, connect):
         self.count_hosts = count_hosts
+        self.connect = connect
         self._pools = {}
 
     def get(self, record, service):
@@ -41,7 +48,9 @@
         settings = self._make_settings(service)
         pool = self._pools.get(record.id)
         if pool is None:
-            pool = self._pools[record.id] = Pool(record.address, settings)
+            connect = functools.partial(self.connect, record)
+            pool = Pool(record.address, settings, connect)
+            self._pools[record.id] = pool
         pool.settings = settings
         return pool
 
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -49,6 +49,7 @@
     :param feed: the :class:`Feed`; says whether the hosts use hubs.
     :param rollouts: the :class:`Rollouts`, which select the version.
     :param limits: the :class:`EndpointLimits`.
+    :param reachability: the :class:`Reachability`.
 
     ``notify_peers`` is called to report a large prompt to the other hosts
     immediately.
@@ -65,6 +66,7 @@
         feed,
         rollouts,
         limits,
+        reachability,
     ):
         self.clock = clock
         self.zone = zone
@@ -75,6 +77,7 @@
         self.feed = feed
         self.rollouts = rollouts
         self.limits = limits
+        self.reachability = reachability
         self.prefixes = PrefixIndex()
         self._placements = []
         self.zones = {}
@@ -98,7 +101,7 @@
         endpoints = self.rollouts.select(
             service.name, endpoints, call.id, call.route.name, bool(tried)
         )
-        endpoints = self._filter_usable(endpoints, now)
+        endpoints = self._filter_usable(service.name, endpoints, now)
         shared = call.prompt.parts[:-1]
         candidates = self._make_candidates(endpoints, shared, now)
         affinity = shared[-1].id if shared else None
@@ -185,7 +188,8 @@
     def note_answer(self, endpoint):
         """Record any answer from an endpoint, including an error."""
         self.answered_ms = self.clock.now()
-        self._get_zone_health(endpoint).note_answer()
+        if not self.reachability.is_lost(endpoint.record.service):
+            self._get_zone_health(endpoint).note_answer()
 
     def answer_age_ms(self):
         """Return the time since the last answer of any endpoint.
@@ -234,12 +238,16 @@
         zone = endpoint.record.zone
         return self.zones.setdefault(zone, avoidance.ZoneHealth())
 
-    def _filter_usable(self, endpoints, now):
-        """Exclude endpoints that are paused or in a paused zone."""
+    def _filter_usable(self, service_name, endpoints, now):
+        """Exclude endpoints that are paused or in a paused zone.
+
+        Zones are paused because of direct paths, which do not matter while
+        connections go through other hosts.
+        """
         paused = {
             name for name, zone in self.zones.items() if zone.pause.holds(now)
         }
-        if paused:
+        if paused and not self.reachability.is_lost(service_name):
             endpoints = avoidance.filter_usable(
                 endpoints, lambda item: item.record.zone in paused
             )
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -397,7 +397,7 @@
 class SilentPool:
     """Pool of an unreachable endpoint: no connection is ever opened."""
 
-    async def acquire(self):
+    async def acquire(self, request_id):
         await asyncio.Event().wait()
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -12,7 +12,7 @@
 def test_pool_created_before_the_hosts_are_listed_is_limited_later():
     # It kept the limit of a host that is alone.
     hosts = [1]
-    pools = EndpointPools(lambda: hosts[0])
+    pools = EndpointPools(lambda: hosts[0], connect=print)
     record = make_fleet().endpoints['p1'].record
     pools.get(record, SERVICE)
     hosts[0] = 9
