Endpoints: calls that must not be repeated outlast an endpoint's silence

What callers saw: an endpoint that acknowledged nothing for half a second, and went on within a second or two, ended every call that waited there with 502. TCP_USER_TIMEOUT was 450 ms on all connections; it ends unacknowledged bytes, and also decides when keep-alive probes give up, whatever their count, so that a call with a long answer was ended by the first unanswered probe.

Change: a call that must not be repeated has nothing to gain from an early end; its connection gets 3 s. Other calls keep 450 ms and go to another endpoint. Silence is noticed as early as before by a new connection: if the endpoint does not accept it either, other calls avoid it. The count of probes, which the kernel ignores, is not set any more.

--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -45,6 +45,7 @@
         self.idle_since_ms = CLOCK.now()
         self.idle_limit_ms = DEFAULT_IDLE_MS
         self.in_use = False
+        self.user_timeout_ms = None
         self.state = new_parser()
 
     # asyncio.Protocol
@@ -69,6 +70,17 @@
 
     # requests
 
+    def set_user_timeout(self, user_timeout_ms):
+        """Set for how long a silent peer is waited for.
+
+        :param user_timeout_ms: how long sent bytes and keep-alive probes may
+            stay unacknowledged.
+        """
+        if user_timeout_ms != self.user_timeout_ms:
+            sock = self.transport.get_extra_info('socket')
+            sockets.set_user_timeout(sock, user_timeout_ms)
+            self.user_timeout_ms = user_timeout_ms
+
     def send(self, method, target, headers, body=b''):
         """Write one request.
 
@@ -287,4 +299,5 @@
     sockets.detect_dead_peer(
         transport.get_extra_info('socket'), user_timeout_ms
     )
+    connection.user_timeout_ms = user_timeout_ms
     return connection
--- a/pearrun/http1/sockets.py
+++ b/pearrun/http1/sockets.py
@@ -3,11 +3,11 @@
 import socket
 import struct
 
-# TCP keep-alive probes, in seconds (the kernel's unit): a dead peer is
-# detected within idle + count * interval.
+# TCP keep-alive probes, in seconds (the kernel's unit).  With a user timeout
+# the kernel ignores the number of probes: a peer is dead if the first probe
+# after that time finds an earlier one unanswered.
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
-PROBE_COUNT = 2
 # SO_LINGER with a timeout of 0: close discards unsent bytes and sends RST.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -24,9 +24,19 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    set_user_timeout(sock, user_timeout_ms)
+
+
+def set_user_timeout(sock, user_timeout_ms):
+    """Set for how long a silent peer is waited for.
+
+    :param user_timeout_ms: how long sent bytes and keep-alive probes may
+        stay unacknowledged.
+    """
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
+    )
 
 
 def reset_on_close(sock):
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun.clock import to_seconds
 from pearrun.decisions.evidence import is_call_stable
 from pearrun.relay.events import EventSplitter
 from pearrun.relay.outcomes import Answered
@@ -17,6 +18,7 @@
 from pearrun.rollouts.answers import MIN_PACE_EVENTS
 from pearrun.shared.configuration import CallKind
 from pearrun.shared.crashdetector import BrokenCall
+from pearrun.shared.pools import TCP_USER_TIMEOUT_MS
 from pearrun.shared.tunneltransport import TunnelledConnection
 
 # Response bodies of services that do not stream are buffered up to this
@@ -29,6 +31,9 @@
 # Responses to other requests that are skipped before the connection is
 # closed.
 MAX_STRAY_RESPONSES = 3
+# How long a call that must not be repeated waits for a silent endpoint, which
+# may have paused for a second or two.
+ONE_RUN_USER_TIMEOUT_MS = 3000
 # Responses that the expected endpoint is known to have sent for this call.
 LIMITING_KINDS = (ResponseKind.ANSWER, ResponseKind.NOT_RUN)
 
@@ -168,6 +173,7 @@
         headers = self.host.codec.encode_headers(
             self.call, record, self.host.clock.now(), resume.last_event_id
         )
+        self._set_user_timeout()
         try:
             self.connection.send(
                 request.method, request.target, headers, request.body
@@ -177,11 +183,15 @@
         self.sent_ms = self.host.clock.now()
         self.trace.record_written()
         self.host.rollouts.note_sent(self.call, self.selected)
+        watch = self._watch_silence()
         try:
             head, kind = await self._read_matching_head()
         except exceptions.BackendError as exc:
             self._record_broken(exc)
             return OutcomeUnknown(exc.message), None
+        finally:
+            if watch is not None:
+                watch.cancel()
         self.host.selection.note_answer(self.selected.endpoint)
         if kind in LIMITING_KINDS:
             self._note_rate_limit(head, kind)
@@ -196,6 +206,54 @@
             return await self._forward_stream(head, resume)
         return await self._forward_response(head)
 
+    def _set_user_timeout(self):
+        """Set for how long a silent endpoint is waited for.
+
+        A call that must not be repeated has nothing to gain from an early
+        end: the endpoint may go on and answer it.
+        """
+        if isinstance(self.connection, TunnelledConnection):
+            return
+        if not self.connection.closed:
+            self.connection.set_user_timeout(
+                TCP_USER_TIMEOUT_MS
+                if self.call.route.retryable
+                else ONE_RUN_USER_TIMEOUT_MS
+            )
+
+    def _watch_silence(self):
+        """Check the endpoint if a call that waits long gets no answer.
+
+        :returns: a timer handle; ``None`` if the connection itself fails
+            soon enough.
+        """
+        is_direct = not isinstance(self.connection, TunnelledConnection)
+        if self.call.route.retryable or not is_direct:
+            return None
+        return asyncio.get_running_loop().call_later(
+            to_seconds(TCP_USER_TIMEOUT_MS), self._check_silence
+        )
+
+    def _check_silence(self):
+        endpoint = self.selected.endpoint
+        answered_ms = endpoint.answered_ms
+        if answered_ms is None or answered_ms < self.sent_ms:
+            self.host.reachability.check_silence(
+                endpoint.record, self._note_silence
+            )
+
+    def _note_silence(self):
+        """Record that the endpoint does not respond, not even to connects."""
+        record = self.selected.endpoint.record
+        self._record_failure(silent=True)
+        # The idle connections to this endpoint may be dead as well, and each
+        # could cost a call that must not be retried.
+        self.host.pools.close_idle(record.id)
+        self.host.reachability.note_unreached(record)
+        self.host.reachability.report_unless_lost(
+            record.service, lambda: self.host.paths.note_silent(record)
+        )
+
     def _note_rate_limit(self, head, kind):
         """Record the rate limit that the endpoint advertises, if any.
 
@@ -355,20 +413,16 @@
         if self._is_proxy_lost():
             self.path_failed = True
             return
-        silent = exceptions.is_peer_silent(exc)
         record = self.selected.endpoint.record
-        self._record_failure(silent=silent)
-        if silent:
-            self.host.reachability.note_unreached(record)
-            # The idle connections to this endpoint may be dead as well,
-            # and each could cost a call that must not be retried.
-            self.host.pools.close_idle(record.id)
-        self.path_failed = self.host.reachability.is_suspect(record.service)
-        if silent:
-            self.host.reachability.report_unless_lost(
-                record.service, lambda: self.host.paths.note_silent(record)
+        if exceptions.is_peer_silent(exc):
+            self._note_silence()
+            self.path_failed = self.host.reachability.is_suspect(
+                record.service
             )
-        elif not self._is_retiring():
+            return
+        self._record_failure()
+        self.path_failed = self.host.reachability.is_suspect(record.service)
+        if not self._is_retiring():
             broken = self._describe_broken_call()
             self.host.reachability.report_unless_lost(
                 record.service, lambda: self._report_broken(broken)
--- a/pearrun/shared/fleet.py
+++ b/pearrun/shared/fleet.py
@@ -61,12 +61,14 @@
     :param queued_tokens: prompt tokens of these calls that are not prefilled
         yet.
     :param failures: consecutive failed calls.
+    :param answered_ms: when it last answered this host; ``None`` if never.
     """
 
     record: EndpointRecord
     calls: int = 0
     queued_tokens: int = 0
     failures: int = 0
+    answered_ms: int | None = None
     pause: Pause = dataclasses.field(default_factory=Pause)
 
     @property
--- a/pearrun/shared/reachability.py
+++ b/pearrun/shared/reachability.py
@@ -38,6 +38,7 @@
         self.close_idle = lambda endpoint_id: None
         self._services = {}
         self._probes = {}
+        self._checks = {}
         self._probed_ms = {}
         self._pending = {}
 
@@ -67,6 +68,25 @@
             if len(pending) < MAX_PENDING_REPORTS:
                 pending.append(report)
 
+    def check_silence(self, record, handle_silence):
+        """Find out whether an endpoint responds, by a new connection.
+
+        :param record: its :class:`EndpointRecord`.
+        :param handle_silence: called if it does not; calls of this method
+            during a check of the same endpoint are ignored.
+        """
+        if record.id in self._checks:
+            return
+        task = asyncio.create_task(
+            self._check_endpoint(record, handle_silence)
+        )
+        self._checks[record.id] = task
+        task.add_done_callback(lambda done: self._checks.pop(record.id))
+
+    async def _check_endpoint(self, record, handle_silence):
+        if await self._probe_endpoint(record):
+            handle_silence()
+
     def list_lost(self):
         """Return the names of the services that cannot be reached."""
         return [name for name in self._services if self.is_lost(name)]
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -188,6 +188,7 @@
     def note_answer(self, endpoint):
         """Record any answer from an endpoint, including an error."""
         self.answered_ms = self.clock.now()
+        endpoint.answered_ms = self.answered_ms
         if not self.reachability.is_lost(endpoint.record.service):
             self._get_zone_health(endpoint).note_answer()
 
