Endpoints: brittle ones get no more calls than they have room for

Endpoints name in Server-Brittle how many refusals for want of room in a second they survive. No code read it: under a burst, all hosts used the same free slots, and each refusal was tried at the next endpoint.

A host starts no more than its share of an endpoint's free slots until the others' loads are known anew, or until calls must have ended where they are shorter; what cannot be placed is refused at once. A refusal halves the rate of calls to that endpoint for all hosts, by the exchange of rate limits, and an answer ends that. Requests are not blamed for the crash of a brittle endpoint.

--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -4,6 +4,7 @@
 import math
 
 from pearrun import exceptions
+from pearrun.decisions.brittleness import Brittleness
 from pearrun.http1.messages import drop_hop_by_hop
 from pearrun.http1.messages import get_all_headers
 from pearrun.platform import headers as header_names
@@ -165,17 +166,15 @@
 def decode_rate(value):
     """Decode a rate.
 
-    :returns: calls per second.
+    :returns: a number per second.
     :raises WireFormatError: the value is not a finite number from 0 on.
     """
     try:
         rate_per_s = float(value)
     except ValueError as exc:
-        raise exceptions.WireFormatError(
-            f'invalid rate limit {value!r}'
-        ) from exc
+        raise exceptions.WireFormatError(f'invalid rate {value!r}') from exc
     if not math.isfinite(rate_per_s) or rate_per_s < 0:
-        raise exceptions.WireFormatError(f'invalid rate limit {value!r}')
+        raise exceptions.WireFormatError(f'invalid rate {value!r}')
     return rate_per_s
 
 
@@ -235,6 +234,18 @@
         values = get_all_headers(head.headers, header_names.RATE_LIMIT)
         return min(map(decode_rate, values), default=None)
 
+    def decode_brittleness(self, head):
+        """Return what a response says about its endpoint's brittleness.
+
+        :returns: a :class:`Brittleness`, the least if several are named;
+            ``None`` if the endpoint is not brittle.
+        :raises WireFormatError: a value is not a rate.
+        """
+        values = get_all_headers(head.headers, header_names.BRITTLE)
+        if not values:
+            return None
+        return Brittleness(min(map(decode_rate, values)))
+
     def forward_headers(self, head):
         """Return the headers of a response that are sent to the caller."""
         return drop_hop_by_hop(head.headers, DROPPED_RESPONSE_HEADERS)
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -311,6 +311,7 @@
             'rollouts_open': len(self.host.rollouts.list_open()),
             'quarantined': len(self.host.quarantine.known.quarantined),
             'endpoints_limited': self.host.limits.count(),
+            'services_brittle': self.host.brittle.count(),
             'quarantine_refusals_total': self.host.quarantine.refused,
             'store_calls_total': self.store.calls.total(),
             'store_failures_total': self.store.failures,
--- a/pearrun/platform/headers.py
+++ b/pearrun/platform/headers.py
@@ -20,6 +20,8 @@
 RETRY_AFTER = b'Retry-After'
 # Requests per second that an endpoint accepts from all hosts together.
 RATE_LIMIT = b'server-limit'
+# Refusals in a second beyond which a brittle endpoint crashes.
+BRITTLE = b'server-brittle'
 DUTY_HOLDER = 'Pearrun-Duty-Holder'
 FENCING_TOKEN = 'Pearrun-Fence-Token'
 
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -121,7 +121,9 @@
                 self.host.paths.note_silent(record)
             elif not self._is_retiring():
                 self.host.paths.note_broken(record)
-                if is_down:
+                if is_down and not self.host.brittle.is_brittle(
+                    record.service
+                ):
                     self.host.crashes.note_down(record.id)
 
         self.host.reachability.report_unless_lost(record.service, report)
@@ -194,7 +196,7 @@
                 watch.cancel()
         self.host.selection.note_answer(self.selected.endpoint)
         if kind in LIMITING_KINDS:
-            self._note_rate_limit(head, kind)
+            self._note_limits(head, kind)
         match kind:
             case ResponseKind.NOT_RUN | ResponseKind.WRONG_ENDPOINT:
                 return await self._read_refusal(head, kind)
@@ -254,19 +256,23 @@
             record.service, lambda: self.host.paths.note_silent(record)
         )
 
+    def _note_limits(self, head, kind):
+        """Record the limits that a response names, if they are valid."""
+        try:
+            self._note_rate_limit(head, kind)
+            self._note_brittleness(head, kind)
+        except exceptions.WireFormatError as exc:
+            logger.bind(
+                endpoint=self.selected.endpoint.id, code=exc.code
+            ).warning(exc.message)
+
     def _note_rate_limit(self, head, kind):
         """Record the rate limit that the endpoint advertises, if any.
 
         A refusal may lack the limit although the endpoint still has one.
         """
         endpoint_id = self.selected.endpoint.id
-        try:
-            limit = self.host.codec.decode_rate_limit(head)
-        except exceptions.WireFormatError as exc:
-            logger.bind(endpoint=endpoint_id, code=exc.code).warning(
-                exc.message
-            )
-            return
+        limit = self.host.codec.decode_rate_limit(head)
         self.trace.endpoint_limit = limit
         if limit is not None:
             self.host.counters.limited_answers += 1
@@ -274,6 +280,17 @@
         elif kind is ResponseKind.ANSWER:
             self.host.limits.note_unlimited(endpoint_id, self.sent_ms)
 
+    def _note_brittleness(self, head, kind):
+        """Record whether the endpoint is brittle, and a refusal if so."""
+        brittle = self.host.codec.decode_brittleness(head)
+        service_name = self.service.name
+        if brittle is not None:
+            self.host.brittle.note_brittle(service_name, brittle)
+        elif kind is ResponseKind.ANSWER:
+            self.host.brittle.note_sound(service_name, self.sent_ms)
+        if kind is ResponseKind.NOT_RUN and head.status == 503:
+            self.host.brittle.note_refused(self.selected.endpoint)
+
     async def _read_matching_head(self):
         """Read response heads until one belongs to this call.
 
@@ -461,6 +478,9 @@
         endpoint = self.selected.endpoint
         if self.forwarding_since_ms is None:
             self.host.paths.note_broken(endpoint.record)
+        if self.host.brittle.is_brittle(endpoint.record.service):
+            # It crashed because of its load, not because of this call.
+            return
         self.host.crash_probe.note_broken(endpoint, broken)
 
     def _record_failure(self, refused=False, silent=False):
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -25,6 +25,9 @@
 # Retry-After if no endpoint is available.  Endpoints that are missing from the
 # list are listed again within about 2 s; this is a fraction of that.
 NO_ENDPOINT_RETRY_AFTER_MS = 500
+# Expected wait for a free slot of a brittle endpoint: hosts learn of free
+# slots several times a second.
+BRITTLE_WAIT_MS = 500
 # Factor by which Retry-After exceeds the time until a customer over its
 # quota may send the next call: several calls wait for the same units.
 QUOTA_RETRY_AFTER_FACTOR = 3.0
@@ -135,6 +138,7 @@
                 return
             trace.record_attempt(selected, self.clock.now())
             self.host.limits.take(selected.endpoint)
+            self.host.brittle.take(selected.endpoint)
             exchange = Exchange(self.host, call, service, caller, trace)
             outcome = await exchange.run(selected, resume)
             delivered = not isinstance(outcome, NotRun) or outcome.delivered
@@ -286,10 +290,14 @@
     async def _fail_unplaced(self, call, service, caller, trace):
         """End a call for which no endpoint is left."""
         wait_ms = self.host.limits.get_wait_ms(service.name)
+        reason = 'endpoint limits'
+        if not wait_ms and self.host.brittle.is_brittle(service.name):
+            wait_ms = BRITTLE_WAIT_MS
+            reason = 'brittle endpoints'
         if trace.attempts or not wait_ms:
             await self._fail(call, caller, trace, 'no endpoint')
             return
-        trace.reason = 'endpoint limits'
+        trace.reason = reason
         retry_after_ms = self._compute_retry_after_ms(call, wait_ms)
         await self._refuse(call, caller, trace, 503, retry_after_ms)
 
--- a/pearrun/shared/endpointlimits.py
+++ b/pearrun/shared/endpointlimits.py
@@ -108,11 +108,19 @@
 
     def get_rates(self, service_name):
         """Return the limits of a service's endpoints in calls per second."""
-        rates = map(
-            self._compute_rate, self.fleet.find_by_service(service_name)
-        )
+        rates = map(self.get_rate, self.fleet.find_by_service(service_name))
         return [rate for rate in rates if rate is not None]
 
+    def get_rate(self, endpoint):
+        """Return an endpoint's limit in calls per second, or ``None``."""
+        known = self._known.get(endpoint.id)
+        if known is None:
+            return None
+        rate = known.limit.compute_rate(self.clock.now())
+        if rate is None:
+            self.forget(endpoint.id)
+        return rate
+
     def get_wait_ms(self, service_name):
         """Return the mean time between calls that the limits allow.
 
@@ -122,7 +130,7 @@
         return 1000.0 / total if total else 0.0
 
     def _is_allowed(self, endpoint):
-        rate = self._compute_rate(endpoint)
+        rate = self.get_rate(endpoint)
         if rate is None:
             return True
         known = self._known[endpoint.id]
@@ -130,16 +138,6 @@
         known.allowance.refill(share, self.clock.now())
         return known.allowance.has_call()
 
-    def _compute_rate(self, endpoint):
-        """Return an endpoint's limit; ``None`` if it has none."""
-        known = self._known.get(endpoint.id)
-        if known is None:
-            return None
-        rate = known.limit.compute_rate(self.clock.now())
-        if rate is None:
-            self.forget(endpoint.id)
-        return rate
-
     def _compute_share(self, record, known, rate):
         """Return this host's :class:`Share` of a limit.
 
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -5,6 +5,7 @@
 from pearrun.rollouts.evidence import EvidenceBoard
 from pearrun.rollouts.versions import Rollouts
 from pearrun.shared.activeconfig import ActiveConfig
+from pearrun.shared.brittleendpoints import BrittleEndpoints
 from pearrun.shared.clocksync import CorrectedClock
 from pearrun.shared.connector import EndpointConnector
 from pearrun.shared.counters import Counters
@@ -74,6 +75,14 @@
             self.members,
             self.feed,
         )
+        self.brittle = BrittleEndpoints(
+            clock,
+            self.loads,
+            self.demands,
+            self.feed,
+            self.limits,
+            self.count_hosts,
+        )
         self.selection = Selection(
             clock,
             settings.zone,
@@ -85,6 +94,7 @@
             self.rollouts,
             self.limits,
             self.reachability,
+            self.brittle,
         )
         self.paths = Paths(
             clock,
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -50,6 +50,7 @@
     :param rollouts: the :class:`Rollouts`, which select the version.
     :param limits: the :class:`EndpointLimits`.
     :param reachability: the :class:`Reachability`.
+    :param brittle: the :class:`BrittleEndpoints`.
 
     ``notify_peers`` is called to report a large prompt to the other hosts
     immediately.
@@ -67,6 +68,7 @@
         rollouts,
         limits,
         reachability,
+        brittle,
     ):
         self.clock = clock
         self.zone = zone
@@ -78,6 +80,7 @@
         self.rollouts = rollouts
         self.limits = limits
         self.reachability = reachability
+        self.brittle = brittle
         self.prefixes = PrefixIndex()
         self._placements = []
         self.zones = {}
@@ -98,6 +101,7 @@
             if endpoint.id not in tried
         ]
         endpoints = self.limits.filter_allowed(endpoints)
+        endpoints = self.brittle.filter_allowed(service.name, endpoints)
         endpoints = self.rollouts.select(
             service.name, endpoints, call.id, call.route.name, bool(tried)
         )
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -13,6 +13,8 @@
 from pearrun.http1.server import Server
 
 EVENT_BYTES = 40
+# How often waiting requests check for a free slot.
+SLOT_POLL_MS = 2
 CLOCK = Clock()
 
 
@@ -36,6 +38,11 @@
     :param stray_first: first send the response to another request.
     :param rate_limit: value of the header ``Server-Limit`` in responses;
         ``None`` for none.
+    :param max_waiting: refuse requests while this many wait for a slot;
+        ``None`` for no limit of either.
+    :param brittle: value of the header ``Server-Brittle`` in responses, the
+        number of refusals in a second that the endpoint survives; ``None``
+        for any.
     :param crash_on: crash when a request with this body starts to run.
     :param crash_after_events: number of events that a stream of such a
         request sends before the crash.
@@ -52,6 +59,8 @@
     extra: bool = False
     stray_first: bool = False
     rate_limit: str | None = None
+    max_waiting: int | None = None
+    brittle: str | None = None
     crash_on: bytes | None = None
     crash_after_events: int = 0
 
@@ -90,6 +99,10 @@
         self.runs = []
         self.arrivals_ms = []
         self.connections = 0
+        self.refusals_ms = []
+        self.waiting = 0
+        self.running = 0
+        self.falls = 0
         self.event_ms = 2
         self.work_ms = 2
         self.event_count = 5
@@ -138,26 +151,62 @@
             await caller.reply(421, [(b'Pearrun-Runner-Id', self.id.encode())])
             return
         self.arrivals_ms.append(CLOCK.now())
-        if faults.full:
-            headers = [
-                (b'Pearrun-Not-Run', b'1'),
-                (b'Pearrun-Attempt-Id', attempt.encode()),
-                *self._make_limit_headers(),
-            ]
-            await caller.reply(503, headers, b'full')
+        if faults.full or self._is_full():
+            await self._refuse(caller, attempt)
             return
         if faults.reset_before:
             self.runs.append(Run(request))
             caller.abort()
             return
+        self.waiting += 1
+        try:
+            await self._wait_for_slot()
+        finally:
+            self.waiting -= 1
         run = Run(request)
         self.runs.append(run)
+        self.running += 1
         try:
             await self._run(request, caller, run, attempt)
             run.ended = True
         except asyncio.CancelledError:
             run.cancelled = True
             raise
+        finally:
+            self.running -= 1
+
+    def _is_full(self):
+        """Return whether no more requests may wait."""
+        max_waiting = self.faults.max_waiting
+        if max_waiting is None or self.running < self.slots:
+            return False
+        return self.waiting >= max_waiting
+
+    async def _wait_for_slot(self):
+        if self.faults.max_waiting is not None:
+            while self.running >= self.slots:
+                await asyncio.sleep(to_seconds(SLOT_POLL_MS))
+
+    async def _refuse(self, caller, attempt):
+        headers = [
+            (b'Pearrun-Not-Run', b'1'),
+            (b'Pearrun-Attempt-Id', attempt.encode()),
+            *self._make_limit_headers(),
+        ]
+        await caller.reply(503, headers, b'full')
+        now = CLOCK.now()
+        self.refusals_ms.append(now)
+        if self.faults.brittle is None:
+            return
+        recent = [at for at in self.refusals_ms if now - at < 1000]
+        if len(recent) > float(self.faults.brittle):
+            self.fall_over()
+
+    def fall_over(self):
+        """Break all connections, as a crash does, and go on empty."""
+        self.falls += 1
+        self.refusals_ms.clear()
+        self.server.abort()
 
     async def _run(self, request, caller, run, attempt):
         headers = [
@@ -179,10 +228,15 @@
             await self._send_response(request, caller, headers)
 
     def _make_limit_headers(self):
-        rate_limit = self.faults.rate_limit
-        if rate_limit is None:
-            return []
-        return [(b'Server-Limit', rate_limit.encode())]
+        named = (
+            (b'Server-Limit', self.faults.rate_limit),
+            (b'Server-Brittle', self.faults.brittle),
+        )
+        return [
+            (name, value.encode())
+            for name, value in named
+            if value is not None
+        ]
 
     def _is_crashed_by(self, request):
         crash_on = self.faults.crash_on
