--- a/pearrun/explain.py
+++ b/pearrun/explain.py
@@ -29,8 +29,12 @@
         'settings reloaded',
         'peer link down',
         'peer link up',
+        'endpoints unreachable',
+        'endpoints reachable',
     )
 )
+# Lines about one request, also of the hosts that forwarded it.
+TUNNEL_EVENTS = frozenset(('tunnel', 'tunnel not opened'))
 # Fields that any line may have and that are not shown.
 COMMON_FIELDS = ('at', 'level', 'event', 'process', 'zone', 'dropped_lines')
 
@@ -140,6 +144,8 @@
 
 def is_related(line, result):
     """Return whether a line may explain how a request ended."""
+    if line.event in TUNNEL_EVENTS:
+        return line.fields.get('request_id') == result.fields['request_id']
     if line.process != result.process:
         return False
     if line.event in HOST_EVENTS:
@@ -158,7 +164,8 @@
         for name, value in line.fields.items()
         if name not in COMMON_FIELDS and value not in ('', None)
     )
-    return f'{line.event} {fields}'.rstrip()
+    host = f'{line.process}: ' if line.event == 'tunnel' else ''
+    return f'{host}{line.event} {fields}'.rstrip()
 
 
 def describe_attempts(result, started_s):
@@ -167,14 +174,21 @@
     :param started_s: when the request arrived, in Unix seconds.
     """
     return [
-        (
-            started_s + after_ms / 1000,
-            f'sent to {endpoint}: {outcome or "answered"}',
-        )
-        for endpoint, after_ms, outcome in result.fields.get('tries') or ()
+        describe_attempt(started_s, *attempt)
+        for attempt in result.fields.get('tries') or ()
     ]
 
 
+def describe_attempt(started_s, endpoint, after_ms, outcome, proxy=''):
+    """Return one attempt as a pair of its time and a text.
+
+    :param proxy: the host through which it was sent, if any.
+    """
+    through = f' through {proxy}' if proxy else ''
+    text = f'sent to {endpoint}{through}: {outcome or "answered"}'
+    return started_s + after_ms / 1000, text
+
+
 def describe_cause(result):
     """Return the cause of a request's result, as a short text."""
     fields = result.fields
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,5 +1,6 @@
 """Tests of a request's time line, from the logs of several hosts."""
 
+import dataclasses
 import json
 
 import pytest
@@ -7,6 +8,7 @@
 from pearrun import cli
 from pearrun import exceptions
 from pearrun import explain
+from pearrun.relay.trace import Attempt
 
 
 def make_line(at, event, process='host-1', **fields):
@@ -75,6 +77,36 @@
     )
 
 
+def test_time_line_shows_the_host_that_forwarded_a_request():
+    attempt = Attempt('e-1', 5, '', 'host-2')
+    lines = [
+        make_line(
+            100.0,
+            'tunnel',
+            'host-2',
+            request_id='r-4',
+            endpoint='e-1',
+            outcome='closed by the host',
+        ),
+        make_line(100.0, 'tunnel', 'host-2', request_id='r-5', endpoint='e-1'),
+        make_line(
+            100.1,
+            'call',
+            request_id='r-4',
+            ending='answered',
+            total_ms=200,
+            tries=[dataclasses.astuple(attempt)],
+        ),
+    ]
+    text = explain_request('r-4', lines)
+    assert [line.split('ms  ')[1] for line in text[1:3]] == [
+        'sent to e-1 through host-2: answered',
+        'host-2: tunnel request_id=r-4 endpoint=e-1 '
+        'outcome=closed by the host',
+    ]
+    assert len(text) == 5
+
+
 def test_unknown_requests_raise_and_other_text_is_skipped():
     mixed = ['', 'no json', '{"at": "x"}', '{}', *LINES]
     assert explain_request('r-2', mixed) == explain_request('r-2')
