Lost paths: an endpoint that is listed later is tried directly; one probe loop a service

Found by reading. If all endpoints were down, and not the paths, one that replaced them was called only after the next probe (0.5 s): it is called directly now (test_endpoint_that_replaces_those_that_were_down_is_called_at_once). A second suspicion within 0.5 s started no probe, so that delayed reports waited for the next failure; the probe loop now checks again by itself. A proxy gives a tunnel up as soon as its bytes stay unacknowledged, so that a stream is not run on while its host resumes it elsewhere.

--- a/pearrun/decisions/directpaths.py
+++ b/pearrun/decisions/directpaths.py
@@ -31,6 +31,22 @@
         """Record that an endpoint accepted no connection or fell silent."""
         self._unreached.add(endpoint_id)
 
+    def note_lost(self, live_ids):
+        """Record that no endpoint can be reached.
+
+        :param live_ids: ids of the service's endpoints.
+        """
+        self.is_lost = True
+        self._unreached.update(live_ids)
+
+    def is_lost_to(self, endpoint_id):
+        """Return whether an endpoint has to be reached in another way.
+
+        One that was listed later may accept connections: if all endpoints
+        were down, it is the first that is not.
+        """
+        return self.is_lost and endpoint_id in self._unreached
+
     def note_connected(self):
         """Record that an endpoint accepted a connection."""
         self._unreached.clear()
--- a/pearrun/shared/connector.py
+++ b/pearrun/shared/connector.py
@@ -26,7 +26,7 @@
         :raises EndpointUnreachableError: the endpoint accepted no
             connection.
         """
-        if self.reachability.is_lost(record.service):
+        if self.reachability.is_lost_to(record):
             return await self.tunnels.connect(record, request_id)
         try:
             connection = await client.connect(
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -62,7 +62,7 @@
         self.demands = Demands(clock)
         self.engines = Engines(clock)
         self.members = Members(clock, settings.name)
-        self.reachability = Reachability(clock, self.fleet, PROBE_SETTINGS)
+        self.reachability = Reachability(self.fleet, PROBE_SETTINGS)
         self.tunnels = Tunnels(clock, settings, self.members, PROBE_SETTINGS)
         connector = EndpointConnector(self.reachability, self.tunnels)
         self.pools = EndpointPools(self.count_hosts, connector.connect)
--- a/pearrun/shared/reachability.py
+++ b/pearrun/shared/reachability.py
@@ -31,15 +31,13 @@
     connections may be dead.
     """
 
-    def __init__(self, clock, fleet, pool_settings):
-        self.clock = clock
+    def __init__(self, fleet, pool_settings):
         self.fleet = fleet
         self.pool_settings = pool_settings
         self.close_idle = lambda endpoint_id: None
         self._services = {}
         self._probes = {}
         self._checks = {}
-        self._probed_ms = {}
         self._pending = {}
 
     def is_lost(self, service_name):
@@ -47,6 +45,14 @@
         paths = self._services.get(service_name)
         return paths is not None and paths.is_lost
 
+    def is_lost_to(self, record):
+        """Return whether an endpoint has to be reached in another way.
+
+        :param record: its :class:`EndpointRecord`.
+        """
+        paths = self._services.get(record.service)
+        return paths is not None and paths.is_lost_to(record.id)
+
     def is_suspect(self, service_name):
         """Return whether this host's paths, not endpoints, may have failed."""
         paths = self._services.get(service_name)
@@ -99,14 +105,7 @@
         service_name = record.service
         paths = self._services.setdefault(service_name, DirectPaths())
         paths.note_unreached(record.id)
-        if service_name in self._probes:
-            return
-        probed_ms = self._probed_ms.get(service_name)
-        if probed_ms is not None and (
-            self.clock.since(probed_ms) < PROBE_INTERVAL_MS
-        ):
-            return
-        if self.is_suspect(service_name):
+        if service_name not in self._probes and self.is_suspect(service_name):
             self._start_probe(service_name)
 
     def note_connected(self, record):
@@ -130,18 +129,15 @@
         task.add_done_callback(lambda done: self._probes.pop(service_name))
 
     async def _probe(self, service_name):
-        """Probe endpoints until one is reached or none is listed."""
+        """Probe endpoints until the paths are no longer suspect."""
         paths = self._services[service_name]
-        while True:
-            self._probed_ms[service_name] = self.clock.now()
+        while paths.is_suspect(self._list_live(service_name)):
             silent = await self._probe_once(service_name)
             live = self._list_live(service_name)
             if not live:
                 self._pending.pop(service_name, None)
                 paths.note_connected()
-            if not paths.is_suspect(live):
-                return
-            if not paths.is_lost:
+            elif paths.is_suspect(live) and not paths.is_lost:
                 self._note_lost(service_name, silent)
             await asyncio.sleep(to_seconds(PROBE_INTERVAL_MS))
 
@@ -180,7 +176,8 @@
         Open connections may live on if new ones are refused, but not if
         endpoints do not respond at all.
         """
-        self._services[service_name].is_lost = True
+        live_ids = self._list_live(service_name)
+        self._services[service_name].note_lost(live_ids)
         self._pending.pop(service_name, None)
         endpoints = self._reset_endpoints(service_name)
         if silent:
--- a/pearrun/shared/tunnelserver.py
+++ b/pearrun/shared/tunnelserver.py
@@ -68,6 +68,10 @@
         except (TimeoutError, websockets.ConnectionClosed) as exc:
             logger.info(f'no tunnel request: {exc!r}')
             return
+        sockets.detect_dead_peer(
+            link.transport.get_extra_info('socket'),
+            self.host.reachability.pool_settings.user_timeout_ms,
+        )
         self.active += 1
         began_ms = self.host.clock.now()
         outcome = 'closed by the host'
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -157,6 +157,16 @@
     run_cut_off(scenario, hosts=4, cut=4)
 
 
+def test_endpoint_that_replaces_those_that_were_down_is_called_at_once():
+    async def scenario(site, partition, host):
+        assert (await call(host, '/once/', 'a')).status == 503
+        await site.add_runner('p9', 'plain')
+        await wait_until(lambda: host.host.fleet.find('p9'))
+        assert (await call(host, '/once/', 'b')).status == 200
+
+    run_cut_off(scenario, hosts=2, cut=2)
+
+
 def test_calls_go_directly_again_once_paths_are_back():
     async def scenario(site, partition, host):
         assert (await call(host, '/once/', 'a')).status == 200
