Exchange: failures of endpoints in a module of their own; a refusal never raises a limit

Moves what an exchange records and reports of a failed endpoint to relay/endpointfailures.py, without a change but for its order of cases. A refusal by a brittle endpoint that also names a low rate limit could have replaced that limit by a higher one (a quarter of the named number of refusals): found by reading, test_refusal_never_raises_a_limit_in_force.

--- a/pearrun/decisions/brittleness.py
+++ b/pearrun/decisions/brittleness.py
@@ -32,14 +32,19 @@
 
     max_refusals_per_s: float
 
-    def compute_limit(self, rate_per_s):
+    def compute_limit(self, limit_per_s, served_per_s):
         """Return the limit on the calls of all hosts after a refusal.
 
-        :param rate_per_s: the limit before, or what the endpoint can serve.
+        A limit that is in force is never raised.
+
+        :param limit_per_s: the limit in force, or ``None``.
+        :param served_per_s: calls per second that the endpoint can serve.
         :returns: calls per second.
         """
+        before = served_per_s if limit_per_s is None else limit_per_s
         lowest = self.max_refusals_per_s * MIN_RATE_FACTOR
-        return max(lowest, rate_per_s * DECREASE_FACTOR)
+        limit = max(lowest, before * DECREASE_FACTOR)
+        return limit if limit_per_s is None else min(limit, limit_per_s)
 
 
 class StartAllowance:
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -7,6 +7,7 @@
 from pearrun import exceptions
 from pearrun.clock import to_seconds
 from pearrun.decisions.evidence import is_call_stable
+from pearrun.relay.endpointfailures import EndpointFailures
 from pearrun.relay.events import EventSplitter
 from pearrun.relay.outcomes import Answered
 from pearrun.relay.outcomes import ErrorResponse
@@ -54,6 +55,7 @@
         self.service = service
         self.caller = caller
         self.trace = trace
+        self.failures = EndpointFailures(host)
         self.connection = None
         self.selected = None
         self.prompt_pending = False
@@ -79,7 +81,7 @@
         except exceptions.OverloadedError as exc:
             return NotRun(exc.message, delivered=False)
         except exceptions.EndpointUnreachableError as exc:
-            self._note_unreachable(exc)
+            self.failures.note_unreachable(endpoint, exc)
             return NotRun(exc.message, delivered=False)
         self.connection = connection
         if isinstance(connection, TunnelledConnection):
@@ -104,40 +106,11 @@
                 pool.release(connection, head)
         return outcome
 
-    def _note_unreachable(self, exc):
-        """Record that no connection to the endpoint was opened.
-
-        :param exc: the :class:`EndpointUnreachableError`.
-        """
-        if isinstance(exc, exceptions.NoPathError):
-            return
-        silent = isinstance(exc, exceptions.EndpointSilentError)
-        is_down = isinstance(exc, exceptions.EndpointDownError)
-        self._record_failure(refused=True, silent=silent)
-        record = self.selected.endpoint.record
-
-        def report():
-            if silent:
-                self.host.paths.note_silent(record)
-            elif not self._is_retiring():
-                self.host.paths.note_broken(record)
-                if is_down and not self.host.brittle.is_brittle(
-                    record.service
-                ):
-                    self.host.crashes.note_down(record.id)
-
-        self.host.reachability.report_unless_lost(record.service, report)
-
-    def _is_retiring(self):
-        """Return whether a completing roll-out stops the endpoint."""
-        record = self.selected.endpoint.record
-        return self.host.rollouts.is_retiring(record)
-
     def _count_answer(self, outcome):
         """Count the answer as evidence on the endpoint's version."""
-        if isinstance(outcome, NotRun) or self._is_retiring():
+        if isinstance(outcome, NotRun) or self.path_failed:
             return
-        if self.path_failed:
+        if self.failures.is_retiring(self.selected.endpoint):
             return
         failed = not isinstance(outcome, Answered)
         self._note_answer(failed, self.host.clock.since(self.sent_ms))
@@ -201,7 +174,7 @@
             case ResponseKind.NOT_RUN | ResponseKind.WRONG_ENDPOINT:
                 return await self._read_refusal(head, kind)
             case ResponseKind.UNSEALED:
-                self._record_failure()
+                self.failures.note_failure(self.selected.endpoint)
                 return OutcomeUnknown(f'unsealed response {head.status}'), None
         self.host.usage.count(self.call)
         if self.call.route.kind is CallKind.STREAM and head.status < 300:
@@ -241,21 +214,10 @@
         answered_ms = endpoint.answered_ms
         if answered_ms is None or answered_ms < self.sent_ms:
             self.host.reachability.check_silence(
-                endpoint.record, self._note_silence
+                endpoint.record,
+                lambda: self.failures.note_silence(endpoint),
             )
 
-    def _note_silence(self):
-        """Record that the endpoint does not respond, not even to connects."""
-        record = self.selected.endpoint.record
-        self._record_failure(silent=True)
-        # The idle connections to this endpoint may be dead as well, and each
-        # could cost a call that must not be retried.
-        self.host.pools.close_idle(record.id)
-        self.host.reachability.note_unreached(record)
-        self.host.reachability.report_unless_lost(
-            record.service, lambda: self.host.paths.note_silent(record)
-        )
-
     def _note_limits(self, head, kind):
         """Record the limits that a response names, if they are valid."""
         try:
@@ -427,23 +389,19 @@
 
     def _record_broken(self, exc):
         """Record that the connection broke before the response ended."""
+        endpoint = self.selected.endpoint
         if self._is_proxy_lost():
             self.path_failed = True
             return
-        record = self.selected.endpoint.record
         if exceptions.is_peer_silent(exc):
-            self._note_silence()
-            self.path_failed = self.host.reachability.is_suspect(
-                record.service
-            )
-            return
-        self._record_failure()
-        self.path_failed = self.host.reachability.is_suspect(record.service)
-        if not self._is_retiring():
-            broken = self._describe_broken_call()
-            self.host.reachability.report_unless_lost(
-                record.service, lambda: self._report_broken(broken)
+            self.failures.note_silence(endpoint)
+        else:
+            self.failures.note_broken(
+                endpoint,
+                self._describe_broken_call(),
+                forwarding=self.forwarding_since_ms is not None,
             )
+        self.path_failed = self.failures.is_path_suspect(endpoint)
 
     def _is_proxy_lost(self):
         """Return whether the connection to another host broke."""
@@ -469,22 +427,3 @@
         return BrokenCall(
             self.call.fingerprint, ran_ms, now, call_was_stable, self.call.id
         )
-
-    def _report_broken(self, broken):
-        """Report that the endpoint broke the call.
-
-        :param broken: the :class:`BrokenCall`.
-        """
-        endpoint = self.selected.endpoint
-        if self.forwarding_since_ms is None:
-            self.host.paths.note_broken(endpoint.record)
-        if self.host.brittle.is_brittle(endpoint.record.service):
-            # It crashed because of its load, not because of this call.
-            return
-        self.host.crash_probe.note_broken(endpoint, broken)
-
-    def _record_failure(self, refused=False, silent=False):
-        endpoint = self.selected.endpoint
-        pause_ms = self.host.selection.note_failure(endpoint, refused, silent)
-        if pause_ms:
-            self.host.log_avoided(endpoint, pause_ms)
--- a/pearrun/shared/brittleendpoints.py
+++ b/pearrun/shared/brittleendpoints.py
@@ -12,6 +12,9 @@
 from pearrun.decisions.brittleness import Brittleness
 from pearrun.decisions.brittleness import StartAllowance
 
+# Shorter answers than this tell little about what an endpoint can serve.
+MIN_ANSWER_S = 0.001
+
 
 @dataclasses.dataclass
 class BrittleService:
@@ -90,11 +93,11 @@
         known = self._find(record.service)
         if known is None:
             return
-        rate_per_s = self.limits.get_rate(endpoint)
-        if rate_per_s is None:
-            answer_s = self.demands.get_answer_ms(record.service) / 1000.0
-            rate_per_s = record.slots / answer_s
-        limit = known.brittleness.compute_limit(rate_per_s)
+        answer_s = self.demands.get_answer_ms(record.service) / 1000.0
+        served_per_s = record.slots / max(MIN_ANSWER_S, answer_s)
+        limit = known.brittleness.compute_limit(
+            self.limits.get_rate(endpoint), served_per_s
+        )
         self.limits.note_advertised(endpoint.id, limit)
 
     def filter_allowed(self, service_name, endpoints):
--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from pearrun.decisions.brittleness import Brittleness
 from pearrun.decisions.brittleness import StartAllowance
 from pearrun.standins.platformsite import make_config
 from tests import limits
@@ -147,6 +148,13 @@
     asyncio.run(main())
 
 
+@given(st.floats(0, 100), st.floats(0, 1000), st.floats(0, 1000))
+def test_refusal_never_raises_a_limit_in_force(named, limit, served):
+    brittle = Brittleness(named)
+    assert brittle.compute_limit(limit, served) <= limit
+    assert brittle.compute_limit(None, served) <= max(named, served)
+
+
 @given(
     st.integers(0, 128),
     st.integers(1, 300),
