Call lines: version of each endpoint that was tried; what a call resumes

Call lines now have the version of every attempt, the id of the request that a call resumes, and the position; explain leads from a stream's first request to those that resumed it.

--- a/pearrun/explain.py
+++ b/pearrun/explain.py
@@ -98,6 +98,8 @@
 def explain(lines, request_id):
     """Return the time line of one request, as lines of text.
 
+    The requests that resumed its stream follow, in their order.
+
     :param lines: :class:`LogLine` objects, sorted by time.
     :raises UnknownRequestError: no line reports the request.
     """
@@ -106,6 +108,11 @@
         for line in lines
         if line.is_result and line.fields.get('request_id') == request_id
     ]
+    results.extend(
+        line
+        for line in lines
+        if line.is_result and line.fields.get('resumes') == request_id
+    )
     if not results:
         raise exceptions.UnknownRequestError(
             f'no log line names request {request_id!r}'
@@ -134,7 +141,10 @@
     events.extend(describe_attempts(result, started_s))
     events.append((result.at, describe(result)))
     events.sort(key=lambda event: event[0])
-    text = [f'request {result.fields["request_id"]} on {result.process}']
+    resumes = result.fields.get('resumes')
+    resumed = f', resumes {resumes}' if resumes else ''
+    request_id = result.fields['request_id']
+    text = [f'request {request_id} on {result.process}{resumed}']
     text.extend(
         f'{(at - started_s) * 1000:+9.0f} ms  {what}' for at, what in events
     )
@@ -179,13 +189,17 @@
     ]
 
 
-def describe_attempt(started_s, endpoint, after_ms, outcome, proxy=''):
+def describe_attempt(
+    started_s, endpoint, after_ms, outcome, proxy='', version=''
+):
     """Return one attempt as a pair of its time and a text.
 
     :param proxy: the host through which it was sent, if any.
+    :param version: version of the endpoint's software, if known.
     """
     through = f' through {proxy}' if proxy else ''
-    text = f'sent to {endpoint}{through}: {outcome or "answered"}'
+    software = f' ({version})' if version else ''
+    text = f'sent to {endpoint}{software}{through}: {outcome or "answered"}'
     return started_s + after_ms / 1000, text
 
 
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -64,6 +64,7 @@
         units=count_units(customer, prompt),
         prompt=prompt,
         last_event_id=request.get(header_names.LAST_EVENT_ID),
+        resumes=request.get(header_names.RESUMES),
     )
 
 
--- a/pearrun/platform/headers.py
+++ b/pearrun/platform/headers.py
@@ -6,6 +6,8 @@
 ATTEMPT_ID = b'pearrun-attempt-id'
 DEADLINE_MS = b'pearrun-deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
+# Attempt id of the request that brought a resumed stream's first event.
+RESUMES = b'resumes'
 # The endpoint's signature over its response.
 SEAL = b'pearrun-runner-seal'
 CUSTOMER = b'pearrun-tenant'
--- a/pearrun/relay/call.py
+++ b/pearrun/relay/call.py
@@ -22,6 +22,7 @@
     :param units: quota units that the call consumes.
     :param last_event_id: id of the last event that the caller has
         received; the stream resumes after it.
+    :param resumes: id of the request that brought the stream's first event.
     """
 
     id: RequestId
@@ -34,6 +35,7 @@
     units: float
     prompt: Prompt
     last_event_id: str | None = None
+    resumes: RequestId | None = None
 
     @functools.cached_property
     def fingerprint(self):
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from pearrun.ids import EndpointId
+from pearrun.ids import Version
 
 
 class Ending(enum.Enum):
@@ -26,12 +27,14 @@
     :param after_ms: milliseconds from the call's arrival to this attempt.
     :param outcome: why the attempt failed; empty if it succeeded.
     :param proxy: the host through which it was sent; empty if directly.
+    :param version: version of the endpoint's software.
     """
 
     endpoint_id: EndpointId
     after_ms: int
     outcome: str = ''
     proxy: str = ''
+    version: Version = Version('')
 
 
 class CallTrace:
@@ -69,7 +72,10 @@
     def record_attempt(self, selected, now_ms):
         """Record an attempt to send the call to an endpoint."""
         after_ms = now_ms - self.started_ms
-        self.attempts.append(Attempt(selected.endpoint.id, after_ms))
+        endpoint = selected.endpoint
+        self.attempts.append(
+            Attempt(endpoint.id, after_ms, version=endpoint.record.version)
+        )
 
     def record_proxy(self, proxy):
         """Record that the attempt is sent through another host."""
@@ -121,6 +127,8 @@
             first_ms=self.first_byte_ms,
             total_ms=now_ms - self.started_ms,
             left_ms=call.timeout_at_ms - now_ms,
+            resumes=call.resumes,
+            last_event_id=call.last_event_id,
             tokens=call.prompt.tokens,
             units=round(call.units),
             quota_left=host.quotas.get_level(call),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -126,3 +126,30 @@
     assert 'sent to e-2: answered' in capsys.readouterr().out
     with pytest.raises(exceptions.InputFileError):
         cli.explain_request('r-1', [str(tmp_path / 'none.log')])
+
+
+def test_time_line_leads_from_first_request_to_all_versions_of_stream():
+    lines = [
+        make_line(
+            100.0,
+            'call',
+            request_id='r-5',
+            ending='broken_off',
+            total_ms=80,
+            tries=[['e-1', 0, 'connection reset', '', 'v1']],
+        ),
+        make_line(
+            100.3,
+            'call',
+            'host-2',
+            request_id='r-6',
+            resumes='r-5',
+            ending='answered',
+            total_ms=90,
+            tries=[['e-7', 2, '', '', 'v2']],
+        ),
+    ]
+    text = '\n'.join(explain_request('r-5', lines))
+    assert 'sent to e-1 (v1): connection reset' in text
+    assert 'request r-6 on host-2, resumes r-5' in text
+    assert 'sent to e-7 (v2): answered' in text
