--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -51,12 +51,16 @@
 
 
 class PlatformSite(StandinSite):
-    """A site with entry hosts in this process."""
+    """A site with entry hosts in this process.
 
-    def __init__(self):
+    :param contracts: what the platform offers; ``None`` for all.
+    """
+
+    def __init__(self, contracts=None):
         super().__init__(
             f'127.0.0.1:{find_free_port()}', f'127.0.0.1:{find_free_port()}'
         )
+        self.contracts = contracts
         self.hosts = {}
         self.subnet = reserve_subnet()
         self.ports = {
@@ -85,6 +89,8 @@
             self.ports,
             **bounds,
         )
+        if self.contracts is not None:
+            fields['contracts'] = list(self.contracts)
         settings = settings_module.decode(fields)
         daemon = Daemon(settings, FakeLogWriter(), lambda: settings)
         self.hosts[settings.name] = daemon
@@ -128,13 +134,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_site(config=None, runners=(), hosts=1, **bounds):
+async def run_site(config=None, runners=(), hosts=1, contracts=None, **bounds):
     """Run a site; enter the block once all hosts are ready.
 
     :param runners: pairs of an endpoint's name and its service.
+    :param contracts: what the platform offers; ``None`` for all.
     :param bounds: fields of the hosts' settings; see :meth:`add_host`.
     """
-    site = PlatformSite()
+    site = PlatformSite(contracts)
     await site.start()
     try:
         if config is not None:
--- a/tests/test_topology.py
+++ b/tests/test_topology.py
@@ -109,12 +109,14 @@
         assert reached == set(plans)
 
 
-def run_with_hubs(scenario, monkeypatch, runners=(), hosts=6):
+def run_with_hubs(scenario, monkeypatch, runners=(), hosts=6, contracts=None):
     """Run a scenario on hosts in two zones that use hubs."""
     monkeypatch.setattr(topology, 'MAX_MESH_HOSTS', 2)
 
     async def main():
-        async with run_site(make_config(), runners, hosts=0) as site:
+        async with run_site(
+            make_config(), runners, hosts=0, contracts=contracts
+        ) as site:
             for number in range(1, hosts + 1):
                 zone = 'zone-a' if number % 2 else 'zone-b'
                 await site.add_host(number, zone)
