Streams that are resumed go on at the software version that began them

Cause: the choice of an endpoint for a resumed stream knew nothing of where it began. The host that resumed a stream itself kept the id of the last event only; nothing read the header that names the first request, and nothing of a stream outlived the host that served it. Endpoints do not check it.

Now a host writes the origin of a stream (service, version, customer) to its links before it forwards the first event: to all hosts in a mesh, to the hubs of its zone otherwise, which pass it on to the other hubs at once and to their zones with the next round. Nobody acknowledges it, so the first event waits for one turn of the event loop only. A stream goes on at endpoints of its version alone, at its service also where a route is split, goes before new ones (urgency; no refusal for the expected wait), and is refused with 503 and Retry-After if its version is unknown (error 1410) or has no endpoint. Unknown is never guessed: without an origin a stream goes on only if the service has had a single version for as long as callers wait, by a list of endpoints that was read after the call came. A new link first carries the origins and the versions of the past; hosts of older builds, which close a link on unknown messages, get none of these.

--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -183,6 +183,12 @@
     code = 1409
 
 
+class UnknownStreamError(CapacityError):
+    """The stream is not resumed: which version began it is unknown."""
+
+    code = 1410
+
+
 class RequestMovingError(PearrunError):
     """The request's host is unreachable or being taken over; retry."""
 
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -197,7 +197,10 @@
             (b'Pearrun-Expect-Runner', record.name),
         ]
         if call.prompt.tokens:
-            added.append((b'Pearrun-Urgency', str(call.priority)))
+            # A stream that has begun goes before new ones.
+            begun = last_event_id is not None
+            urgency = max(0, call.priority - begun)
+            added.append((b'Pearrun-Urgency', str(urgency)))
         if call.customer is not None:
             added.append((b'Pearrun-Tenant', call.customer.name))
         if last_event_id is not None:
--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -70,6 +70,7 @@
         """See :class:`Follower`."""
         listed = {record.key for record in records}
         self.host.crashes.restart_proofs()
+        self.host.version_history.note_snapshot(read_start_ms)
         for record in records:
             self._handle_put(record)
         for endpoint in list(self.host.fleet.endpoints.values()):
--- a/pearrun/relay/call.py
+++ b/pearrun/relay/call.py
@@ -6,6 +6,7 @@
 from pearrun.fingerprints import make_fingerprint
 from pearrun.http1.messages import Request
 from pearrun.ids import RequestId
+from pearrun.shared.configuration import CallKind
 from pearrun.shared.configuration import Customer
 from pearrun.shared.configuration import Route
 from pearrun.shared.prompts import Prompt
@@ -37,6 +38,13 @@
     last_event_id: str | None = None
     resumes: RequestId | None = None
 
+    @property
+    def is_resumption(self):
+        """Whether the caller has received the beginning of the stream."""
+        if self.route.kind is not CallKind.STREAM:
+            return False
+        return self.last_event_id is not None or bool(self.resumes)
+
     @functools.cached_property
     def fingerprint(self):
         """The fingerprint, which is equal for retries of the same request."""
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -20,6 +20,7 @@
 from pearrun.shared.configuration import CallKind
 from pearrun.shared.crashdetector import BrokenCall
 from pearrun.shared.pools import TCP_USER_TIMEOUT_MS
+from pearrun.shared.streamorigins import StreamOrigin
 from pearrun.shared.tunneltransport import TunnelledConnection
 
 # Response bodies of services that do not stream are buffered up to this
@@ -332,6 +333,8 @@
                 self._mark_prompt_read()
                 self._record_first_byte()
                 self.chunks += 1
+                if resume.version is None:
+                    await self._publish_origin(resume)
                 self._start_stream(head)
                 resume.last_event_id = splitter.last_event_id
                 forwarded = True
@@ -350,6 +353,25 @@
         self.caller.finish()
         return Answered(head.status), head
 
+    async def _publish_origin(self, resume):
+        """Record where the stream began, before its first event is sent."""
+        record = self.selected.endpoint.record
+        resume.version = record.version
+        call = self.call
+        if not call.route.retryable:
+            return
+        self.host.origins.publish(
+            StreamOrigin(
+                call.id,
+                record.service,
+                record.version,
+                call.customer.name if call.customer else '',
+                call.deadline_ms,
+            )
+        )
+        # Lets the links send the origin first.
+        await asyncio.sleep(0)
+
     def _start_stream(self, head):
         """Send the response head unless an earlier attempt has sent it."""
         if not self.caller.head_sent:
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -7,12 +7,15 @@
 from pearrun.clock import to_seconds
 from pearrun.decisions import admission
 from pearrun.decisions.budget import RetryBudget
+from pearrun.decisions.streamversion import StreamRefusal
 from pearrun.relay.exchange import Exchange
 from pearrun.relay.outcomes import Answered
 from pearrun.relay.outcomes import ErrorResponse
 from pearrun.relay.outcomes import Interrupted
 from pearrun.relay.outcomes import NotRun
 from pearrun.relay.outcomes import OutcomeUnknown
+from pearrun.relay.resumption import ResumePoint
+from pearrun.relay.resumption import Resumption
 from pearrun.relay.trace import CallTrace
 from pearrun.relay.trace import Ending
 from pearrun.shared.configuration import CallKind
@@ -25,6 +28,9 @@
 # Retry-After if no endpoint is available.  Endpoints that are missing from the
 # list are listed again within about 2 s; this is a fraction of that.
 NO_ENDPOINT_RETRY_AFTER_MS = 500
+# Retry-After if no endpoint of the version that began a stream is listed: an
+# entry that has expired is back within this time.
+NO_VERSION_RETRY_AFTER_MS = 2000
 # Expected wait for a free slot of a brittle endpoint: hosts learn of free
 # slots several times a second.
 BRITTLE_WAIT_MS = 500
@@ -43,6 +49,7 @@
         self.host = host
         self.clock = host.clock
         self.admission = admission.AdmissionSettings()
+        self.resumption = Resumption(host)
         self.budgets = {}
         self._timeouts = set()
 
@@ -77,25 +84,39 @@
                 self._compute_quota_retry_after_ms(call),
             )
             return
-        service = self._choose_service(call)
-        if service is None:
-            trace.reason = 'no service'
-            await self._refuse(
-                call, caller, trace, 503, NO_ENDPOINT_RETRY_AFTER_MS
-            )
-            return
-        self._get_budget(service.name).count_call(self.clock.now())
         left_ms = call.timeout_at_ms - self.clock.now()
         timeout = asyncio.timeout(to_seconds(max(0, left_ms)))
         try:
             async with timeout:
                 self._timeouts.add(timeout)
-                await self._serve(call, service, caller, trace)
+                await self._begin(call, caller, trace)
         except TimeoutError:
             await self._time_out(call, caller, trace)
         finally:
             self._timeouts.discard(timeout)
 
+    async def _begin(self, call, caller, trace):
+        """Choose the service of a call, and the version of a stream."""
+        began = None
+        if call.is_resumption:
+            began = await self.resumption.find(call)
+            if began is None:
+                await self._refuse_resumption(call, caller, trace)
+                return
+            service = self._get_service(began.service)
+        else:
+            self.resumption.note_call(call)
+            service = self._choose_service(call)
+        if service is None:
+            trace.reason = 'no service'
+            await self._refuse(
+                call, caller, trace, 503, NO_ENDPOINT_RETRY_AFTER_MS
+            )
+            return
+        self._get_budget(service.name).count_call(self.clock.now())
+        resume = ResumePoint(call.last_event_id, began and began.version)
+        await self._serve(call, service, caller, trace, resume)
+
     def expire_calls(self):
         """Let all calls in progress time out now."""
         now_s = asyncio.get_running_loop().time()
@@ -103,11 +124,13 @@
             if not timeout.expired():
                 timeout.reschedule(now_s)
 
-    async def _serve(self, call, service, caller, trace):
-        """Send the call, with retries, until it succeeds or fails."""
+    async def _serve(self, call, service, caller, trace, resume):
+        """Send the call, with retries, until it succeeds or fails.
+
+        :param resume: the :class:`ResumePoint`.
+        """
         tried = set()
         unconnected = set()
-        resume = ResumePoint(call.last_event_id)
         was_lost = self.host.reachability.is_lost(service.name)
         while True:
             is_lost = self.host.reachability.is_lost(service.name)
@@ -117,10 +140,10 @@
                 unconnected.clear()
             was_lost = is_lost
             selected = self._choose_endpoint(
-                call, service, trace, tried, unconnected
+                call, service, trace, tried, unconnected, resume.version
             )
             if selected is None:
-                await self._fail_unplaced(call, service, caller, trace)
+                await self._fail_unplaced(call, service, caller, trace, resume)
                 return
             trace.expected_ms = selected.expected_ms
             if not trace.attempts:
@@ -151,7 +174,9 @@
                 await self._fail(call, caller, trace, QUARANTINED)
                 return
 
-    def _choose_endpoint(self, call, service, trace, tried, unconnected):
+    def _choose_endpoint(
+        self, call, service, trace, tried, unconnected, version
+    ):
         """Choose the next endpoint for a call.
 
         Endpoints that accepted no connection are tried again only if the
@@ -161,12 +186,13 @@
 
         :param tried: ids of the endpoints that the call was sent to.
         :param unconnected: ids of the endpoints that accepted no connection.
+        :param version: the version that began the stream, if it has begun.
         :returns: a :class:`Selected`; ``None`` if no endpoint is left.
         """
-        selection = self.host.selection
-        selected = selection.choose(call, service, tried | unconnected)
+        choose = self.host.selection.choose
+        selected = choose(call, service, tried | unconnected, version)
         if selected is None and unconnected and trace.may_have_run:
-            return selection.choose(call, service, tried)
+            return choose(call, service, tried, version)
         return selected
 
     async def _handle_outcome(self, call, service, caller, trace, outcome):
@@ -187,7 +213,8 @@
                 ):
                     return True
             case OutcomeUnknown(reason) | Interrupted(reason):
-                trace.record_run(reason)
+                interrupted = isinstance(outcome, Interrupted)
+                trace.record_run(reason, interrupted)
                 if self._may_rerun(call, service, trace):
                     return True
             case ErrorResponse(head):
@@ -227,17 +254,19 @@
             self.budgets[service_name] = RetryBudget(settings)
         return self.budgets[service_name]
 
+    def _get_service(self, name):
+        return self.host.config.current.services.get(name)
+
     def _choose_service(self, call):
         targets = call.route.targets
-        services = self.host.config.current.services
         weights = [target.weight for target in targets]
         if len(targets) == 1:
-            return services.get(targets[0].name)
+            return self._get_service(targets[0].name)
         chosen = random.choices(targets, weights)[0]
-        return services.get(chosen.name)
+        return self._get_service(chosen.name)
 
     def _should_admit(self, call, selected):
-        if call.route.kind is not CallKind.STREAM:
+        if call.route.kind is not CallKind.STREAM or call.is_resumption:
             return True
         left_ms = call.timeout_at_ms - self.clock.now()
         return admission.should_admit(
@@ -287,8 +316,12 @@
                 call, caller, trace, 503, NO_ENDPOINT_RETRY_AFTER_MS
             )
 
-    async def _fail_unplaced(self, call, service, caller, trace):
+    async def _fail_unplaced(self, call, service, caller, trace, resume):
         """End a call for which no endpoint is left."""
+        version = resume.version
+        if version is not None and not self._is_served(service, version):
+            await self._fail_without_version(call, caller, trace)
+            return
         wait_ms = self.host.limits.get_wait_ms(service.name)
         reason = 'endpoint limits'
         if not wait_ms and self.host.brittle.is_brittle(service.name):
@@ -301,6 +334,36 @@
         retry_after_ms = self._compute_retry_after_ms(call, wait_ms)
         await self._refuse(call, caller, trace, 503, retry_after_ms)
 
+    def _is_served(self, service, version):
+        """Return whether a stream may go on at a version of a service."""
+        listed = self.host.fleet.find_by_service(service.name)
+        rollouts = self.host.rollouts
+        return bool(rollouts.select_version(service.name, listed, version))
+
+    async def _fail_without_version(self, call, caller, trace):
+        """End a stream that no endpoint of its version is left for."""
+        if trace.attempts:
+            reason = StreamRefusal.VERSION_MISSING.value
+            await self._fail(call, caller, trace, reason)
+            return
+        trace.reason = StreamRefusal.VERSION_MISSING.value
+        await self._refuse(call, caller, trace, 503, NO_VERSION_RETRY_AFTER_MS)
+
+    async def _refuse_resumption(self, call, caller, trace):
+        """Refuse to resume a stream whose version this host does not know."""
+        trace.reason = StreamRefusal.VERSION_UNKNOWN.value
+        trace.end(Ending.REFUSED, 503)
+        error = exceptions.UnknownStreamError(
+            'the software version that began this stream is unknown',
+            to_seconds(self._limit_wait_ms(call, NO_ENDPOINT_RETRY_AFTER_MS)),
+        )
+        await self._reply_error(caller, error, 503)
+
+    def _limit_wait_ms(self, call, wait_ms):
+        """Return a wait that leaves the caller time for the retry."""
+        left_ms = max(0, call.timeout_at_ms - self.clock.now())
+        return min(wait_ms, left_ms / 3)
+
     async def _time_out(self, call, caller, trace):
         trace.reason = trace.reason or 'timeout'
         if caller.head_sent:
@@ -318,10 +381,9 @@
 
     async def _refuse(self, call, caller, trace, status, retry_after_ms):
         trace.end(Ending.REFUSED, status)
-        left_ms = max(0, call.timeout_at_ms - self.clock.now())
-        retry_after_ms = min(retry_after_ms, left_ms / 3)
+        wait_ms = self._limit_wait_ms(call, retry_after_ms)
         error = exceptions.CapacityError(trace.reason or 'refused')
-        error.retry_after_s = round(retry_after_ms / 1000.0, 3)
+        error.retry_after_s = round(wait_ms / 1000.0, 3)
         await self._reply_error(caller, error, status)
 
     async def _refuse_quarantined(self, call, caller, trace, left_ms):
@@ -347,14 +409,3 @@
         trace.end(Ending.ANSWERED, response.head.status)
         headers = self.host.codec.forward_headers(response.head)
         await caller.reply(response.head.status, headers, response.body)
-
-
-class ResumePoint:
-    """The position at which the next endpoint continues a stream.
-
-    :param last_event_id: id of the last event that the caller has
-        received, or ``None``.
-    """
-
-    def __init__(self, last_event_id):
-        self.last_event_id = last_event_id
--- /dev/null
+++ b/pearrun/relay/resumption.py
@@ -0,0 +1,105 @@
+"""Finds the software version at which a stream has to go on.
+
+What two versions of a service write does not fit together, and endpoints do
+not check where a stream began.
+"""
+
+import asyncio
+
+from pearrun.clock import to_seconds
+from pearrun.decisions import streamversion
+from pearrun.decisions.streamversion import StreamVersion
+
+# How long the origin of a stream may be on its way through a hub.
+ORIGIN_WAIT_MS = 400
+# How long after its start a host may not know of earlier streams: the others
+# have to list it and to open their links.
+STARTUP_MS = 2500
+# How long a list of endpoints is waited for that was read after a call came.
+LIST_WAIT_MS = 1200
+LIST_POLL_MS = 20
+
+
+class ResumePoint:
+    """Where the next endpoint continues a stream.
+
+    :param last_event_id: id of the last event that the caller has
+        received, or ``None``.
+    :param version: the version that began the stream; ``None`` until its
+        first event.
+    """
+
+    def __init__(self, last_event_id=None, version=None):
+        self.last_event_id = last_event_id
+        self.version = version
+
+
+class Resumption:
+    """Finds where the streams that callers resume have begun.
+
+    :param host: the :class:`HostContext`.
+    """
+
+    def __init__(self, host):
+        self.host = host
+        self.started_ms = host.clock.now()
+        self.waits = streamversion.CallerWaits()
+
+    def note_call(self, call):
+        """Record how long the caller of a new stream waits."""
+        self.waits.note(
+            call.route, call.deadline_ms - call.request.received_ms
+        )
+
+    async def find(self, call):
+        """Return the :class:`StreamVersion` that began a call's stream.
+
+        :returns: ``None`` if it is unknown.
+        """
+        origin = None
+        if call.resumes:
+            origin = await self.host.origins.wait(
+                call.resumes, self._get_origin_wait_ms()
+            )
+        if origin is not None and streamversion.belongs_to(origin, call):
+            found = StreamVersion(origin.service, origin.version)
+            if not self._is_listed(found):
+                await self._wait_for_list(call.request.received_ms)
+            return found
+        service = streamversion.find_only_service(call.route)
+        if service is None:
+            return None
+        window_ms = self.waits.get_ms(call.route)
+        if not self._find_only(service, window_ms):
+            return None
+        if not await self._wait_for_list(call.request.received_ms):
+            return None
+        return self._find_only(service, window_ms)
+
+    def _get_origin_wait_ms(self):
+        age_ms = self.host.clock.since(self.started_ms)
+        return max(ORIGIN_WAIT_MS, STARTUP_MS - age_ms)
+
+    def _find_only(self, service, window_ms):
+        """Return the only version that a stream can have begun at."""
+        version = self.host.version_history.find_only(service, window_ms)
+        return None if version is None else StreamVersion(service, version)
+
+    def _is_listed(self, found):
+        endpoints = self.host.fleet.find_by_service(found.service)
+        return any(item.record.version == found.version for item in endpoints)
+
+    async def _wait_for_list(self, since_ms):
+        """Wait for a list of endpoints that was read after a time.
+
+        Another host may have known of an endpoint before this one.
+
+        :returns: whether there is one.
+        """
+        deadline_ms = self.host.clock.now() + LIST_WAIT_MS
+        while self.host.clock.now() < deadline_ms:
+            listed_ms = self.host.fleet.listed_ms
+            if listed_ms is not None and listed_ms >= since_ms:
+                return True
+            await asyncio.sleep(to_seconds(LIST_POLL_MS))
+        return False
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -44,7 +44,8 @@
     :param started_ms: monotonic time at which the call arrived.
 
     ``runs`` counts the attempts in which an endpoint ran the call or may
-    have run it; ``outcome_pending`` is true while an attempt whose request
+    have run it; ``interruptions`` those whose response broke off;
+    ``outcome_pending`` is true while an attempt whose request
     was written has no outcome yet; ``endpoint_limit`` is the rate limit, in
     calls per second, that the last answering endpoint advertised.
     """
@@ -54,6 +55,7 @@
         self.started_ms = started_ms
         self.attempts = []
         self.runs = 0
+        self.interruptions = 0
         self.outcome_pending = False
         self.error_response = None
         self.first_byte_ms = None
@@ -90,9 +92,13 @@
         self.outcome_pending = False
         self._set_outcome(reason)
 
-    def record_run(self, reason):
-        """Record that the call ran or may have run, and why it failed."""
+    def record_run(self, reason, interrupted=False):
+        """Record that the call ran or may have run, and why it failed.
+
+        :param interrupted: whether part of the response was forwarded.
+        """
         self.runs += 1
+        self.interruptions += interrupted
         self.outcome_pending = False
         self._set_outcome(reason)
 
--- a/pearrun/shared/counters.py
+++ b/pearrun/shared/counters.py
@@ -1,8 +1,11 @@
 """Counters and latency histograms of one host in text format."""
 
+from pearrun.decisions.streamversion import StreamRefusal
 from pearrun.metrics import new_histogram
 from pearrun.metrics import record
 
+# Reasons for which a resumed stream does not go on, counted apart.
+VERSION_REASONS = frozenset(item.value for item in StreamRefusal)
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
@@ -19,6 +22,7 @@
         self.repeats = 0
         self.rejected = 0
         self.limited_answers = 0
+        self.resumptions = {}
         self.first_byte = {}
         self.response = {}
 
@@ -29,11 +33,26 @@
         self.endings[key] = self.endings.get(key, 0) + 1
         self.sends += len(trace.attempts)
         self.repeats += max(0, len(trace.attempts) - 1)
+        if trace.call.is_resumption:
+            self._count_resumption('caller', trace, ending)
+        if trace.interruptions:
+            self._count_resumption('host', trace, ending)
         route = trace.call.route.name
         if trace.first_byte_ms is not None:
             record(self._find(self.first_byte, route), trace.first_byte_ms)
         record(self._find(self.response, route), now_ms - trace.started_ms)
 
+    def _count_resumption(self, by, trace, ending):
+        """Count a stream that went on at another endpoint, or did not.
+
+        :param by: whether its caller resumed it or this host.
+        """
+        outcome = ending
+        if ending != 'answered' and trace.reason in VERSION_REASONS:
+            outcome = trace.reason
+        key = (by, outcome)
+        self.resumptions[key] = self.resumptions.get(key, 0) + 1
+
     def render(self, gauges, store_calls=()):
         """Return all metrics as text, one per line.
 
@@ -49,6 +68,11 @@
             labels = f'call="{call}",topic="{topic}"'
             count = store_calls[call, topic]
             lines.append(f'pearrun_store_calls{{{labels}}} {count}')
+        for (by, outcome), count in sorted(self.resumptions.items()):
+            labels = f'by="{by}",outcome="{outcome}"'
+            lines.append(
+                f'pearrun_stream_resumptions_total{{{labels}}} {count}'
+            )
         for (route, ending, status), count in sorted(self.endings.items()):
             labels = f'route="{route}",ending="{ending}",status="{status}"'
             lines.append(f'pearrun_calls_total{{{labels}}} {count}')
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -26,7 +26,9 @@
 from pearrun.shared.quotas import Quotas
 from pearrun.shared.reachability import Reachability
 from pearrun.shared.selection import Selection
+from pearrun.shared.streamorigins import StreamOrigins
 from pearrun.shared.tunnels import Tunnels
+from pearrun.shared.versionhistory import VersionHistory
 from pearrun.usage.counts import UsageCounts
 from pearrun.usage.table import UsageTable
 
@@ -47,6 +49,8 @@
         self.counters = Counters()
         self.config = ActiveConfig(clock)
         self.fleet = Fleet()
+        self.version_history = VersionHistory(clock, self.fleet)
+        self.origins = StreamOrigins(clock)
         self.rollouts = Rollouts(clock, self.fleet, settings.rollout)
         self.evidence = EvidenceBoard()
         self.crashes = CrashDetector(
@@ -162,6 +166,7 @@
         self.pools.remove(endpoint.id)
         self.limits.forget(endpoint.id)
         if removed is not None:
+            self.version_history.note_departed(removed.record)
             logger.bind(
                 endpoint=endpoint.id,
                 service=endpoint.record.service,
--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -53,6 +53,9 @@
 # How often the inputs are checked until the list of hosts has been read: hosts
 # reject calls of large customers until they have heard of each other.
 STARTUP_PLAN_CHECK_INTERVAL_MS = 50
+# Header of the handshake by which a host says that it knows the messages about
+# streams; older builds close a link on a message that they do not know.
+STREAMS_HEADER = 'Pearrun-Streams'
 # How often this host's configuration is sent to a peer that has an older one.
 CONFIG_COPY_INTERVAL_MS = 1000
 
@@ -108,6 +111,7 @@
             ping_interval=to_seconds(PING_INTERVAL_MS),
             ping_timeout=to_seconds(PING_TIMEOUT_MS),
             close_timeout=to_seconds(CLOSE_TIMEOUT_MS),
+            process_response=announce_streams,
         ):
             try:
                 while True:
@@ -171,6 +175,7 @@
         """Set this host's roles from a :class:`LinkPlan`."""
         self.reporter.plan = plan
         self.receiver.is_hub = plan.is_hub
+        self.host.origins.is_hub = plan.is_hub
         self.host.feed.through_hubs = not plan.mesh
         self.host.feed.has_reader = not plan.is_reader
         roles = (plan.mesh, plan.is_hub, plan.is_reader)
@@ -217,7 +222,7 @@
                 ) as link:
                     logger.bind(peer=member.name).info('peer link up')
                     self.down.pop(member, None)
-                    await self._send_rounds(link, member)
+                    await self._serve_link(link, member)
             except ConnectionRefusedError:
                 # The peer's process is not running: a broken network path
                 # would time out instead.
@@ -235,10 +240,33 @@
             self._note_down(member)
             await asyncio.sleep(to_seconds(delay_ms))
 
+    async def _serve_link(self, link, member):
+        """Send reports and origins of streams over a link until it ends."""
+        if not knows_streams(link):
+            await self._send_rounds(link, member)
+            return
+        with self.host.origins.open_outbox() as outbox:
+            sender = asyncio.create_task(
+                self._send_origins(link, member, outbox)
+            )
+            try:
+                await self._send_rounds(link, member)
+            finally:
+                sender.cancel()
+                await asyncio.gather(sender, return_exceptions=True)
+
+    async def _send_origins(self, link, member, outbox):
+        """Send the origins of streams over a link as they come."""
+        while True:
+            origins = await outbox.take()
+            if self.reporter.takes_origins(member):
+                messages = self.reporter.encode_origins(origins)
+                await link.send(self.reporter.bundle(messages))
+
     async def _send_rounds(self, link, member):
         """Send each report round over a link until it ends."""
         sent_usage = None
-        initial = self.reporter.encode_initial()
+        initial = self.reporter.encode_initial(knows_streams(link))
         if initial:
             await link.send(self.reporter.bundle(initial))
         while True:
@@ -248,6 +276,8 @@
             )
             if current.usage in messages:
                 sent_usage = current.usage
+            if not knows_streams(link):
+                messages = [m for m in messages if m not in current.origins]
             if self._needs_config(member):
                 copy = reports.ConfigCopy(
                     self.own.name, self.host.config.current.raw
@@ -292,3 +322,14 @@
             logger.bind(code=exc.code).warning(exc.message)
         except websockets.ConnectionClosedError as exc:
             logger.info(f'incoming peer link closed: {exc}')
+
+
+def announce_streams(connection, request, response):
+    """Add the header that tells a peer that this host knows streams."""
+    del connection, request
+    response.headers[STREAMS_HEADER] = '1'
+
+
+def knows_streams(link):
+    """Return whether the host at a link's other end knows streams."""
+    return STREAMS_HEADER in link.response.headers
--- a/pearrun/shared/reportcodec.py
+++ b/pearrun/shared/reportcodec.py
@@ -30,10 +30,14 @@
 from pearrun.shared.reports import HostEnded
 from pearrun.shared.reports import HostReport
 from pearrun.shared.reports import LimitNote
+from pearrun.shared.reports import OriginNote
 from pearrun.shared.reports import PathNote
 from pearrun.shared.reports import SuspectNote
 from pearrun.shared.reports import TopicFeed
 from pearrun.shared.reports import UsageNote
+from pearrun.shared.reports import VersionNote
+from pearrun.shared.streamorigins import StreamOrigin
+from pearrun.shared.versionhistory import DepartedVersion
 
 # Bundles of at least this size are compressed.
 MIN_COMPRESSED_BYTES = 2048
@@ -122,6 +126,12 @@
         case LimitNote(host, limits):
             fields = [dataclasses.astuple(item) for item in limits]
             return cbor2.dumps(['limits', host, fields])
+        case OriginNote(host, origins):
+            fields = [dataclasses.astuple(item) for item in origins]
+            return cbor2.dumps(['origins', host, fields])
+        case VersionNote(host, since_ms, departed):
+            fields = [dataclasses.astuple(item) for item in departed]
+            return cbor2.dumps(['versions', host, since_ms, fields])
         case ConfigCopy(host, raw):
             return cbor2.dumps(['config', host, raw])
 
@@ -247,6 +257,18 @@
                 return LimitNote(
                     host, tuple(LimitReport(*item) for item in limits)
                 )
+            case 'origins':
+                host, origins = fields
+                return OriginNote(
+                    host, tuple(StreamOrigin(*item) for item in origins)
+                )
+            case 'versions':
+                host, since_ms, departed = fields
+                return VersionNote(
+                    host,
+                    since_ms,
+                    tuple(DepartedVersion(*item) for item in departed),
+                )
             case 'config':
                 return ConfigCopy(*fields)
     except (ValueError, TypeError, IndexError, AttributeError) as exc:
--- a/pearrun/shared/reporter.py
+++ b/pearrun/shared/reporter.py
@@ -43,6 +43,7 @@
         hub.
     :param zone_reports: reports of its zone's hosts, for its other hubs.
     :param forwarded: messages of others that a hub forwards to its zone.
+    :param origins: origins of streams that a hub forwards to its zone.
     """
 
     own: bytes
@@ -54,6 +55,7 @@
     coverage: bytes | None = None
     zone_reports: tuple[bytes, ...] = ()
     forwarded: tuple[bytes, ...] = ()
+    origins: tuple[bytes, ...] = ()
 
 
 class Reporter:
@@ -138,6 +140,24 @@
             messages.extend(usage)
         return messages
 
+    def takes_origins(self, member):
+        """Return whether a host gets the origins of streams at once.
+
+        In a fleet with hubs the other hosts get them from a hub of their
+        zone, with its rounds.
+        """
+        plan = self.plan
+        if plan.mesh:
+            return True
+        if member.name not in plan.targets:
+            return False
+        is_own_zone = member.zone == self.host.settings.zone
+        return (
+            not plan.is_hub
+            or not is_own_zone
+            or self.receiver.acts_as_hub(member.name)
+        )
+
     def _select_hub_messages(self, current, member):
         """Return a round's messages for a link in a fleet with hubs."""
         sums = [] if current.zone is None else [current.zone]
@@ -149,7 +169,7 @@
         if self.receiver.acts_as_hub(member.name):
             # A peer that is a hub computes the zone's sums itself.
             return [current.own, *current.zone_reports, *shared]
-        return [current.coverage, *sums, *shared]
+        return [current.coverage, *sums, *shared, *current.origins]
 
     def bundle(self, messages):
         """Return an encoded bundle of encoded messages from this host.
@@ -241,6 +261,7 @@
             reportcodec.encode(self.receiver.make_coverage()),
             tuple(zone_reports),
             tuple(forwarded),
+            self.encode_origins(host.origins.take_unforwarded()),
         )
 
     def _encode_usage(self):
@@ -274,13 +295,26 @@
             self.host.evidence.put(note)
         return tuple(reportcodec.encode(note) for note in notes)
 
-    def encode_initial(self):
-        """Return the encoded messages that a new link carries first."""
+    def encode_initial(self, with_streams):
+        """Return the encoded messages that a new link carries first.
+
+        :param with_streams: whether the peer knows messages about streams.
+        """
         host = self.host
-        return (
+        initial = (
             *self._encode_suspects(host.quarantine.take_snapshot()),
             *self._encode_limits(host.limits.make_snapshot()),
         )
+        if not with_streams:
+            return initial
+        # The hubs have the origins of the streams of all hosts.
+        own_only = not (self.plan.mesh or self.plan.is_hub)
+        origins = host.origins.make_snapshot(own_only)
+        return (
+            *initial,
+            *self.encode_origins(origins),
+            *self._encode_versions(),
+        )
 
     def _encode_suspects(self, suspects):
         """Return the encoded :class:`SuspectNote` in a tuple, if any."""
@@ -311,6 +345,33 @@
         note = reports.LimitNote(self.host.settings.name, aged)
         return (reportcodec.encode(note),)
 
+    def encode_origins(self, origins):
+        """Return the encoded :class:`OriginNote` in a tuple, if any.
+
+        :param origins: :class:`StreamOrigin` objects.
+        """
+        if not origins:
+            return ()
+        now = self.host.clock.now()
+        left = tuple(origin.to_left(now) for origin in origins)
+        note = reports.OriginNote(self.host.settings.name, left)
+        return (reportcodec.encode(note),)
+
+    def _encode_versions(self):
+        """Return the encoded :class:`VersionNote` in a tuple, if any.
+
+        A host whose list of endpoints is old sends none.
+        """
+        history = self.host.version_history
+        if not history.is_complete():
+            return ()
+        now = self.host.clock.now()
+        departed = reports.convert_times(history.list_departed(), now)
+        note = reports.VersionNote(
+            self.host.settings.name, now - history.since_ms, departed
+        )
+        return (reportcodec.encode(note),)
+
     def _make_report(
         self, run, hosts, loads, admitted, placed, demands, engines
     ):
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -105,6 +105,10 @@
                     self._apply_paths(failures)
                 case reports.LimitNote(name, limits):
                     self._apply_limits(name, limits)
+                case reports.OriginNote(_, origins):
+                    self._apply_origins(origins, bundle)
+                case reports.VersionNote(_, since_ms, departed):
+                    self._apply_versions(since_ms, departed)
                 case reports.ConfigCopy(name, raw):
                     self._apply_config(name, raw)
 
@@ -294,6 +298,21 @@
             forward=self.host.feed.through_hubs,
         )
 
+    def _apply_origins(self, origins, bundle):
+        """Record where streams of other hosts began."""
+        now = self.clock.now() - self._delay_ms
+        self.host.origins.merge(
+            [origin.to_time(now) for origin in origins],
+            from_hub=bundle.from_hub,
+        )
+
+    def _apply_versions(self, since_ms, departed):
+        """Apply what another host knows of versions before this one."""
+        now = self.clock.now()
+        self.host.version_history.merge(
+            now - since_ms, reports.convert_times(departed, now)
+        )
+
     def _apply_config(self, name, raw):
         """Offer another host's copy of the configuration."""
         try:
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -16,6 +16,8 @@
 from pearrun.shared.paths import PathFailure
 from pearrun.shared.prompts import PromptPlacement
 from pearrun.shared.quotas import AdmittedUnits
+from pearrun.shared.streamorigins import StreamOrigin
+from pearrun.shared.versionhistory import DepartedVersion
 
 ENDPOINT_TOPIC = 'servers'
 
@@ -161,6 +163,32 @@
     reports: tuple[LimitReport, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class OriginNote:
+    """Where streams began.
+
+    :param host: the sender.
+    :param origins: :class:`StreamOrigin` objects with the time left.
+    """
+
+    host: HostName
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionNote:
+    """Versions that services had before the receiver's start.
+
+    :param host: the sender.
+    :param since_ms: how long it has known all versions, in milliseconds.
+    :param departed: :class:`DepartedVersion` objects with ages.
+    """
+
+    host: HostName
+    since_ms: int
+    departed: tuple[DepartedVersion, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class ConfigCopy:
     """The sender's configuration, as encoded in the store."""
@@ -179,6 +207,8 @@
     | SuspectNote
     | PathNote
     | LimitNote
+    | OriginNote
+    | VersionNote
     | ConfigCopy
 )
 
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -88,10 +88,12 @@
         self.notify_peers = lambda: None
         self.settings = placement.PlacementSettings()
 
-    def choose(self, call, service, tried):
+    def choose(self, call, service, tried, version=None):
         """Choose an endpoint of a service.
 
         :param tried: ids of endpoints to exclude.
+        :param version: the version that began the call's stream; ``None``
+            for a new one.
         :returns: :class:`Selected`, or ``None`` if no endpoint is left.
         """
         now = self.clock.now()
@@ -102,9 +104,14 @@
         ]
         endpoints = self.limits.filter_allowed(endpoints)
         endpoints = self.brittle.filter_allowed(service.name, endpoints)
-        endpoints = self.rollouts.select(
-            service.name, endpoints, call.id, call.route.name, bool(tried)
-        )
+        if version is None:
+            endpoints = self.rollouts.select(
+                service.name, endpoints, call.id, call.route.name, bool(tried)
+            )
+        else:
+            endpoints = self.rollouts.select_version(
+                service.name, endpoints, version
+            )
         endpoints = self._filter_usable(service.name, endpoints, now)
         shared = call.prompt.parts[:-1]
         candidates = self._make_candidates(endpoints, shared, now)
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
+import pytest
+
+from pearrun.relay.resumption import STARTUP_MS
+from pearrun.shared.streamorigins import StreamOrigin
 from pearrun.standins.platformsite import make_config
+from pearrun.standins.platformsite import make_route
 from tests import versions
 from tests.platformsite import run_site
 from tests.platformsite import wait_until
@@ -14,8 +19,13 @@
 
 
 async def wait_for_endpoints(site):
-    """Wait until all hosts list all endpoints."""
+    """Wait until all hosts list all endpoints and hear each other."""
     for daemon in site.hosts.values():
+        await wait_until(
+            lambda daemon=daemon: (
+                daemon.host.members.count_reporting() == len(site.hosts) - 1
+            )
+        )
         await wait_until(
             lambda daemon=daemon: (
                 len(daemon.host.fleet.endpoints) == len(site.runners)
@@ -98,12 +108,16 @@
 
 
 async def count_served(site, daemons, calls=60):
-    """Serve streams one after the other; return their number by version."""
+    """Serve overlapping streams; return their number by version."""
     known = {id(run) for item in site.runners.values() for run in item.runs}
-    for number in range(calls):
-        stream = Stream(f'n{number}')
-        await stream.attempt(daemons[number % len(daemons)])
-        assert stream.complete
+    streams = [Stream(f'n{number}') for number in range(calls)]
+    attempts = []
+    for number, stream in enumerate(streams):
+        daemon = daemons[number % len(daemons)]
+        attempts.append(asyncio.create_task(stream.attempt(daemon)))
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*attempts)
+    assert all(stream.complete for stream in streams)
     return {
         version: sum(
             id(run) not in known
@@ -120,8 +134,7 @@
             daemons = list(site.hosts.values())
             await versions.add_versions(site, {'v1': 2})
             await wait_for_endpoints(site)
-            await versions.add_versions(site, {'v1.1': 2})
-            await wait_for_endpoints(site)
+            await start_versions(site, {'v1.1': 2}, event_ms=5)
             await asyncio.sleep(4)
             served = await count_served(site, daemons)
             assert min(served.values()) >= 15
@@ -143,3 +156,128 @@
                 await count_served(site, daemons, 10)
 
     asyncio.run(main())
+
+
+async def begin_and_break(site, daemons, count=12):
+    """Begin streams at one host, kill it and return the broken streams."""
+    await start_versions(site)
+    begun = await versions.begin_streams(site, daemons[:1], count)
+    await daemons[0].end()
+    await asyncio.gather(*(task for _, task in begun))
+    return [stream for stream, _ in begun if not stream.complete]
+
+
+@pytest.mark.parametrize(
+    'resumes', [None, '', 'no such request', 'x' * 4000, 'another']
+)
+def test_streams_whose_version_is_unknown_are_refused_at_once(resumes):
+    async def main():
+        async with run_site(make_config(), contracts=(), hosts=3) as site:
+            daemons = list(site.hosts.values())
+            broken = await begin_and_break(site, daemons)
+            # A host that has just started waits for what the others know.
+            await asyncio.sleep(STARTUP_MS / 1000)
+            daemons[1].host.origins.publish(
+                StreamOrigin('another', 'model', 'v1', 'bert', 2**60)
+            )
+            for stream in broken:
+                began_ms = daemons[1].clock.now()
+                await stream.attempt(daemons[1], Resumes=resumes)
+                assert stream.statuses[-1] == 503
+                assert 0 < float(stream.waits[-1]) <= 1
+                assert daemons[1].clock.since(began_ms) < 600
+            assert not versions.find_mixed(site, broken)
+            refused = daemons[1].host.counters.resumptions
+            assert refused == {
+                ('caller', 'stream version unknown'): len(broken)
+            }
+
+    asyncio.run(main())
+
+
+def test_restarted_host_resumes_streams_that_began_before_its_start():
+    async def main():
+        async with run_site(make_config(), contracts=(), hosts=3) as site:
+            daemons = list(site.hosts.values())
+            broken = await begin_and_break(site, daemons)
+            new_host = await site.add_host(4)
+            await wait_until(new_host.host.is_ready)
+            await asyncio.gather(*(s.attempt(new_host) for s in broken))
+            assert not versions.find_mixed(site, broken)
+            assert all(stream.complete for stream in broken)
+
+    asyncio.run(main())
+
+
+def test_streams_of_a_single_version_go_on_without_their_origin():
+    async def main():
+        config = make_config(
+            routes=[
+                make_route(
+                    'long',
+                    '/long/',
+                    'model',
+                    'stream',
+                    timeout_ms=2000,
+                    max_attempts=2,
+                    resumable=True,
+                )
+            ]
+        )
+        async with run_site(config, contracts=(), hosts=3) as site:
+            daemons = list(site.hosts.values())
+            await start_versions(site, {'v1': 2})
+            stream = Stream('early')
+            stream.last_id = 3
+            await stream.attempt(daemons[0], deadline_ms=2000)
+            assert stream.statuses == [503]
+            await asyncio.sleep(2.5)
+            stream = Stream('late')
+            stream.last_id = 3
+            await stream.attempt(daemons[0], deadline_ms=2000)
+            assert stream.complete
+            await versions.add_versions(site, {'v2': 1})
+            stream = Stream('later')
+            stream.last_id = 3
+            await stream.attempt(daemons[0], deadline_ms=2000)
+            assert stream.statuses == [503]
+
+    asyncio.run(main())
+
+
+def test_split_route_resumes_streams_at_the_service_that_began_them():
+    async def main():
+        split = [
+            {'service': 'model', 'weight': 1},
+            {'service': 'other', 'weight': 1},
+        ]
+        config = make_config()
+        config['routes'] = [
+            make_route(
+                'long',
+                '/long/',
+                'model',
+                'stream',
+                split=split,
+                max_attempts=2,
+                resumable=True,
+            )
+        ]
+        config['services'].append({**config['services'][1], 'name': 'other'})
+        async with run_site(config, contracts=(), hosts=3) as site:
+            daemons = list(site.hosts.values())
+            await site.add_runner('o1', 'other', version='v1')
+            await site.add_runner('o2', 'other', version='v1')
+            broken = await begin_and_break(site, daemons, 24)
+            await asyncio.gather(*(s.attempt(daemons[1]) for s in broken))
+            services = {stream.id: set() for stream in broken}
+            for runner in site.runners.values():
+                for run in runner.runs:
+                    attempt = run.request.get(b'pearrun-attempt-id')
+                    stream_id = attempt.rpartition('-')[0]
+                    if run.events and stream_id in services:
+                        services[stream_id].add(runner.service)
+            assert {len(item) for item in services.values()} == {1}
+            assert all(stream.complete for stream in broken)
+
+    asyncio.run(main())
