--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -86,6 +86,8 @@
     :param runner_id: its id, which differs at every start.
     :param slots: the number of slots that its entry gives.
     :param version: the version of its software.
+
+    ``names_version`` says whether the events of its streams contain it.
     """
 
     def __init__(self, runner_id, service, zone, slots=8, version='v1'):
@@ -106,6 +108,7 @@
         self.event_ms = 2
         self.work_ms = 2
         self.event_count = 5
+        self.names_version = False
         self.state = 'ready'
         self.crashed_by = None
         self.ended_ms = None
@@ -274,10 +277,10 @@
                 run.events >= faults.break_after_events
             ):
                 if faults.torn:
-                    await caller.write(make_event(number)[:10])
+                    await caller.write(self._make_event(number)[:10])
                 caller.abort()
                 return
-            await caller.write(make_event(number))
+            await caller.write(self._make_event(number))
             run.events += 1
             if self._is_crashed_by(request) and (
                 run.events >= faults.crash_after_events
@@ -286,10 +289,18 @@
                 return
         caller.finish()
 
+    def _make_event(self, number):
+        return make_event(number, self.version if self.names_version else '')
+
+
+def make_event(number, version=''):
+    """Return an encoded event of a stream.
 
-def make_event(number):
-    """Return an encoded event of a stream."""
-    data = f'token-{number}'.ljust(EVENT_BYTES, '.')
+    :param version: the version that it names; empty for none.
+    """
+    data = f'token-{number}{version and f" {version} "}'.ljust(
+        EVENT_BYTES, '.'
+    )
     return f'id: {number}\ndata: {data}\n\n'.encode()
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 from tests.soak.directory import DirectoryInUseError
 from tests.soak.play import run_seed
+from tests.soak.versions import count_resumed
 
 FLAGS = flags.FLAGS
 
@@ -29,6 +30,7 @@
             FLAGS.hosts,
             FLAGS.crashing,
             FLAGS.limited,
+            FLAGS.versions,
         )
         try:
             findings, evidence = asyncio.run(run)
@@ -38,7 +40,8 @@
         print(
             f'seed {seed}: {len(evidence.injected)} faults, '
             f'{len(evidence.records)} calls {dict(statuses)}, '
-            f'{len(findings)} findings',
+            f'{len(findings)} findings, '
+            f'streams (resumed, complete): {count_resumed(evidence.streams)}',
             flush=True,
         )
         for finding in findings:
@@ -65,5 +68,10 @@
     flags.DEFINE_bool(
         'limited', False, 'Also let endpoints advertise rate limits.'
     )
+    flags.DEFINE_bool(
+        'versions',
+        False,
+        'Also let endpoints of several software versions serve side by side.',
+    )
     flags.DEFINE_string('logs', '/tmp/pearrun-soak', 'Directory for logs.')
     app.run(main)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -15,6 +15,8 @@
   request is refused because of it.
 - An endpoint that names a rate limit gets few more calls than it allows; see
   :mod:`tests.soak.limits`.
+- A stream goes on at the software version that began it; see
+  :mod:`tests.soak.versions`.
 - No process exits unless it was told to.
 - After all faults have ended, every host serves calls and has the newest
   configuration, and one of them holds the lease on the duties.
@@ -73,6 +75,7 @@
         ended.
     :param crash_calls: :class:`CallRecord` of each call that crashes
         endpoints.
+    :param streams: :class:`Stream` objects of callers that resume them.
     """
 
     records: list
@@ -84,6 +87,7 @@
     recovery_calls: list
     lease_renewed: bool
     crash_calls: list = dataclasses.field(default_factory=list)
+    streams: list = dataclasses.field(default_factory=list)
 
 
 def check_all(evidence):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -22,6 +22,9 @@
 from tests.soak.traffic import CRASHING_BODY
 from tests.soak.traffic import KINDS
 from tests.soak.traffic import Traffic
+from tests.soak.versions import check_versions
+from tests.soak.versions import generate_kills
+from tests.soak.versions import ResumingCallers
 
 DEFAULT_HOSTS = 4
 # Arguments of each Replica: name, service, zone.
@@ -119,6 +122,7 @@
     hosts=DEFAULT_HOSTS,
     crashing=False,
     limited=False,
+    several_versions=False,
 ):
     """Run the soak with one seed.
 
@@ -128,27 +132,44 @@
     :param crashing: whether a request that crashes endpoints is sent
         repeatedly.
     :param limited: whether endpoints advertise rate limits at times.
+    :param several_versions: whether endpoints of several software versions
+        serve side by side, and callers resume streams.
     :returns: ``(findings, evidence)``.
     :raises DirectoryInUseError: another run uses the directory.
     """
     directory = pathlib.Path(directory or tempfile.mkdtemp(prefix='soak-'))
     with lock_directory(directory):
-        return await play(seed, length_ms, directory, hosts, crashing, limited)
-
-
-async def play(seed, length_ms, directory, hosts, crashing, limited):
+        return await play(
+            seed,
+            length_ms,
+            directory,
+            hosts,
+            crashing,
+            limited,
+            several_versions,
+        )
+
+
+async def play(
+    seed, length_ms, directory, hosts, crashing, limited, several_versions
+):
     """Run the soak in a directory of its own; see :func:`run_seed`."""
     replicas = [Replica(*arguments) for arguments in REPLICAS]
     names = tuple(f'host-{number}' for number in range(1, hosts + 1))
     site = SoakSite(directory, names, replicas)
+    site.several_versions = several_versions
     plan = generate_plan(seed, length_ms, names, tuple(site.replicas))
     if limited:
         added = generate_limits(seed, length_ms, tuple(site.replicas))
         plan = plan.add(added)
+    if several_versions:
+        plan = plan.add(generate_kills(seed, length_ms, names))
     injector = FaultInjector(site)
     traffic = Traffic(site, seed)
     if crashing:
         site.crash_on = CRASHING_BODY
+    resuming = ResumingCallers(site, seed)
+    resuming.stopped = not several_versions
     crash_calls = []
     try:
         await site.start()
@@ -157,11 +178,13 @@
             site.spawn(site.replace_crashed_endpoints())
             crash_task = asyncio.create_task(traffic.repeat_crashing_request())
         traffic_task = asyncio.create_task(traffic.run(CALLERS))
+        resuming_task = asyncio.create_task(resuming.run())
         await injector.run(plan)
         await site.clear_faults()
         await asyncio.sleep(RECOVERY_S)
-        traffic.stopped = True
+        traffic.stopped = resuming.stopped = True
         await traffic_task
+        await resuming_task
         if crashing:
             crash_calls = await crash_task
         recovery_calls = await make_recovery_calls(site, traffic)
@@ -178,9 +201,11 @@
         crash_calls=crash_calls,
         recovery_calls=recovery_calls,
         lease_renewed=renewed,
+        streams=resuming.streams,
     )
     findings = checks.check_all(evidence)
     findings.extend(check_limits(evidence, site.limit_periods))
+    findings.extend(check_versions(evidence.streams))
     return findings, evidence
 
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -20,6 +20,7 @@
 from tests.builders import reserve_subnet
 from tests.soak.limits import LimitPeriod
 from tests.soak.process import HostProcess
+from tests.soak.versions import choose_version
 
 GRACE_S = 4
 # Response times of the endpoints: short enough for many calls per run, long
@@ -86,6 +87,7 @@
         self.drain_start_ms = {}
         self.version = 0
         self.crash_on = None
+        self.several_versions = False
         self.crash_times_ms = []
         self.limit_periods = []
         self.clock = Clock()
@@ -151,6 +153,9 @@
         runner.work_ms = WORK_MS
         runner.event_ms = EVENT_MS
         runner.event_count = EVENT_COUNT
+        if self.several_versions:
+            runner.version = choose_version(replica)
+            runner.names_version = True
         runner.faults = self.make_base_faults()
         if same_address:
             await runner.listen(replica.link.config.target)
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -45,12 +45,12 @@
 async def check_streams_of_killed_hosts_go_on(site, killed, others):
     """Check that streams of killed hosts go on at their version elsewhere."""
     await start_versions(site)
-    begun = await versions.begin_streams(site, killed, 12 * len(killed))
+    begun = await versions.begin_streams(killed, 12 * len(killed))
     for daemon in killed:
         await daemon.end()
     broken = await versions.resume_all(begun, others)
     assert len(broken) >= 12
-    assert not versions.find_mixed(site, broken)
+    assert not versions.find_mixed(broken)
     assert all(stream.complete for stream in broken)
 
 
@@ -64,7 +64,7 @@
             daemons = list(site.hosts.values())
             for number, stream in enumerate(streams):
                 await stream.attempt(daemons[number % 3])
-            assert not versions.find_mixed(site, streams)
+            assert not versions.find_mixed(streams)
 
     asyncio.run(main())
 
@@ -96,12 +96,12 @@
         async with run_site(make_config(), contracts=(), hosts=3) as site:
             await start_versions(site)
             daemons = list(site.hosts.values())
-            begun = await versions.begin_streams(site, daemons, 40)
+            begun = await versions.begin_streams(daemons, 40)
             for runner in versions.list_runners(site, 'v1'):
                 runner.end()
             broken = await versions.resume_all(begun, daemons)
             assert broken
-            assert not versions.find_mixed(site, broken)
+            assert not versions.find_mixed(broken)
             assert {stream.statuses[-1] for stream in broken} == {503}
 
     asyncio.run(main())
@@ -161,7 +161,7 @@
 async def begin_and_break(site, daemons, count=12):
     """Begin streams at one host, kill it and return the broken streams."""
     await start_versions(site)
-    begun = await versions.begin_streams(site, daemons[:1], count)
+    begun = await versions.begin_streams(daemons[:1], count)
     await daemons[0].end()
     await asyncio.gather(*(task for _, task in begun))
     return [stream for stream, _ in begun if not stream.complete]
@@ -186,7 +186,7 @@
                 assert stream.statuses[-1] == 503
                 assert 0 < float(stream.waits[-1]) <= 1
                 assert daemons[1].clock.since(began_ms) < 600
-            assert not versions.find_mixed(site, broken)
+            assert not versions.find_mixed(broken)
             refused = daemons[1].host.counters.resumptions
             assert refused == {
                 ('caller', 'stream version unknown'): len(broken)
@@ -203,7 +203,7 @@
             new_host = await site.add_host(4)
             await wait_until(new_host.host.is_ready)
             await asyncio.gather(*(s.attempt(new_host) for s in broken))
-            assert not versions.find_mixed(site, broken)
+            assert not versions.find_mixed(broken)
             assert all(stream.complete for stream in broken)
 
     asyncio.run(main())
@@ -281,3 +281,50 @@
             assert all(stream.complete for stream in broken)
 
     asyncio.run(main())
+
+
+async def offer_streams(daemons, seconds, interval_s):
+    """Offer new streams at an even rate; return them once all have ended."""
+    streams = []
+    attempts = []
+    until_s = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < until_s:
+        stream = Stream(f'n{len(streams)}')
+        daemon = daemons[len(streams) % len(daemons)]
+        streams.append(stream)
+        attempts.append(asyncio.create_task(stream.attempt(daemon)))
+        await asyncio.sleep(interval_s)
+    await asyncio.gather(*attempts)
+    return streams
+
+
+def test_streams_go_on_at_endpoints_that_are_full_of_new_ones():
+    async def main():
+        async with run_site(make_config(), contracts=(), hosts=6) as site:
+            daemons = list(site.hosts.values())
+            await start_versions(site, {'v1': 2, 'v1.1': 4}, event_ms=15)
+            for runner in site.runners.values():
+                runner.faults.max_waiting = 2
+            offered = asyncio.create_task(
+                offer_streams(daemons[3:], 4, interval_s=0.008)
+            )
+            await asyncio.sleep(1)
+            killed = daemons[:3]
+            begun = [
+                (stream, asyncio.create_task(stream.attempt(killed[n % 3])))
+                for n, stream in enumerate(Stream(f's{n}') for n in range(150))
+            ]
+            await asyncio.sleep(0.4)
+            for daemon in killed:
+                await daemon.end()
+            broken = await versions.resume_all(begun, daemons[3:])
+            taken_up = [stream for stream in broken if stream.origin]
+            assert len(taken_up) >= 12
+            went_on = sum(s.statuses[-1] == 200 for s in taken_up)
+            new = await offered
+            began = sum(stream.origin is not None for stream in new)
+            assert not versions.find_mixed(taken_up)
+            share = began / len(new)
+            assert went_on / len(taken_up) >= share / 2
+
+    asyncio.run(main())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 from tests.soak.play import run_seed
 from tests.soak.process import Exit
 from tests.soak.process import HostProcess
+from tests.soak.versions import count_resumed
 
 LENGTH_MS = 12_000
 # Limits last several seconds, and end some seconds before the faults do.
@@ -67,6 +68,16 @@
     assert limited
 
 
+def test_resumed_streams_of_several_versions_have_no_findings(tmp_path):
+    findings, evidence = asyncio.run(
+        run_seed(303, LENGTH_MS, tmp_path, several_versions=True)
+    )
+    assert not findings
+    resumed, complete = count_resumed(evidence.streams)
+    assert resumed >= 5
+    assert complete
+
+
 def test_hosts_with_hubs_have_no_findings(tmp_path):
     findings, _ = asyncio.run(run_seed(7, LENGTH_MS, tmp_path, hosts=18))
     assert not findings
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -18,6 +18,7 @@
     :param id: prefix of its attempts' ids.
     :param origin: id of the attempt that brought its first event.
     :param last_id: id of the last event received.
+    :param versions: the versions that the events received name.
     :param statuses: the status of each attempt; 0 if none came.
     :param waits: the header ``Retry-After`` of each attempt's response.
     """
@@ -27,64 +28,72 @@
     origin: str | None = None
     last_id: int = 0
     complete: bool = False
+    versions: set = dataclasses.field(default_factory=set)
     statuses: list = dataclasses.field(default_factory=list)
     waits: list = dataclasses.field(default_factory=list)
 
+    @property
+    def last_attempt_id(self):
+        """The id of the latest attempt."""
+        return f'{self.id}-{len(self.statuses) - 1}'
+
     async def attempt(self, daemon, **headers):
-        """Send the next attempt to a host and read its events.
+        """Send the next attempt to a host; see :meth:`attempt_at`."""
+        await self.attempt_at(daemon.settings.front_address, **headers)
+
+    async def attempt_at(self, address, **headers):
+        """Send the next attempt to an address and read its events.
 
         :param headers: further headers; ``None`` omits one.
         """
-        attempt_id = f'{self.id}-{len(self.statuses)}'
         prompt = make_prompt(f'{self.id}:200')
         fields = {'Resumes': self.origin, **prompt, **headers}
         if self.last_id:
             fields.setdefault('Last_Event_Id', str(self.last_id))
         fields = {name: v for name, v in fields.items() if v is not None}
         self.statuses.append(0)
+        self.waits.append(None)
         try:
-            await self._read(daemon, attempt_id, fields)
+            await self._read(address, self.last_attempt_id, fields)
         except (client.exceptions.PearrunError, OSError):
             self.complete = False
 
-    async def _read(self, daemon, attempt_id, fields):
-        address = daemon.settings.front_address
+    async def _read(self, address, attempt_id, fields):
         connection = await client.connect(address, CONNECT_MS, READ_MS)
+        body = b''
         try:
-            connection.send(
-                'GET', self.path, make_headers(attempt_id, **fields)
-            )
+            headers = make_headers(attempt_id, **fields)
+            connection.send('GET', self.path, headers)
             head = await connection.read_head()
             self.statuses[-1] = head.status
-            self.waits.append(head.get(b'retry-after'))
+            self.waits[-1] = head.get(b'retry-after')
             while (chunk := await connection.read_chunk()) is not None:
+                *events, body = (body + chunk).split(b'\n\n')
                 if head.status == 200:
-                    self._note_events(chunk, attempt_id)
+                    self._note_events(events, attempt_id)
             self.complete = head.status == 200
         finally:
             connection.abort()
 
-    def _note_events(self, chunk, attempt_id):
-        for line in chunk.split(b'\n'):
-            if line.startswith(b'id: '):
-                self.last_id = int(line[4:])
-                self.origin = self.origin or attempt_id
+    def _note_events(self, events, attempt_id):
+        for event in events:
+            event_id, data = event.split(b'\n')
+            self.last_id = int(event_id.removeprefix(b'id: '))
+            self.origin = self.origin or attempt_id
+            self.versions.update(data.decode().split()[2:3])
 
 
-def find_mixed(site, streams):
+def find_mixed(streams):
     """Return the streams with events of several versions.
 
     :param streams: :class:`Stream` objects.
     :returns: pairs of a stream's id and its versions.
     """
-    versions = {stream.id: set() for stream in streams}
-    for runner in site.runners.values():
-        for run in runner.runs:
-            attempt = run.request.get(b'pearrun-attempt-id')
-            stream_id = attempt.rpartition('-')[0]
-            if run.events and stream_id in versions:
-                versions[stream_id].add(runner.version)
-    return [item for item in versions.items() if len(item[1]) > 1]
+    return [
+        (stream.id, stream.versions)
+        for stream in streams
+        if len(stream.versions) > 1
+    ]
 
 
 async def add_versions(site, counts, service='model'):
@@ -95,7 +104,8 @@
     for version, count in counts.items():
         for number in range(count):
             name = f'{version}-{number}'
-            await site.add_runner(name, service, version=version)
+            runner = await site.add_runner(name, service, version=version)
+            runner.names_version = True
 
 
 def list_runners(site, version):
@@ -103,7 +113,7 @@
     return [item for item in site.runners.values() if item.version == version]
 
 
-async def begin_streams(site, daemons, count):
+async def begin_streams(daemons, count):
     """Begin streams at some hosts and wait for the first events of all.
 
     :returns: pairs of a :class:`Stream` and the task that reads it.
