Versions that a roll-out replaced serve again if they are listed for long

What was wrong, by reading: a version that a roll-out had replaced got no calls ever again. A host that starts later and reads 'done' from the store took all other versions listed then for replaced ones, also those that had begun to serve beside the new one since, and refused to resume their streams: hosts disagreed. Call lines have the version that began the stream. Waits that callers name count up to 10 minutes, so that one caller cannot keep streams without a known origin from being resumed for longer.

--- a/pearrun/decisions/streamversion.py
+++ b/pearrun/decisions/streamversion.py
@@ -14,6 +14,8 @@
 
 # Longest time that callers are assumed to wait if a route has no timeout.
 DEFAULT_WAIT_MS = 30_000
+# Longer waits than this are not taken into account.
+MAX_WAIT_MS = 600_000
 
 
 class StreamRefusal(enum.Enum):
@@ -44,7 +46,7 @@
     def note(self, route, wait_ms):
         """Record how long the caller of a new stream waits."""
         known_ms = self._longest_ms.get(route.name, 0)
-        self._longest_ms[route.name] = max(known_ms, wait_ms)
+        self._longest_ms[route.name] = min(MAX_WAIT_MS, max(known_ms, wait_ms))
 
     def get_ms(self, route):
         """Return the longest time since a stream of a route has begun."""
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -356,7 +356,7 @@
     async def _publish_origin(self, resume):
         """Record where the stream began, before its first event is sent."""
         record = self.selected.endpoint.record
-        resume.version = record.version
+        resume.version = self.trace.stream_version = record.version
         call = self.call
         if not call.route.retryable:
             return
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -103,6 +103,7 @@
             if began is None:
                 await self._refuse_resumption(call, caller, trace)
                 return
+            trace.stream_version = began.version
             service = self._get_service(began.service)
         else:
             self.resumption.note_call(call)
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -47,7 +47,8 @@
     have run it; ``interruptions`` those whose response broke off;
     ``outcome_pending`` is true while an attempt whose request
     was written has no outcome yet; ``endpoint_limit`` is the rate limit, in
-    calls per second, that the last answering endpoint advertised.
+    calls per second, that the last answering endpoint advertised;
+    ``stream_version`` is the version that began the stream.
     """
 
     def __init__(self, call, started_ms):
@@ -63,6 +64,7 @@
         self.reason = ''
         self.fingerprint = None
         self.endpoint_limit = None
+        self.stream_version = None
         self.ending = None
         self.status = 0
 
@@ -133,6 +135,7 @@
             first_ms=self.first_byte_ms,
             total_ms=now_ms - self.started_ms,
             left_ms=call.timeout_at_ms - now_ms,
+            stream_version=self.stream_version,
             resumes=call.resumes,
             last_event_id=call.last_event_id,
             tokens=call.prompt.tokens,
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -148,8 +148,8 @@
             if endpoint.record.service == order.service
         }
         old.add(known.current)
-        known.rejected |= old - {None, order.to}
-        known.current = order.to
+        now = self.clock.now()
+        known.replace_by(order.to, old - {None, order.to}, now)
 
     # endpoints
 
@@ -209,7 +209,7 @@
         if not self.settings.enabled:
             return endpoints
         known = self.get(service)
-        if known.is_in_force(version):
+        if known.is_in_force(version, self.clock.now()):
             return endpoints
         is_new = known.is_open and version == known.order.to
         if is_new and known.is_permitted(self.clock.now()):
@@ -259,7 +259,7 @@
             endpoint
             for endpoint in endpoints
             if (is_missing and endpoint.record.version not in known.rejected)
-            or (is_leaving and known.is_in_force(endpoint.record.version))
+            or (is_leaving and known.is_in_force(endpoint.record.version, now))
         ]
 
     def _is_leaving(self, service, version):
@@ -292,7 +292,7 @@
         known = self.get(record.service)
         if not self.settings.enabled or known.current is None:
             return True
-        return known.is_in_force(record.version)
+        return known.is_in_force(record.version, self.clock.now())
 
     def count_endpoints(self, service, version):
         """Return how many endpoints of a version accept calls."""
@@ -308,11 +308,10 @@
             return (
                 known.notice is not None
                 and known.notice.moved
-                and known.is_in_force(record.version)
+                and known.is_in_force(record.version, self.clock.now())
             )
-        return (
-            known.state is RolloutState.DONE
-            and record.version in known.rejected
+        return known.state is RolloutState.DONE and known.is_replaced(
+            record.version, self.clock.now()
         )
 
     # evidence
@@ -348,7 +347,7 @@
         known = self.get(record.service)
         if known.is_open and record.version == known.order.to:
             known.counts.note_new(route, record.id, failed, times)
-        elif known.is_in_force(record.version):
+        elif known.is_in_force(record.version, self.clock.now()):
             known.counts.note_current(route, failed, times)
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -30,6 +30,7 @@
 from pearrun.rollouts.orders import RolloutOrder
 from pearrun.rollouts.orders import RolloutState
 from pearrun.rollouts.orders import RolloutStatus
+from pearrun.rollouts.serviceversions import REPLACED_MS
 from pearrun.rollouts.serviceversions import SETTLE_MS
 from pearrun.rollouts.versions import MISSING_VERSION_MS
 from pearrun.rollouts.versions import PERMIT_VALID_MS
@@ -413,6 +414,18 @@
     assert select_versions(rollouts) == [{'v1', 'v2'}] * 400
 
 
+def test_version_that_a_roll_out_replaced_serves_if_it_is_listed_again():
+    clock = ManualClock()
+    rollouts = make_rollouts(clock)
+    rollouts.put_order(ORDER)
+    rollouts.put_notice(make_notice(RolloutState.DONE), 1, clock.now())
+    select_versions(rollouts, calls=1)
+    clock.advance(REPLACED_MS - 1)
+    assert select_versions(rollouts) == [{'v2'}] * 400
+    clock.advance(1)
+    assert select_versions(rollouts) == [{'v1', 'v2'}] * 400
+
+
 def test_version_is_served_at_once_if_the_last_endpoint_of_another_leaves():
     rollouts = make_rollouts(ManualClock(), old=2, new=1)
     select_versions(rollouts, calls=1)
