Streams of a version that has left are refused at once; gauge and log line

A resumed stream whose version has no endpoint waited up to 1.2 s for a newer list of endpoints, also where this host had seen the last one leave; now only where it has never heard of the version. An end of the task that sends origins is logged; pearrun_stream_origins.

--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -303,6 +303,7 @@
             'tunnels_open': self.tunnel_server.active,
             'tunnels_served_total': self.tunnel_server.served,
             'tunnels_used_total': self.host.tunnels.opened,
+            'stream_origins': len(self.host.origins),
             'hosts': self.host.count_hosts(),
             'endpoint_crashes_total': self.host.crashes.total,
             'lease_held': int(
--- a/pearrun/relay/resumption.py
+++ b/pearrun/relay/resumption.py
@@ -63,7 +63,8 @@
             )
         if origin is not None and streamversion.belongs_to(origin, call):
             found = StreamVersion(origin.service, origin.version)
-            if not self._is_listed(found):
+            history = self.host.version_history
+            if not history.has_listed(found.service, found.version):
                 await self._wait_for_list(call.request.received_ms)
             return found
         service = streamversion.find_only_service(call.route)
@@ -85,10 +86,6 @@
         version = self.host.version_history.find_only(service, window_ms)
         return None if version is None else StreamVersion(service, version)
 
-    def _is_listed(self, found):
-        endpoints = self.host.fleet.find_by_service(found.service)
-        return any(item.record.version == found.version for item in endpoints)
-
     async def _wait_for_list(self, since_ms):
         """Wait for a list of endpoints that was read after a time.
 
--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -253,7 +253,11 @@
                 await self._send_rounds(link, member)
             finally:
                 sender.cancel()
-                await asyncio.gather(sender, return_exceptions=True)
+                (cause,) = await asyncio.gather(sender, return_exceptions=True)
+                if isinstance(cause, Exception):
+                    logger.bind(peer=member.name, cause=repr(cause)).info(
+                        'origins of streams not sent'
+                    )
 
     async def _send_origins(self, link, member, outbox):
         """Send the origins of streams over a link as they come."""
--- a/pearrun/shared/versionhistory.py
+++ b/pearrun/shared/versionhistory.py
@@ -100,6 +100,14 @@
             if now - at_ms < KEPT_MS
         )
 
+    def has_listed(self, service, version):
+        """Return whether this host knows of an endpoint of a version."""
+        return (service, version) in self._departed or any(
+            endpoint.record.service == service
+            and endpoint.record.version == version
+            for endpoint in self.fleet.endpoints.values()
+        )
+
     def find_only(self, service, window_ms):
         """Return the only version that a service had for some time.
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -329,3 +329,24 @@
             assert went_on / len(taken_up) >= share / 2
 
     asyncio.run(main())
+
+
+def test_streams_of_a_version_that_has_left_are_refused_at_once():
+    async def main():
+        async with run_site(make_config(), contracts=(), hosts=3) as site:
+            daemons = list(site.hosts.values())
+            broken = await begin_and_break(site, daemons)
+            for runner in versions.list_runners(site, 'v1'):
+                runner.end()
+                site.store.put('servers', runner.id, None)
+            host = daemons[1].host
+            await wait_until(lambda: len(host.fleet.endpoints) == 3)
+            left = [s for s in broken if s.versions == {'v1'}]
+            assert left
+            for stream in left:
+                began_ms = host.clock.now()
+                await stream.attempt(daemons[1])
+                assert stream.statuses[-1] == 503
+                assert host.clock.since(began_ms) < 200
+
+    asyncio.run(main())
