Streams go on after the loss of all hosts

What callers would see: after all hosts had lost power, none of the streams that they resumed went on, although endpoints of their versions served: nobody knew where they had begun. The holder of the lease now appends the origins that are new, and the versions that services had, to a topic of the store once a second, while there are streams; its records expire by themselves. Every host reads them at its start. The versions count only if the last record is less than 3 s old: others may have come and gone since. One call to the store a second for the whole fleet. The wait for a newer list of endpoints is 2 s, as long as a list may get old. Stand-ins: 0 of 30 streams went on before; half or more must (test_streams_go_on_after_the_loss_of_all_hosts, and for a single version without the header).

--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -31,6 +31,7 @@
 from pearrun.platform.quarantinelog import QuarantineFollower
 from pearrun.platform.rolloutlog import RolloutLog
 from pearrun.platform.store import StoreClient
+from pearrun.platform.streamlog import StreamLog
 from pearrun.platform.usagelog import UsageLog
 from pearrun.relay.relay import Relay
 from pearrun.shared import reports
@@ -198,6 +199,7 @@
             EndpointFollower(self.host, self.store).run(),
             self.members.run(),
             QuarantineFollower(self.host, self.store).run(),
+            StreamLog(self.host, self.store, self.holds_lease).run(),
             self.reporter.run(),
             self.links.run(),
             self.watch_settings(),
--- a/pearrun/relay/resumption.py
+++ b/pearrun/relay/resumption.py
@@ -15,8 +15,9 @@
 # How long after its start a host may not know of earlier streams: the others
 # have to list it and to open their links.
 STARTUP_MS = 2500
-# How long a list of endpoints is waited for that was read after a call came.
-LIST_WAIT_MS = 1200
+# How long a list of endpoints is waited for that was read after a call came: a
+# host whose list gets older reads it itself.
+LIST_WAIT_MS = 2000
 LIST_POLL_MS = 20
 
 
--- a/pearrun/shared/streamorigins.py
+++ b/pearrun/shared/streamorigins.py
@@ -85,6 +85,7 @@
         self._known = collections.OrderedDict()
         self._outboxes = set()
         self._unforwarded = []
+        self._unsaved = collections.deque(maxlen=MAX_QUEUED)
         self._waiters = {}
         self._swept_ms = clock.now()
 
@@ -95,6 +96,7 @@
         """Record the origin of a stream of this host and tell the others."""
         if not self._put(origin):
             return
+        self._unsaved.append(origin)
         self._own[origin.id] = origin
         if self.is_hub:
             self._unforwarded.append(origin)
@@ -111,6 +113,7 @@
         :param from_hub: whether the sender is one.
         """
         fresh = [origin for origin in origins if self._put(origin)]
+        self._unsaved.extend(fresh)
         if not self.is_hub:
             return
         self._unforwarded.extend(fresh)
@@ -162,6 +165,17 @@
         origins, self._unforwarded = self._unforwarded, []
         return tuple(origins)
 
+    def restore(self, origins):
+        """Record origins that were saved before this host's start."""
+        for origin in origins:
+            self._put(origin)
+
+    def take_unsaved(self):
+        """Return the origins that are new since the last call."""
+        origins = tuple(self._unsaved)
+        self._unsaved.clear()
+        return origins
+
     def make_snapshot(self, own_only=False):
         """Return the latest origins, for a newly connected host.
 
--- a/pearrun/shared/versionhistory.py
+++ b/pearrun/shared/versionhistory.py
@@ -41,6 +41,7 @@
         self.clock = clock
         self.fleet = fleet
         self.since_ms = None
+        self._merged_ms = None
         self._departed = {}
 
     def note_snapshot(self, read_ms):
@@ -48,12 +49,8 @@
 
         :param read_ms: when the read began.
         """
-        listed_ms = self.fleet.listed_ms
-        if (
-            self.since_ms is None
-            or listed_ms is None
-            or read_ms - listed_ms > MAX_GAP_MS
-        ):
+        known_ms = self.fleet.listed_ms or self._merged_ms
+        if known_ms is None or read_ms - known_ms > MAX_GAP_MS:
             self.since_ms = read_ms
 
     def note_departed(self, record):
@@ -71,14 +68,17 @@
         """
         for item in departed:
             self._put(item.service, item.version, item.at_ms)
-        if self.since_ms is not None:
-            self.since_ms = min(self.since_ms, since_ms)
+        if self.since_ms is None:
+            self._merged_ms = self.clock.now()
+            self.since_ms = since_ms
+        self.since_ms = min(self.since_ms, since_ms)
 
     def is_complete(self):
         """Return whether this host knows all versions up to now."""
         listed_ms = self.fleet.listed_ms
         return (
             self.since_ms is not None
+            and listed_ms is not None
             and self.clock.since(listed_ms) <= MAX_GAP_MS
         )
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -350,3 +350,51 @@
                 assert host.clock.since(began_ms) < 200
 
     asyncio.run(main())
+
+
+def test_streams_go_on_after_the_loss_of_all_hosts():
+    async def main():
+        async with run_site(make_config(), contracts=(), hosts=3) as site:
+            await start_versions(site, event_ms=20)
+            killed = list(site.hosts.values())
+            begun = await versions.begin_streams(killed, 30)
+            await asyncio.sleep(0.4)
+            for daemon in killed:
+                await daemon.end()
+            started = [await site.add_host(number) for number in (1, 2, 3)]
+            for daemon in started:
+                await wait_until(daemon.host.is_ready)
+            broken = await versions.resume_all(begun, started)
+            went_on = sum(stream.complete for stream in broken)
+            assert len(broken) >= 12
+            assert not versions.find_mixed(broken)
+            assert went_on / len(broken) >= 1 / 2
+
+    asyncio.run(main())
+
+
+def test_streams_of_a_single_version_go_on_after_the_loss_of_all_hosts():
+    async def main():
+        config = make_config()
+        for route in config['routes']:
+            route['timeout_ms'] = 2000
+        async with run_site(config, contracts=(), hosts=3) as site:
+            await start_versions(site, {'v1': 3}, event_ms=40)
+            await asyncio.sleep(3)
+            killed = list(site.hosts.values())
+            streams = [Stream(f's{number}') for number in range(3)]
+            attempts = [
+                asyncio.create_task(stream.attempt(daemon, deadline_ms=2000))
+                for stream, daemon in zip(streams, killed, strict=True)
+            ]
+            await asyncio.sleep(1.2)
+            for daemon in killed:
+                await daemon.end()
+            await asyncio.gather(*attempts)
+            started = [await site.add_host(number) for number in (1, 2, 3)]
+            for stream, daemon in zip(streams, started, strict=True):
+                await wait_until(daemon.host.is_ready)
+                await stream.attempt(daemon, Resumes=None, deadline_ms=2000)
+            assert all(stream.complete for stream in streams)
+
+    asyncio.run(main())
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from pearrun.clock import Clock
+from pearrun.platform import streamlog
 from pearrun.shared import streamorigins
 from pearrun.shared import versionhistory
 from pearrun.shared.fleet import EndpointRecord
@@ -162,3 +165,30 @@
     history = make_history(clock, 'v1')
     clock.advance(versionhistory.MAX_GAP_MS + 1)
     assert not history.is_complete()
+
+
+def test_versions_learnt_before_the_first_list_stay_known():
+    clock = ManualClock()
+    history = VersionHistory(clock, Fleet())
+    history.merge(clock.now() - WINDOW_MS, [])
+    history.fleet.put(make_record('e0'))
+    history.note_snapshot(clock.now() + 100)
+    assert history.find_only('model', WINDOW_MS) == 'v1'
+    late = VersionHistory(clock, history.fleet)
+    late.merge(clock.now() - WINDOW_MS, [])
+    late.note_snapshot(clock.now() + versionhistory.MAX_GAP_MS + 1)
+    assert late.find_only('model', WINDOW_MS) is None
+
+
+def test_saved_streams_are_decoded_unchanged():
+    saved = streamlog.SavedStreams(
+        5, (make_origin(),), 7, (DepartedVersion('model', 'v1', 3),)
+    )
+    assert streamlog.decode(streamlog.encode(saved)) == saved
+
+
+@pytest.mark.parametrize(
+    'data', [b'', b'x', b'\x81\x01', b'\x84\x01\x01\x01\x01']
+)
+def test_malformed_record_of_saved_streams_is_skipped(data):
+    assert streamlog.decode_or_skip(data) is None
