--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -403,6 +403,7 @@
     StreamSealedError,
     OverloadedError,
     QuarantinedError,
+    UnknownStreamError,
     RequestMovingError,
     IdempotencyMismatchError,
     IdempotencyKeyRequiredError,
