Call and crash lines: the prompt parts that other calls may share

Change: calls that an endpoint broke, and those that are quarantined, log the ids of their shared parts (8 at most); endpoint crashed lines give them for each call. No change of logic.

--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -437,7 +437,7 @@
 
     def _describe_broken_call(self):
         """Return the :class:`BrokenCall` for the crash detector."""
-        self.trace.fingerprint = self.call.fingerprint
+        self.trace.identify()
         now = self.host.clock.now()
         ran_ms = now - self.sent_ms
         answered_ms = (
@@ -447,5 +447,10 @@
         )
         call_was_stable = is_call_stable(ran_ms, answered_ms)
         return BrokenCall(
-            self.call.fingerprint, ran_ms, now, call_was_stable, self.call.id
+            self.call.fingerprint,
+            ran_ms,
+            now,
+            call_was_stable,
+            self.call.id,
+            self.call.prompt.shared_part_ids,
         )
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -395,7 +395,7 @@
         """
         self.host.quarantine.refused += 1
         trace.reason = QUARANTINED
-        trace.fingerprint = call.fingerprint
+        trace.identify()
         trace.end(Ending.REFUSED, 503)
         error = exceptions.QuarantinedError(
             'endpoints crashed while running this request', to_seconds(left_ms)
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -8,6 +8,9 @@
 from pearrun.ids import EndpointId
 from pearrun.ids import Version
 
+# Bounds the length of log lines.
+MAX_LOGGED_PARTS = 8
+
 
 class Ending(enum.Enum):
     """How a call ended for its caller."""
@@ -63,6 +66,7 @@
         self.expected_ms = 0.0
         self.reason = ''
         self.fingerprint = None
+        self.part_ids = None
         self.endpoint_limit = None
         self.stream_version = None
         self.ending = None
@@ -81,6 +85,11 @@
             Attempt(endpoint.id, after_ms, version=endpoint.record.version)
         )
 
+    def identify(self):
+        """Log what the call has in common with others."""
+        self.fingerprint = self.call.fingerprint
+        self.part_ids = self.call.prompt.shared_part_ids[:MAX_LOGGED_PARTS]
+
     def record_proxy(self, proxy):
         """Record that the attempt is sent through another host."""
         self.attempts[-1].proxy = proxy
@@ -145,5 +154,6 @@
             list_age_ms=host.list_age_ms(now_ms),
             answer_age_ms=host.selection.answer_age_ms(),
             fingerprint=self.fingerprint,
+            parts=self.part_ids,
             endpoint_limit=self.endpoint_limit,
         ).info('call')
--- a/pearrun/shared/crashdetector.py
+++ b/pearrun/shared/crashdetector.py
@@ -16,6 +16,7 @@
 
 from pearrun.decisions.evidence import Crash
 from pearrun.ids import Fingerprint
+from pearrun.ids import PromptPartId
 from pearrun.ids import RequestId
 from pearrun.ids import ZoneName
 from pearrun.states import EndpointState
@@ -48,6 +49,7 @@
         :func:`pearrun.decisions.evidence.is_call_stable`.
     :param call_id: id of the call, shared by its attempts at several
         endpoints.
+    :param part_ids: ids of the prompt parts that other calls may share.
     """
 
     fingerprint: Fingerprint
@@ -55,6 +57,7 @@
     at_ms: int
     call_was_stable: bool = False
     call_id: RequestId = ''
+    part_ids: tuple[PromptPartId, ...] = ()
 
 
 @dataclasses.dataclass
@@ -236,7 +239,10 @@
         logger.bind(
             endpoint=endpoint_id,
             proven=outage.proven,
-            calls=[(call.fingerprint, call.ran_ms) for call in calls],
+            calls=[
+                (call.fingerprint, call.ran_ms, call.part_ids)
+                for call in calls
+            ],
         ).info('endpoint crashed')
         crashes = [
             (call.fingerprint, make_crash(endpoint_id, outage, call))
--- a/pearrun/shared/prompts.py
+++ b/pearrun/shared/prompts.py
@@ -30,6 +30,16 @@
     expected_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self):
+        """The parts that other prompts may have in common with this one."""
+        return self.parts[:-1]
+
+    @property
+    def shared_part_ids(self):
+        """The ids of the shared parts, in order."""
+        return tuple(part.id for part in self.shared_parts)
+
 
 @dataclasses.dataclass(frozen=True)
 class PromptPlacement:
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -113,7 +113,7 @@
                 service.name, endpoints, version
             )
         endpoints = self._filter_usable(service.name, endpoints, now)
-        shared = call.prompt.parts[:-1]
+        shared = call.prompt.shared_parts
         candidates = self._make_candidates(endpoints, shared, now)
         affinity = shared[-1].id if shared else None
         answer_ms = self.demands.get_answer_ms(service.name)
@@ -144,7 +144,7 @@
         now = self.clock.now()
         selected.endpoint.calls += 1
         selected.endpoint.queued_tokens += selected.uncached_tokens
-        shared = call.prompt.parts[:-1]
+        shared = call.prompt.shared_parts
         if shared:
             self.prefixes.note_cached(selected.endpoint.id, shared, now)
             self._record_placement(selected.endpoint.id, shared)
