--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -24,7 +24,7 @@
 
     :param full: refuse requests as an endpoint without free slots does.
     :param status: status of plain responses; an error status stands
-        for a failed run.
+        for a failed run, also of a stream.
     :param reset_before: reset the connection before any response.
     :param break_after_events: reset the connection of a stream after
         this many events.
@@ -44,7 +44,9 @@
         number of refusals in a second that the endpoint survives; ``None``
         for any.
     :param crash_on: crash when a request with this body starts to run.
-    :param crash_after_events: number of events that a stream of such a
+    :param crash_on_part: crash when a request whose prompt has this part,
+        not as its last one, begins to write its answer.
+    :param crash_after_events: number of events that a stream of a crashing
         request sends before the crash.
     """
 
@@ -62,6 +64,7 @@
     max_waiting: int | None = None
     brittle: str | None = None
     crash_on: bytes | None = None
+    crash_on_part: str | None = None
     crash_after_events: int = 0
 
 
@@ -225,7 +228,8 @@
             return
         if self.faults.stray_first:
             caller.transport.write(make_stray_response(b'someone-else'))
-        if request.get(b'pearrun-token-count') is not None:
+        is_stream = request.get(b'pearrun-token-count') is not None
+        if is_stream and self.faults.status < 500:
             await self._send_stream(request, caller, run, headers)
         else:
             await self._send_response(request, caller, headers)
@@ -242,8 +246,12 @@
         ]
 
     def _is_crashed_by(self, request):
+        if self.faults.status >= 500:
+            return False
         crash_on = self.faults.crash_on
-        return crash_on is not None and request.body == crash_on
+        if crash_on is not None and request.body == crash_on:
+            return True
+        return self.faults.crash_on_part in list_shared_parts(request)
 
     async def _send_response(self, request, caller, headers):
         await asyncio.sleep(to_seconds(self.work_ms))
@@ -293,6 +301,12 @@
         return make_event(number, self.version if self.names_version else '')
 
 
+def list_shared_parts(request):
+    """Return the ids of a prompt's parts except the last."""
+    value = request.get(b'pearrun-prompt-prefix') or ''
+    return [entry.partition(':')[0] for entry in value.split(',')][:-1]
+
+
 def make_event(number, version=''):
     """Return an encoded event of a stream.
 
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -65,6 +65,45 @@
     return await call(host, path, attempt, 'POST', body, **prompt)
 
 
+async def send_parts(host, path, attempt, *part_ids):
+    """Send a request with its own body and last part.
+
+    :param part_ids: ids of the prompt's other parts.
+    :returns: a :class:`Response`.
+    """
+    ids = (*part_ids, f'own-{attempt}')
+    prompt = make_prompt(','.join(f'{part_id}:50' for part_id in ids))
+    return await call(host, path, attempt, 'POST', attempt.encode(), **prompt)
+
+
+def count_reached(site, prefix):
+    """Return how many requests reached endpoints.
+
+    :param prefix: of the attempt ids of the requests that count.
+    """
+    attempts = [
+        run.request.get(b'pearrun-attempt-id')
+        for runner in site.runners.values()
+        for run in runner.runs
+    ]
+    return sum(attempt.startswith(prefix) for attempt in attempts)
+
+
+def crash_on_part(site, part_id):
+    """Let all endpoints crash under requests with a prompt part."""
+    for runner in site.runners.values():
+        runner.faults.crash_on_part = part_id
+
+
+async def replace_crashed(site):
+    """Start a new endpoint in place of each that has crashed."""
+    remove_crashed(site)
+    for name, runner in list(site.runners.items()):
+        if runner.crashed_by and f'{name}+' not in site.runners:
+            started = await site.add_runner(f'{name}+', runner.service)
+            started.faults = runner.faults
+
+
 async def send_repeatedly(site, path, count, name='a'):
     """Send the crashing request repeatedly, to each host in turn.
 
