Prompt parts that crash endpoints are quarantined as requests are

Cause: a crash was held against the whole request alone. Requests that share a part of their prompt have as many fingerprints as requests, with one crash each. Change: each shared part is a suspect beside the request, in the same records, messages and judgement. Suspects with the same crashes are refused only together; calls that tell them apart go one at a time through three hosts. What was never answered goes before what was; after an answer crashes count by seconds for 30 s and no longer not at all, so that what begins to crash endpoints is found. An error clears nothing; a stream clears its parts after 250 ms of events. Messages and stored records keep their form.

--- a/pearrun/api/structures.py
+++ b/pearrun/api/structures.py
@@ -113,6 +113,11 @@
             self.seed,
         )
 
+    @property
+    def fingerprints(self):
+        """Fingerprints of everything that may crash an endpoint."""
+        return (self.fingerprint,)
+
     @property
     def finished(self):
         """Whether the job has reached a final state."""
--- a/pearrun/decisions/evidence.py
+++ b/pearrun/decisions/evidence.py
@@ -1,13 +1,15 @@
-"""Weighs endpoint crashes as evidence against requests.
+"""Weighs endpoint crashes as evidence against requests and prompt parts.
 
 Load pattern: a crash of an endpoint breaks all calls that run there, and many
 endpoints may crash at once.  A call that had been running stably, or that was
-sent to several endpoints of one failure domain, rarely is the cause.
+sent to several endpoints of one failure domain, rarely is the cause.  Neither
+is a prompt part with which another call was answered shortly before.
 """
 
 import collections
 import dataclasses
 
+from pearrun.fingerprints import is_part
 from pearrun.ids import EndpointId
 from pearrun.ids import Fingerprint
 from pearrun.ids import RequestId
@@ -23,6 +25,10 @@
 # another cause.
 STABLE_CALL_WEIGHT = 0.5
 CLUSTER_WINDOW_MS = 1000
+# After a successful run, crashes within CLUSTER_WINDOW_MS count once for this
+# long: what was answered just before may still be running on many endpoints
+# that fail together.
+TRUST_MS = 30_000
 # Weight of each additional crash within a group, and the maximum weight of a
 # group.  A call may be sent to several endpoints of a failure domain that
 # fails as a whole.
@@ -54,7 +60,7 @@
 
 @dataclasses.dataclass
 class Suspect:
-    """A request that was running when endpoints crashed.
+    """A request or prompt part that was running when endpoints crashed.
 
     :param crashes: :class:`Crash` by endpoint id.
     :param answered_ms: time of the last successful run, if any.
@@ -108,18 +114,33 @@
             answered_ms = convert(answered_ms)
         return Suspect(self.fingerprint, crashes, answered_ms)
 
-    def weigh(self, explained=frozenset(), include_unproven=True):
+    def weigh(
+        self, explained=frozenset(), include_unproven=True, trust_ms=TRUST_MS
+    ):
         """Return the total weight of its crashes.
 
         :param explained: ids of endpoints whose crash is attributed to another
-            request.
+            suspect.
         :param include_unproven: whether unconfirmed crashes count.
+        :param trust_ms: time after a successful run during which crashes are
+            only counted by clusters.
         """
-        remaining = [
-            crash
-            for endpoint_id, crash in self.crashes.items()
-            if endpoint_id not in explained
-        ]
+        trusted_until_ms = -1
+        if self.answered_ms is not None:
+            trusted_until_ms = self.answered_ms + trust_ms
+        remaining = []
+        trusted = []
+        for endpoint_id, crash in self.crashes.items():
+            if endpoint_id in explained:
+                continue
+            if crash.at_ms > trusted_until_ms:
+                remaining.append(crash)
+            elif crash.proven or include_unproven:
+                trusted.append(crash)
+        weight = weigh_clusters(trusted)
+        return weight + self._weigh_untrusted(remaining, include_unproven)
+
+    def _weigh_untrusted(self, remaining, include_unproven):
         proven = [crash for crash in remaining if crash.proven]
         weight = weigh_proven(proven)
         if include_unproven:
@@ -137,16 +158,32 @@
 def select_most_suspect(suspects, count):
     """Return the suspects with the strongest evidence.
 
+    Among equals, prompt parts go before requests, most of which never come
+    again.
+
     :param suspects: :class:`Suspect` objects.
     :returns: a list of at most ``count`` of them.
     """
     suspects = list(suspects)
     if len(suspects) <= count:
         return suspects
-    suspects.sort(key=lambda item: (item.weigh(), item.last_event_ms))
+    suspects.sort(
+        key=lambda item: (
+            item.weigh(),
+            is_part(item.fingerprint),
+            item.last_event_ms,
+        )
+    )
     return suspects[-count:]
 
 
+def weigh_clusters(crashes):
+    """Return the total weight of crashes, each cluster counted once."""
+    stable = [crash for crash in crashes if crash.call_was_stable]
+    others = [crash for crash in crashes if not crash.call_was_stable]
+    return STABLE_CALL_WEIGHT * count_clusters(stable) + count_clusters(others)
+
+
 def weigh_proven(crashes):
     """Return the total weight of confirmed crashes."""
     stable = [crash for crash in crashes if crash.call_was_stable]
@@ -182,13 +219,15 @@
 
 
 def make_sort_key(suspect, explained):
-    """Return the key of a request for the attribution of crashes.
+    """Return the key of a suspect for the attribution of crashes.
 
-    Crashes are attributed to the request with the highest key.  Among
-    requests with the same crashes, the one with the shortest running time has
-    the highest key.  The fingerprint makes the order the same on every host.
+    Crashes are attributed to the suspect with the highest key: what was never
+    answered goes before what was.  Among suspects with the same crashes, the
+    one with the shortest running time has the highest key.  The fingerprint
+    makes the order the same on every host.
     """
     return (
+        suspect.answered_ms is None,
         suspect.weigh(explained),
         -suspect.compute_mean_run_ms(),
         suspect.fingerprint,
--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -1,15 +1,21 @@
-"""Quarantine of requests that crash endpoints.
+"""Quarantine of requests and prompt parts that crash endpoints.
 
 Load pattern: a request crashes every endpoint that starts to run it, and its
-caller keeps sending it again, through any host.  Each crash also breaks the
+caller keeps sending it again, through any host; or all requests with a certain
+part in their prompt do, no two of which are equal.  Each crash also breaks the
 unrelated calls on the endpoint, many of them several times in a row.
 Endpoints also crash for other reasons, many at once.
 
-A request is quarantined if enough endpoints crashed while running it and none
-of its runs was answered shortly before, since a request that endpoints survive
-is not the cause.  Each crash is attributed to a single request, the one with
-the most crashes, so that calls that were running on the same endpoints by
-coincidence are not quarantined.
+Each request and each part of its prompt that other requests may share is a
+suspect.  A suspect is quarantined if enough endpoints crashed while running it
+since it was last answered, because what endpoints survive is not the cause.
+Each crash is attributed to a single suspect, the one with the most crashes, so
+that calls that were running on the same endpoints by coincidence are not
+quarantined.
+
+Suspects with the same crashes and no answer cannot be told apart.  They are
+quarantined together: calls that have all of them are refused, and a call with
+some of them shows which one is the cause.  Few such calls are sent at a time.
 """
 
 import collections
@@ -18,22 +24,27 @@
 from pearrun.decisions.evidence import make_sort_key
 from pearrun.decisions.evidence import select_most_suspect
 from pearrun.decisions.evidence import Suspect
+from pearrun.decisions.evidence import TRUST_MS
+from pearrun.fingerprints import is_part
+from pearrun.ids import Fingerprint
 
 
 @dataclasses.dataclass(frozen=True)
 class QuarantineSettings:
     """Limits of the quarantine.
 
-    :param min_crashes: minimum total weight of a request's crashes for which
+    :param min_crashes: minimum total weight of a suspect's crashes for which
         it is quarantined; see :meth:`Suspect.weigh`.
-    :param trust_ms: time after a successful run during which crashes are not
-        counted.
+    :param trust_ms: time after a successful run during which crashes close
+        together count once.
     :param quarantine_ms: duration of the quarantine, from the last crash.
-    :param retention_ms: time from the last crash until a request is
+    :param retention_ms: time from the last crash until a suspect is
         forgotten; until then, a single crash renews a quarantine that has
         ended.
-    :param max_suspects: maximum number of requests remembered.
-    :param max_crashes: maximum number of crashes remembered for each request.
+    :param max_suspects: maximum number of suspects remembered.
+    :param max_crashes: maximum number of crashes remembered for each suspect.
+    :param answer_resolution_ms: answers of a suspect without crashes are
+        recorded at this interval, since each is sent to the other hosts.
     :param unproven_ms: how long an unconfirmed crash counts; also the maximum
         duration of a quarantine that is based on it.
     :param max_retracted: maximum number of endpoints remembered whose crash
@@ -41,30 +52,91 @@
     """
 
     min_crashes: int = 3
-    trust_ms: int = 30_000
+    trust_ms: int = TRUST_MS
     quarantine_ms: int = 600_000
     retention_ms: int = 1_200_000
-    max_suspects: int = 256
+    max_suspects: int = 512
     max_crashes: int = 32
     unproven_ms: int = 3500
     max_retracted: int = 256
+    answer_resolution_ms: int = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Verdict:
+    """Suspects that are quarantined together.
+
+    :param fingerprint: the one that stands for all of them: the request, if
+        there is one among them.
+    :param members: fingerprints that a call must have to be refused.
+    :param until_ms: monotonic time at which the quarantine ends.
+    """
+
+    fingerprint: Fingerprint
+    members: frozenset[Fingerprint]
+    until_ms: int
+
+    @property
+    def is_ambiguous(self):
+        """Whether it is unknown which of its members is the cause."""
+        return len(self.members) > 1
+
+    def is_tested_by(self, fingerprints):
+        """Return whether the outcome of a call tells the members apart."""
+        shared = self.members & fingerprints
+        has_part = any(is_part(fingerprint) for fingerprint in shared)
+        return has_part and not self.members <= fingerprints
 
 
 class Suspects:
-    """Requests that are suspected of crashing endpoints.
+    """Requests and prompt parts that are suspected of crashing endpoints.
 
     Reports of several hosts can be merged in any order and repeatedly.
 
-    ``quarantined`` maps fingerprints to the end of their quarantine.
+    ``verdicts`` maps the fingerprint of each :class:`Verdict` to it.
     """
 
     def __init__(self, settings=None):
         self.settings = settings or QuarantineSettings()
         self.suspects = {}
-        self.quarantined = {}
+        self.verdicts = {}
         self._crashed_ms = {}
         self._retracted = collections.OrderedDict()
 
+    @property
+    def quarantined(self):
+        """The end of each quarantine by its fingerprint."""
+        return {
+            fingerprint: verdict.until_ms
+            for fingerprint, verdict in self.verdicts.items()
+        }
+
+    def find_verdict(self, fingerprints):
+        """Return the verdict that applies to a call, the longest if several.
+
+        :param fingerprints: the call's fingerprints.
+        :returns: a :class:`Verdict` or ``None``.
+        """
+        known = frozenset(fingerprints)
+        applicable = [
+            verdict
+            for verdict in self.verdicts.values()
+            if verdict.members <= known
+        ]
+        return max(applicable, key=lambda item: item.until_ms, default=None)
+
+    def find_tested(self, fingerprints):
+        """Return an ambiguous verdict that a call would test, if any.
+
+        :param fingerprints: the call's fingerprints.
+        :returns: a :class:`Verdict` or ``None``.
+        """
+        known = frozenset(fingerprints)
+        for verdict in self.verdicts.values():
+            if verdict.is_ambiguous and verdict.is_tested_by(known):
+                return verdict
+        return None
+
     def note_crash(self, fingerprint, crash):
         """Record that an endpoint crashed while running a request.
 
@@ -80,7 +152,7 @@
         known = suspect.crashes.get(crash.endpoint_id)
         if known is not None and (known.proven or not crash.proven):
             return False
-        if self._is_trusted(suspect, crash):
+        if is_refuted(crash, suspect.answered_ms):
             return False
         suspect.crashes[crash.endpoint_id] = crash
         while len(suspect.crashes) > self.settings.max_crashes:
@@ -96,13 +168,16 @@
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
             return False
-        if suspect.answered_ms is not None and at_ms <= suspect.answered_ms:
-            return False
+        if suspect.answered_ms is not None:
+            interval_ms = self.settings.answer_resolution_ms
+            min_interval_ms = 1 if suspect.crashes else interval_ms
+            if at_ms < suspect.answered_ms + min_interval_ms:
+                return False
         suspect.answered_ms = at_ms
         suspect.crashes = {
             crash.endpoint_id: crash
             for crash in suspect.crashes.values()
-            if not self._is_trusted(suspect, crash)
+            if not is_refuted(crash, at_ms)
         }
         return True
 
@@ -122,7 +197,7 @@
                 del self.suspects[suspect.fingerprint]
 
     def evaluate(self, now_ms):
-        """Drop expired records and determine the quarantined requests."""
+        """Drop expired records and determine what is quarantined."""
         self._forget_old(now_ms)
         self._crashed_ms = {
             crash.endpoint_id: crash.at_ms
@@ -133,41 +208,43 @@
         candidates = [
             suspect
             for suspect in self.suspects.values()
-            if suspect.weigh() >= min_weight
+            if self._weigh(suspect) >= min_weight
         ]
         explained = set()
-        quarantined = {}
+        verdicts = {}
         while candidates:
             strongest = max(
                 candidates, key=lambda item: make_sort_key(item, explained)
             )
-            if strongest.weigh(explained) < min_weight:
+            if self._weigh(strongest, explained) < min_weight:
                 break
-            candidates.remove(strongest)
+            group = find_indistinguishable(strongest, candidates, explained)
+            candidates = [item for item in candidates if item is not strongest]
             until_ms = self._compute_end_ms(strongest, explained)
             explained.update(strongest.crashes)
             if now_ms < until_ms:
-                quarantined[strongest.fingerprint] = until_ms
-        self.quarantined = quarantined
+                members = [item.fingerprint for item in group]
+                key = min(members, key=lambda item: (is_part(item), item))
+                verdicts[key] = Verdict(key, frozenset(members), until_ms)
+        self.verdicts = verdicts
 
     def is_proven(self, fingerprint):
         """Return whether confirmed crashes alone justify a quarantine."""
-        weight = self.suspects[fingerprint].weigh(include_unproven=False)
+        suspect = self.suspects[fingerprint]
+        weight = self._weigh(suspect, include_unproven=False)
         return weight >= self.settings.min_crashes
 
+    def _weigh(self, suspect, explained=frozenset(), include_unproven=True):
+        trust_ms = self.settings.trust_ms
+        return suspect.weigh(explained, include_unproven, trust_ms)
+
     def _compute_end_ms(self, suspect, explained):
         """Return the end of the quarantine of a suspect."""
-        weight = suspect.weigh(explained, include_unproven=False)
+        weight = self._weigh(suspect, explained, include_unproven=False)
         if weight >= self.settings.min_crashes:
             return suspect.last_crash_ms + self.settings.quarantine_ms
         return suspect.last_crash_ms + self.settings.unproven_ms
 
-    def _is_trusted(self, suspect, crash):
-        answered_ms = suspect.answered_ms
-        if answered_ms is None:
-            return False
-        return crash.at_ms <= answered_ms + self.settings.trust_ms
-
     def _forget_old(self, now_ms):
         settings = self.settings
         for suspect in list(self.suspects.values()):
@@ -189,3 +266,37 @@
                 self.suspects.values(), settings.max_suspects
             )
             self.suspects = {item.fingerprint: item for item in strongest}
+
+
+def is_refuted(crash, answered_ms):
+    """Return whether a later answer shows that the cause is another."""
+    return answered_ms is not None and crash.at_ms <= answered_ms
+
+
+def find_indistinguishable(strongest, candidates, explained):
+    """Return the suspects with the same crashes as the strongest one.
+
+    Of several requests only one is returned, since no call is more than one
+    of them, and none that was answered more recently than another.
+
+    :param explained: ids of endpoints whose crash is attributed to another
+        suspect.
+    :returns: a list of :class:`Suspect` objects, ``strongest`` among them.
+    """
+    crashed = strongest.crashes.keys() - explained
+    equal = [
+        suspect
+        for suspect in candidates
+        if suspect.crashes.keys() - explained == crashed
+    ]
+    requests = [item for item in equal if not is_part(item.fingerprint)]
+    if strongest in requests:
+        requests = [strongest]
+    elif requests:
+        requests = [
+            max(requests, key=lambda item: make_sort_key(item, explained))
+        ]
+    parts = [item for item in equal if is_part(item.fingerprint)]
+    group = [*requests, *parts]
+    first_ms = min(item.answered_ms or 0 for item in group)
+    return [item for item in group if (item.answered_ms or 0) == first_ms]
--- a/pearrun/relay/call.py
+++ b/pearrun/relay/call.py
@@ -4,6 +4,7 @@
 import functools
 
 from pearrun.fingerprints import make_fingerprint
+from pearrun.fingerprints import make_part_fingerprint
 from pearrun.http1.messages import Request
 from pearrun.ids import RequestId
 from pearrun.shared.configuration import CallKind
@@ -11,6 +12,10 @@
 from pearrun.shared.configuration import Route
 from pearrun.shared.prompts import Prompt
 
+# Parts of a prompt beyond this number are not examined as causes of crashes,
+# since the number of parts is chosen by the caller.
+MAX_FINGERPRINTED_PARTS = 16
+
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -57,3 +62,14 @@
             customer.encode(),
             request.body,
         )
+
+    @functools.cached_property
+    def part_fingerprints(self):
+        """Fingerprints of the prompt parts that other calls may share."""
+        ids = self.prompt.shared_part_ids[:MAX_FINGERPRINTED_PARTS]
+        return tuple(make_part_fingerprint(part_id) for part_id in ids)
+
+    @property
+    def fingerprints(self):
+        """Fingerprints of everything that may crash an endpoint."""
+        return (self.fingerprint, *self.part_fingerprints)
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -36,6 +36,9 @@
 # How long a call that must not be repeated waits for a silent endpoint, which
 # may have paused for a second or two.
 ONE_RUN_USER_TIMEOUT_MS = 3000
+# A stream whose events have been arriving for this long shows that no part of
+# its prompt crashes endpoints.
+BEGUN_MS = 250
 # Responses that the expected endpoint is known to have sent for this call.
 LIMITING_KINDS = (ResponseKind.ANSWER, ResponseKind.NOT_RUN)
 
@@ -65,6 +68,7 @@
         self.is_resumed = False
         self.path_failed = False
         self.chunks = 0
+        self.begun_noted = False
 
     async def run(self, selected, resume):
         """Send the call.
@@ -339,6 +343,7 @@
                 resume.last_event_id = splitter.last_event_id
                 forwarded = True
                 await self.caller.write(events)
+                self._note_begun()
             if splitter.incomplete:
                 raise exceptions.ConnectionBrokenError(
                     'stream ended inside an event'
@@ -372,6 +377,13 @@
         # Lets the links send the origin first.
         await asyncio.sleep(0)
 
+    def _note_begun(self):
+        """Record once that the endpoint survived the prompt's parts."""
+        answering_ms = self.host.clock.since(self.forwarding_since_ms)
+        if not self.begun_noted and answering_ms >= BEGUN_MS:
+            self.begun_noted = True
+            self.host.quarantine.note_begun(self.call)
+
     def _start_stream(self, head):
         """Send the response head unless an earlier attempt has sent it."""
         if not self.caller.head_sent:
@@ -446,11 +458,12 @@
             else now - self.forwarding_since_ms
         )
         call_was_stable = is_call_stable(ran_ms, answered_ms)
+        parts = () if self.begun_noted else self.call.part_fingerprints
         return BrokenCall(
             self.call.fingerprint,
             ran_ms,
             now,
             call_was_stable,
             self.call.id,
-            self.call.prompt.shared_part_ids,
+            parts,
         )
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -61,19 +61,20 @@
         """
         trace = CallTrace(call, self.clock.now())
         try:
-            await self._relay(call, caller, trace)
+            refusal = self.host.quarantine.admit(call)
+            if refusal is None:
+                await self._relay(call, caller, trace)
+            else:
+                await self._refuse_quarantined(call, caller, trace, refusal)
         except asyncio.CancelledError:
             trace.end(Ending.CALLER_LEFT, 0)
             raise
         finally:
+            self.host.quarantine.end(call)
             self.host.counters.count_call(trace, self.clock.now())
             trace.log(self.host, self.clock.now())
 
     async def _relay(self, call, caller, trace):
-        left_ms = self.host.quarantine.left_ms(call)
-        if left_ms:
-            await self._refuse_quarantined(call, caller, trace, left_ms)
-            return
         if not self.host.quotas.admit(call):
             trace.reason = 'quota'
             await self._refuse(
@@ -171,7 +172,7 @@
                 call, service, caller, trace, outcome
             ):
                 return
-            if self.host.quarantine.left_ms(call):
+            if self.host.quarantine.find_verdict(call):
                 await self._fail(call, caller, trace, QUARANTINED)
                 return
 
@@ -203,7 +204,8 @@
         """
         match outcome:
             case Answered(status):
-                self.host.quarantine.note_answered(call)
+                if status < 400:
+                    self.host.quarantine.note_answered(call)
                 trace.end(Ending.ANSWERED, status)
                 return False
             case NotRun(reason, delivered):
@@ -219,7 +221,6 @@
                 if self._may_rerun(call, service, trace):
                     return True
             case ErrorResponse(head):
-                self.host.quarantine.note_answered(call)
                 trace.record_run(f'endpoint answered {head.status}')
                 if self._may_rerun(call, service, trace):
                     trace.error_response = outcome
@@ -387,18 +388,20 @@
         error.retry_after_s = round(wait_ms / 1000.0, 3)
         await self._reply_error(caller, error, status)
 
-    async def _refuse_quarantined(self, call, caller, trace, left_ms):
-        """Refuse a call that would crash the endpoint that runs it.
+    async def _refuse_quarantined(self, call, caller, trace, refusal):
+        """Refuse a call that may crash the endpoint that runs it.
 
-        Retry-After is the whole remaining time of the quarantine, because
-        an earlier retry would be refused too.
+        :param refusal: the :class:`QuarantineRefusal`.
         """
         self.host.quarantine.refused += 1
         trace.reason = QUARANTINED
         trace.identify()
+        trace.quarantine = refusal.verdict.fingerprint
         trace.end(Ending.REFUSED, 503)
         error = exceptions.QuarantinedError(
-            'endpoints crashed while running this request', to_seconds(left_ms)
+            'endpoints crashed while running this request or one with the '
+            'same prompt parts',
+            to_seconds(refusal.retry_after_ms),
         )
         await self._reply_error(caller, error, 503)
 
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -51,7 +51,8 @@
     ``outcome_pending`` is true while an attempt whose request
     was written has no outcome yet; ``endpoint_limit`` is the rate limit, in
     calls per second, that the last answering endpoint advertised;
-    ``stream_version`` is the version that began the stream.
+    ``stream_version`` is the version that began the stream;
+    ``quarantine`` is the fingerprint of the verdict that refused the call.
     """
 
     def __init__(self, call, started_ms):
@@ -67,6 +68,7 @@
         self.reason = ''
         self.fingerprint = None
         self.part_ids = None
+        self.quarantine = None
         self.endpoint_limit = None
         self.stream_version = None
         self.ending = None
@@ -155,5 +157,6 @@
             answer_age_ms=host.selection.answer_age_ms(),
             fingerprint=self.fingerprint,
             parts=self.part_ids,
+            quarantine=self.quarantine,
             endpoint_limit=self.endpoint_limit,
         ).info('call')
--- a/pearrun/shared/crashdetector.py
+++ b/pearrun/shared/crashdetector.py
@@ -16,7 +16,6 @@
 
 from pearrun.decisions.evidence import Crash
 from pearrun.ids import Fingerprint
-from pearrun.ids import PromptPartId
 from pearrun.ids import RequestId
 from pearrun.ids import ZoneName
 from pearrun.states import EndpointState
@@ -49,7 +48,7 @@
         :func:`pearrun.decisions.evidence.is_call_stable`.
     :param call_id: id of the call, shared by its attempts at several
         endpoints.
-    :param part_ids: ids of the prompt parts that other calls may share.
+    :param part_fingerprints: of the prompt parts that may be the cause.
     """
 
     fingerprint: Fingerprint
@@ -57,7 +56,12 @@
     at_ms: int
     call_was_stable: bool = False
     call_id: RequestId = ''
-    part_ids: tuple[PromptPartId, ...] = ()
+    part_fingerprints: tuple[Fingerprint, ...] = ()
+
+    @property
+    def fingerprints(self):
+        """Fingerprints of everything that may have crashed the endpoint."""
+        return (self.fingerprint, *self.part_fingerprints)
 
 
 @dataclasses.dataclass
@@ -84,10 +88,10 @@
 class CrashDetector:
     """Detects crashes from heartbeats and from broken or refused connections.
 
-    ``handle_crashes`` is a callback that gets pairs of a request's
-    fingerprint and a :class:`Crash`: first when the endpoint is found to
-    be down, and again when its crash is proven.  ``retract_crash`` is a
-    callback that gets the id of an endpoint that turned out not to have
+    ``handle_crashes`` is a callback that gets pairs of the fingerprint of a
+    request or prompt part and a :class:`Crash`: first when the endpoint is
+    found to be down, and again when its crash is proven.  ``retract_crash`` is
+    a callback that gets the id of an endpoint that turned out not to have
     crashed.
 
     :param fleet: the :class:`Fleet`.
@@ -240,13 +244,14 @@
             endpoint=endpoint_id,
             proven=outage.proven,
             calls=[
-                (call.fingerprint, call.ran_ms, call.part_ids)
+                (call.fingerprint, call.ran_ms, call.part_fingerprints)
                 for call in calls
             ],
         ).info('endpoint crashed')
         crashes = [
-            (call.fingerprint, make_crash(endpoint_id, outage, call))
+            (fingerprint, make_crash(endpoint_id, outage, call))
             for call in calls
+            for fingerprint in call.fingerprints
         ]
         self.handle_crashes(crashes)
 
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -108,7 +108,7 @@
             self.selection,
             self.pools,
         )
-        self.quarantine = Quarantine(clock)
+        self.quarantine = Quarantine(clock, self.members)
         self.crashes.handle_crashes = self.quarantine.handle_crashes
         self.crashes.retract_crash = self.quarantine.retract_crash
         self.quotas = Quotas(
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -1,6 +1,7 @@
-"""Quarantine of requests that crash the endpoints they are sent to.
+"""Quarantine of what crashes the endpoints that it is sent to.
 
-See :mod:`pearrun.decisions.quarantine` for how such requests are identified.
+See :mod:`pearrun.decisions.quarantine` for how such requests and prompt parts
+are identified.
 Hosts exchange what they know of them, and the hosts that observed the crashes
 save it in the store, so that it survives the loss of all hosts.
 """
@@ -10,19 +11,30 @@
 
 from loguru import logger
 
+from pearrun.decisions import rendezvous
 from pearrun.decisions.evidence import select_most_suspect
 from pearrun.decisions.quarantine import Suspects
+from pearrun.decisions.quarantine import Verdict
+from pearrun.fingerprints import is_part
 from pearrun.shared.crashdetector import READ_MARGIN_MS
 
-# Maximum number of answered requests kept, and of suspects in one message.
+# Maximum number of answered requests kept, the same of answered prompt parts,
+# and of suspects in one message.
 MAX_ANSWERED = 4096
-MAX_SENT = 64
+MAX_SENT = 128
 # Interval at which known suspects are sent again, also to hosts that have
 # received them before.
 FULL_UPDATE_MS = 5000
 # Delay between the start of a quarantine and saving it: until then, crashes
 # reported by other hosts may show that a different request is the cause.
 SAVE_DELAY_MS = 300
+# Hosts of the fleet that send calls which test an ambiguous verdict, one at a
+# time each.
+TESTING_HOSTS = 3
+# Retry-After of such a call on another host, or while a test is running.
+TEST_RETRY_MS = 300
+# Hosts that have not reported for this long do not count as testing hosts.
+SILENT_MS = 2000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,21 +45,64 @@
     proven: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class QuarantineRefusal:
+    """Why a call is refused.
+
+    :param verdict: the :class:`Verdict`.
+    :param retry_after_ms: when the caller may retry.
+    """
+
+    verdict: Verdict
+    retry_after_ms: int
+
+
+class RecentAnswers:
+    """When what endpoints have answered was last answered on this host.
+
+    The entries that were not answered for longest are dropped.
+    """
+
+    def __init__(self):
+        self._answered_ms = collections.OrderedDict()
+
+    def note(self, fingerprint, now_ms):
+        """Record an answer."""
+        self._answered_ms[fingerprint] = now_ms
+        self._answered_ms.move_to_end(fingerprint)
+        if len(self._answered_ms) > MAX_ANSWERED:
+            self._answered_ms.popitem(last=False)
+
+    def __len__(self):
+        return len(self._answered_ms)
+
+    def get(self, fingerprint):
+        """Return when it was last answered; ``None`` if that is unknown."""
+        return self._answered_ms.get(fingerprint)
+
+
 class Quarantine:
     """Collects crashes and answers, and decides which calls to refuse.
 
-    A call may be any object with a ``fingerprint`` attribute.
+    A call may be any object with the attribute ``fingerprints``.
 
     ``notify_peers`` is called to report new crashes to the other hosts
     immediately.
+
+    :param members: the :class:`Members`; ``None`` for a single host.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, members=None):
         self.clock = clock
+        self.members = members
         self.known = Suspects()
         self.refused = 0
         self.notify_peers = lambda: None
-        self._answered = collections.OrderedDict()
+        # Callers choose the ids of prompt parts, so that they could displace
+        # the requests.
+        self.answered_requests = RecentAnswers()
+        self.answered_parts = RecentAnswers()
+        self._testing = {}
         self._local = set()
         self._pending = set()
         self._full_update_ms = clock.now()
@@ -57,27 +112,111 @@
     def left_ms(self, call):
         """Return how long a call stays quarantined; 0 if it is not.
 
-        While nothing is quarantined, the fingerprint of the call is not
-        accessed.
-
         :returns: milliseconds.
         """
-        if not self.known.quarantined:
-            return 0
-        until_ms = self.known.quarantined.get(call.fingerprint, 0)
-        return max(0, until_ms - self.clock.now())
+        verdict = self.find_verdict(call)
+        return verdict.until_ms - self.clock.now() if verdict else 0
+
+    def admit(self, call):
+        """Decide whether to serve a call; :meth:`end` must follow.
+
+        :returns: ``None`` if it is served, otherwise a
+            :class:`QuarantineRefusal`.
+        """
+        verdict = self.find_verdict(call)
+        if verdict is not None:
+            left_ms = verdict.until_ms - self.clock.now()
+            return QuarantineRefusal(verdict, left_ms)
+        if not self.known.verdicts:
+            return None
+        tested = self.known.find_tested(call.fingerprints)
+        if tested is None:
+            return None
+        busy = tested.fingerprint in self._testing
+        if busy or not self.is_testing_host(tested.fingerprint):
+            return QuarantineRefusal(tested, TEST_RETRY_MS)
+        self._testing[tested.fingerprint] = call.id
+        logger.bind(
+            fingerprint=tested.fingerprint,
+            members=sorted(tested.members),
+            request_id=call.id,
+        ).info('quarantine tested')
+        return None
+
+    def end(self, call):
+        """Record that a call has ended."""
+        for fingerprint, call_id in list(self._testing.items()):
+            if call_id == call.id:
+                del self._testing[fingerprint]
+
+    def is_testing_host(self, fingerprint):
+        """Return whether this host tests an ambiguous verdict."""
+        if self.members is None:
+            return True
+        silent = self.members.list_silent(SILENT_MS)
+        names = {member.name for member in self.members.others()}
+        names.difference_update(silent)
+        key = rendezvous.hash_name(fingerprint)
+        own_weight = rendezvous.compute_weight(key, self.members.own_name)
+        before = sum(
+            rendezvous.compute_weight(key, name) > own_weight for name in names
+        )
+        return before < TESTING_HOSTS
+
+    def find_verdict(self, call):
+        """Return the :class:`Verdict` that a call is refused for, if any.
+
+        While nothing is quarantined, the fingerprints of the call are not
+        accessed.
+        """
+        if not self.known.verdicts:
+            return None
+        verdict = self.known.find_verdict(call.fingerprints)
+        if verdict is None or verdict.until_ms <= self.clock.now():
+            return None
+        return verdict
 
     def note_answered(self, call):
         """Record that an endpoint answered a call and did not crash."""
-        fingerprint = call.fingerprint
+        self._note_survived(call.fingerprints, call)
+
+    def note_begun(self, call):
+        """Record that an endpoint has been answering a call for a while.
+
+        A prompt part that crashes endpoints does so as the answer begins; the
+        request as a whole may still crash its endpoint.
+        """
+        self._note_survived(call.part_fingerprints, call)
+
+    def _note_survived(self, fingerprints, call):
         now = self.clock.now()
-        self._answered[fingerprint] = now
-        self._answered.move_to_end(fingerprint)
-        if len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
-        if self.known.note_answered(fingerprint, now):
-            self._pending.add(fingerprint)
-            self._update_quarantine('answer')
+        changed = set()
+        for fingerprint in fingerprints:
+            self._get_answers(fingerprint).note(fingerprint, now)
+            suspect = self.known.suspects.get(fingerprint)
+            if suspect is None:
+                continue
+            crashes = len(suspect.crashes)
+            if self.known.note_answered(fingerprint, now):
+                changed.add(fingerprint)
+            if len(suspect.crashes) < crashes:
+                logger.bind(
+                    fingerprint=fingerprint,
+                    request_id=call.id,
+                    crashes=crashes,
+                ).info('suspect cleared')
+        if not changed:
+            return
+        verdicts = self.known.verdicts
+        self._pending |= changed
+        self._update_quarantine('answer')
+        if self.known.verdicts != verdicts:
+            self.notify_peers()
+
+    def _get_answers(self, fingerprint):
+        if is_part(fingerprint):
+            return self.answered_parts
+        return self.answered_requests
 
     def handle_crashes(self, crashes):
         """Add crashes that broke calls of this host.
@@ -154,14 +293,20 @@
     def list_unsaved(self):
         """Return the suspects that this host has yet to save."""
         now = self.clock.now()
-        return [
-            self.known.suspects[fingerprint]
-            for fingerprint, start in self._started.items()
-            if fingerprint in self._local
-            and start.proven
-            and now - start.at_ms >= SAVE_DELAY_MS
-            and self._saved_ms.get(fingerprint, -1) < start.at_ms
-        ]
+        unsaved = {}
+        for fingerprint, start in self._started.items():
+            members = self.known.verdicts[fingerprint].members
+            if (
+                start.proven
+                and self._local & members
+                and now - start.at_ms >= SAVE_DELAY_MS
+            ):
+                unsaved |= {
+                    member: self.known.suspects[member]
+                    for member in members
+                    if self._saved_ms.get(member, -1) < start.at_ms
+                }
+        return list(unsaved.values())
 
     def note_saved(self, suspects):
         """Record that suspects were saved in the store."""
@@ -190,25 +335,29 @@
         :returns: whether either was new.
         """
         is_new = self.known.note_crash(fingerprint, crash)
-        answered_ms = self._answered.get(fingerprint)
-        if answered_ms is not None:
-            is_new |= self.known.note_answered(fingerprint, answered_ms)
+        answered_ms = self._get_answers(fingerprint).get(fingerprint)
+        if answered_ms is not None and self.known.note_answered(
+            fingerprint, answered_ms
+        ):
+            # The hosts that reported the crash may not know of this answer.
+            self._pending.add(fingerprint)
+            return True
         return is_new
 
     def _update_quarantine(self, source):
-        """Recompute which requests are quarantined and log the changes.
+        """Recompute what is quarantined and log the changes.
 
         :param source: what led to the update, for the log.
         """
         now = self.clock.now()
         self.known.evaluate(now)
-        quarantined = self.known.quarantined
-        for fingerprint in set(self._started) - set(quarantined):
+        verdicts = self.known.verdicts
+        for fingerprint in set(self._started) - set(verdicts):
             del self._started[fingerprint]
             logger.bind(fingerprint=fingerprint, source=source).info(
                 'quarantine ended'
             )
-        for fingerprint in quarantined:
+        for fingerprint in verdicts:
             proven = self.known.is_proven(fingerprint)
             start = self._started.get(fingerprint)
             if start is None or start.proven < proven:
@@ -220,14 +369,23 @@
 
     def _log_start(self, fingerprint, proven, source):
         now = self.clock.now()
-        crashes = self.known.suspects[fingerprint].crashes.values()
+        suspect = self.known.suspects[fingerprint]
+        verdict = self.known.verdicts[fingerprint]
+        answered_ms = suspect.answered_ms
         logger.bind(
             fingerprint=fingerprint,
+            members=sorted(verdict.members),
             proven=proven,
             source=source,
-            left_ms=self.known.quarantined[fingerprint] - now,
+            left_ms=verdict.until_ms - now,
+            answered_ms_ago=None if answered_ms is None else now - answered_ms,
             crashes=[
-                (crash.endpoint_id, now - crash.at_ms, crash.ran_ms)
-                for crash in crashes
+                (
+                    crash.endpoint_id,
+                    now - crash.at_ms,
+                    crash.ran_ms,
+                    crash.call_id,
+                )
+                for crash in suspect.crashes.values()
             ],
         ).warning('request quarantined')
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from benchmarks import crashingparts
 from benchmarks.bystanders import SCENARIOS
 from benchmarks.bystanders import Simulation
 from pearrun import exceptions
@@ -16,10 +17,13 @@
 from pearrun.decisions.evidence import Suspect
 from pearrun.decisions.quarantine import QuarantineSettings
 from pearrun.decisions.quarantine import Suspects
+from pearrun.fingerprints import make_part_fingerprint
 from pearrun.platform import quarantinelog
 from pearrun.shared import quarantine as quarantine_module
 from pearrun.shared import reportcodec
 from pearrun.shared import reports
+from pearrun.shared.members import Member
+from pearrun.shared.members import Members
 from pearrun.shared.quarantine import Quarantine
 from tests.crashes import count_crashed
 from tests.crashes import run_crashing_site
@@ -28,6 +32,16 @@
 
 NOW_MS = 10_000_000
 SECONDS = 60
+# Requests with a crashing part that may reach endpoints once all hosts know.
+MAX_LATE_SENDS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class FakeCall:
+    """A call with the attributes that the quarantine uses."""
+
+    id: str
+    fingerprints: tuple
 
 
 def make_suspects(*crashes, now_ms=NOW_MS):
@@ -296,6 +310,137 @@
         assert counts.refused * 1000 <= counts.good
 
 
+def make_part_crash(endpoint_id, at_ms=NOW_MS, call_id=''):
+    """Return a proven :class:`Crash` shortly after a call was sent."""
+    return Crash(endpoint_id, at_ms, 50, call_id=call_id)
+
+
+def test_parts_with_the_same_crashes_are_only_refused_together():
+    suspects = Suspects()
+    for number in range(3):
+        for fingerprint in (f'r{number}', 'part-a', 'part-b'):
+            suspects.note_crash(fingerprint, make_part_crash(f'e{number}'))
+    suspects.evaluate(NOW_MS)
+    assert suspects.find_verdict(['r9', 'part-a', 'part-b'])
+    assert not suspects.find_verdict(['r9', 'part-a', 'part-c'])
+    assert suspects.find_tested(['r9', 'part-a', 'part-c'])
+    assert not suspects.find_tested(['r9', 'part-c'])
+    suspects.note_answered('part-a', NOW_MS + 1)
+    suspects.evaluate(NOW_MS + 1)
+    assert suspects.find_verdict(['r9', 'part-b'])
+    assert not suspects.find_tested(['r9', 'part-a', 'part-c'])
+
+
+def test_a_repeated_request_is_refused_and_not_its_parts():
+    suspects = Suspects()
+    for number in range(3):
+        for fingerprint in ('r', 'part-a', 'part-b'):
+            suspects.note_crash(fingerprint, make_part_crash(f'e{number}'))
+    suspects.evaluate(NOW_MS)
+    assert set(suspects.quarantined) == {'r'}
+    assert suspects.find_verdict(['r', 'part-a', 'part-b'])
+    assert not suspects.find_verdict(['r2', 'part-a', 'part-b'])
+
+
+def test_a_part_that_was_answered_before_is_less_suspect():
+    suspects = Suspects()
+    for number in range(6):
+        other = 'part-b' if number < 3 else 'part-c'
+        at_ms = NOW_MS + 2000 * number
+        for fingerprint in ('part-a', other):
+            crash = make_part_crash(f'e{number}', at_ms)
+            suspects.note_crash(fingerprint, crash)
+        suspects.note_answered('part-a', NOW_MS - 1000)
+        suspects.evaluate(at_ms)
+        assert 'part-a' not in suspects.quarantined
+    assert set(suspects.quarantined) == {'part-b', 'part-c'}
+
+
+def test_a_part_that_begins_to_crash_endpoints_is_refused():
+    suspects = Suspects()
+    for number in range(3):
+        at_ms = NOW_MS + 2000 * number
+        crash = make_part_crash(f'e{number}', at_ms)
+        suspects.note_crash('part-a', crash)
+        suspects.note_answered('part-a', NOW_MS - 1000)
+    suspects.evaluate(at_ms)
+    assert 'part-a' in suspects.quarantined
+
+
+def test_simultaneous_crashes_do_not_convict_a_part_in_use():
+    suspects = Suspects()
+    for number in range(50):
+        crash = make_part_crash(f'e{number}', NOW_MS + number)
+        suspects.note_crash('part-a', crash)
+    suspects.note_answered('part-a', NOW_MS - 1000)
+    suspects.evaluate(NOW_MS)
+    assert not suspects.quarantined
+
+
+def make_ambiguous_quarantine(*names):
+    """Return a quarantine on host-1 with a verdict on parts a and b.
+
+    :param names: names of the other hosts.
+    """
+    clock = Clock()
+    members = Members(clock, 'host-1')
+    for name in names:
+        members.put(Member(name, '', 'zone-a', 0))
+    quarantine = Quarantine(clock, members)
+    for number in range(3):
+        crash = make_part_crash(f'e{number}', clock.now(), f'c{number}')
+        pairs = [(part, crash) for part in ('part-a', 'part-b')]
+        quarantine.handle_crashes(pairs)
+    return quarantine
+
+
+def test_calls_that_tell_suspects_apart_are_sent_one_at_a_time():
+    quarantine = make_ambiguous_quarantine('host-2')
+    calls = [
+        FakeCall(f'c{number}', (f'r{number}', 'part-a')) for number in range(2)
+    ]
+    assert quarantine.admit(calls[0]) is None
+    refusal = quarantine.admit(calls[1])
+    assert refusal.retry_after_ms <= quarantine_module.TEST_RETRY_MS
+    quarantine.end(calls[1])
+    assert quarantine.admit(calls[1])
+    quarantine.end(calls[0])
+    assert quarantine.admit(calls[1]) is None
+
+
+def test_few_hosts_send_calls_that_tell_suspects_apart():
+    names = [f'host-{number}' for number in range(1, 40)]
+    key = 'part-a'
+    testing = 0
+    for name in names:
+        members = Members(Clock(), name)
+        for other in names:
+            members.put(Member(other, '', 'zone-a', 0))
+        testing += Quarantine(Clock(), members).is_testing_host(key)
+    assert testing == quarantine_module.TESTING_HOSTS
+
+
+def test_part_ids_made_up_by_callers_take_bounded_memory():
+    quarantine = Quarantine(Clock())
+    for number in range(2 * quarantine_module.MAX_ANSWERED):
+        call = FakeCall('c', ('r', f'part-{number}'))
+        quarantine.note_answered(call)
+    assert len(quarantine.answered_parts) == quarantine_module.MAX_ANSWERED
+    assert len(quarantine.answered_requests) == 1
+    assert len(make_part_fingerprint('x' * 10_000)) < 100
+
+
+@pytest.mark.parametrize('name', ['bursts', 'same first part', 'two parts'])
+def test_crashing_parts_are_stopped_and_sound_calls_served(name):
+    scenario = crashingparts.SCENARIOS[name]
+    judge = crashingparts.CoverJudge()
+    counts = crashingparts.Simulation(scenario, judge, 1).run(40)
+    assert counts.late <= MAX_LATE_SENDS
+    assert counts.sound > 1000
+    assert counts.related_refused * 2 <= counts.related
+    assert counts.refused * 1000 <= counts.sound
+
+
 def make_known(count):
     """Return suspects with three crashes each, as other hosts send them."""
     now = Clock().now()
