Streams without framing that close before any event are broken

What callers saw: a stream whose answer has neither length nor chunks and whose endpoint closes after the head came to them as whole and empty; it counted as a success, cleared its request of suspicion, and no probe looked for a crash. Cause: the end of such a body is the end of its connection, which a process that ends closes as well. Change: it is a broken answer, as is a close inside an event.

--- a/pearrun/http1/messages.py
+++ b/pearrun/http1/messages.py
@@ -60,6 +60,16 @@
         """Return a header's value; see :meth:`Request.get`."""
         return get_header(self.headers, name)
 
+    @property
+    def is_framed(self):
+        """Whether the end of the body shows in the body itself.
+
+        Otherwise the body ends with its connection.
+        """
+        codings = self.get(b'transfer-encoding') or ''
+        is_chunked = 'chunked' in codings.lower()
+        return is_chunked or self.get(b'content-length') is not None
+
 
 @dataclasses.dataclass(frozen=True)
 class Response:
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -348,6 +348,11 @@
                 raise exceptions.ConnectionBrokenError(
                     'stream ended inside an event'
                 )
+            if not forwarded and not head.is_framed:
+                # An endpoint whose process ends closes its connections too.
+                raise exceptions.ConnectionBrokenError(
+                    'connection closed before the first event'
+                )
         except exceptions.ConnectionBrokenError as exc:
             self._record_broken(exc)
             if forwarded or self.caller.head_sent:
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -10,6 +10,7 @@
 
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
+from pearrun.http1 import sockets
 from pearrun.http1.server import Server
 
 EVENT_BYTES = 40
@@ -31,8 +32,9 @@
     :param torn: also send the first bytes of the next event before
         that reset.
     :param truncate: reset the connection within a plain response.
-    :param unframed: omit the content length; closing the connection
-        ends the response.
+    :param unframed: omit content length and chunks; closing the
+        connection ends the response or the stream.
+    :param orderly: end streams that break with an orderly close.
     :param unsealed: omit the signature (``Pearrun-Runner-Seal``).
     :param extra: send a second response after a complete one.
     :param stray_first: first send the response to another request.
@@ -57,6 +59,7 @@
     torn: bool = False
     truncate: bool = False
     unframed: bool = False
+    orderly: bool = False
     unsealed: bool = False
     extra: bool = False
     stray_first: bool = False
@@ -263,10 +266,7 @@
             caller.abort()
             return
         if faults.unframed:
-            head = b'HTTP/1.1 200 OK\r\n' + b''.join(
-                name + b': ' + value + b'\r\n' for name, value in headers
-            )
-            caller.transport.write(head + b'\r\n' + body)
+            caller.transport.write(make_unframed_head(headers) + body)
             caller.transport.close()
             return
         await caller.reply(faults.status, headers, body)
@@ -277,6 +277,9 @@
         first = int(request.get(b'last-event-id') or 0)
         run.last_event_id = first
         headers.append((b'Content-Type', b'text/event-stream'))
+        if self.faults.unframed:
+            await self._send_unframed_stream(caller, run, headers)
+            return
         faults = self.faults
         caller.start(200, headers)
         for number in range(first + 1, self.event_count + 1):
@@ -297,6 +300,24 @@
                 return
         caller.finish()
 
+    async def _send_unframed_stream(self, caller, run, headers):
+        """Send a stream that ends with its connection."""
+        faults = self.faults
+        write = caller.transport.write
+        write(make_unframed_head(headers))
+        for number in range(run.last_event_id + 1, self.event_count + 1):
+            await asyncio.sleep(to_seconds(self.event_ms))
+            if run.events == faults.break_after_events:
+                if faults.torn:
+                    write(self._make_event(number)[:10])
+                if not faults.orderly:
+                    sock = caller.transport.get_extra_info('socket')
+                    sockets.reset_on_close(sock)
+                break
+            write(self._make_event(number))
+            run.events += 1
+        caller.transport.close()
+
     def _make_event(self, number):
         return make_event(number, self.version if self.names_version else '')
 
@@ -318,6 +339,12 @@
     return f'id: {number}\ndata: {data}\n\n'.encode()
 
 
+def make_unframed_head(headers):
+    """Return the head of a response that ends with its connection."""
+    lines = [name + b': ' + value + b'\r\n' for name, value in headers]
+    return b'HTTP/1.1 200 OK\r\n' + b''.join(lines) + b'\r\n'
+
+
 def make_stray_response(attempt):
     """Return a complete response to an attempt not sent to this endpoint."""
     return (
