New connections are shed while the event loop is late

Cause: no decision of a host depended on its own processor time. Change: new connections are closed unread by a share that follows the least delay of the event loop in 200 ms; readiness stays, one connection in 250 ms is accepted at any load.

--- a/pearrun/http1/server.py
+++ b/pearrun/http1/server.py
@@ -51,6 +51,11 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        if not self.server.accepts():
+            # Nothing was read, so that the caller may send its request again.
+            self.caller_gone = True
+            transport.abort()
+            return
         sockets.detect_dead_peer(
             transport.get_extra_info('socket'), USER_TIMEOUT_MS
         )
@@ -254,11 +259,14 @@
     :param handle: called with a :class:`Request` and the
         :class:`ServerConnection` to respond on.
     :param limits: returns the current :class:`ServerLimits`.
+    :param accepts: returns whether to serve a new connection; otherwise it is
+        closed at once.
     """
 
-    def __init__(self, handle, limits=ServerLimits):
+    def __init__(self, handle, limits=ServerLimits, accepts=lambda: True):
         self.handle = handle
         self.limits = limits
+        self.accepts = accepts
         self.connections = set()
         self.closing = False
         self.listener = None
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -79,7 +79,9 @@
         self.store = StoreClient(settings.store)
         self.relay = Relay(self.host)
         self.front = Server(
-            Frontend(self.host, self.relay).handle, self.get_limits
+            Frontend(self.host, self.relay).handle,
+            self.get_limits,
+            self.host.overload.accept,
         )
         self.ready = Server(ReadinessHandler(self.host).handle)
         self.metrics = Server(self.serve_metrics)
@@ -201,6 +203,7 @@
             QuarantineFollower(self.host, self.store).run(),
             StreamLog(self.host, self.store, self.holds_lease).run(),
             self.reporter.run(),
+            self.host.overload.run(),
             self.links.run(),
             self.watch_settings(),
             statelog.log_state(self),
@@ -294,6 +297,10 @@
             'ready': int(self.host.is_ready()),
             'requests_open': self.front.active_requests,
             'connections_open': len(self.front.connections),
+            'connections_shed_total': self.host.overload.shed,
+            'connections_shed_percent': round(
+                100 * self.host.overload.shedder.share
+            ),
             'config_version': self.host.config.version,
             'config_age_ms': self.host.config.age_ms(),
             'endpoints': len(self.host.fleet.endpoints),
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -19,6 +19,7 @@
 from pearrun.shared.loads import Loads
 from pearrun.shared.members import MEMBER_TOPIC
 from pearrun.shared.members import Members
+from pearrun.shared.overload import OverloadGuard
 from pearrun.shared.paths import Paths
 from pearrun.shared.pools import EndpointPools
 from pearrun.shared.pools import PROBE_SETTINGS
@@ -47,6 +48,7 @@
         self.clock = clock
         self.stopping = False
         self.counters = Counters()
+        self.overload = OverloadGuard(clock)
         self.config = ActiveConfig(clock)
         self.fleet = Fleet()
         self.version_history = VersionHistory(clock, self.fleet)
