Connections to endpoints follow the use of the other hosts

Cause: each host might open 0.8 of an endpoint's connections divided by the number of hosts (56 of 630 at 9 hosts, 6 at 84, 2 at 300), right only while traffic is even; the host that gets most connections of a region refused calls beyond it while the shares of all others stood idle. Evidence: tests/test_pools.py; the test of 9, 84 and 300 hosts failed before. Change: a host that has used its equal share takes a quarter of what the others' reported calls leave; it keeps to the equal share if it hears of less than half of the hosts. A property test plays up to four busy hosts of 2 to 300. Other ways: half of what is left (three busy hosts exceed the limit), the equal share alone (as before).

--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -71,7 +71,9 @@
         self.reachability = Reachability(self.fleet, PROBE_SETTINGS)
         self.tunnels = Tunnels(clock, settings, self.members, PROBE_SETTINGS)
         connector = EndpointConnector(self.reachability, self.tunnels)
-        self.pools = EndpointPools(self.count_hosts, connector.connect)
+        self.pools = EndpointPools(
+            self.count_hosts, connector.connect, self.count_others_calls
+        )
         self.reachability.close_idle = self.pools.close_idle
         self.limits = EndpointLimits(
             clock,
@@ -127,6 +129,16 @@
         """Return the number of entry hosts, including this one."""
         return self.members.count()
 
+    def count_others_calls(self, endpoint_id):
+        """Return how many calls the other hosts have at an endpoint.
+
+        :returns: ``None`` if less than half of the other hosts are heard.
+        """
+        others = self.members.count() - 1
+        if 2 * self.members.count_reporting() < others:
+            return None
+        return self.loads.get(endpoint_id).calls
+
     def is_ready(self):
         """Return whether this host accepts callers."""
         return (
--- a/pearrun/shared/pools.py
+++ b/pearrun/shared/pools.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from pearrun.decisions import connectionshare
 from pearrun.http1.pool import Pool
 from pearrun.http1.pool import PoolSettings
 
@@ -17,11 +18,6 @@
 TCP_USER_TIMEOUT_MS = 450
 # Limits of single connections, which belong to no pool.
 PROBE_SETTINGS = PoolSettings(1, CONNECT_TIMEOUT_MS, TCP_USER_TIMEOUT_MS)
-# Fraction of an endpoint's connection limit that all hosts together may use;
-# the rest is reserved for new hosts and for connections being closed.
-USED_SHARE = 0.8
-# Connections that a host may open however many hosts there are.
-MIN_CONNECTIONS = 2
 
 
 class EndpointPools:
@@ -30,35 +26,43 @@
     :param count_hosts: returns the number of hosts that share the endpoints.
     :param connect: opens a connection to an endpoint, given its record, the
         :class:`PoolSettings` and the id of a call.
+    :param count_others_calls: returns the number of calls that the other hosts
+        have at an endpoint, given its id; ``None`` if that is unknown.
     """
 
-    def __init__(self, count_hosts, connect):
+    def __init__(
+        self, count_hosts, connect, count_others_calls=lambda endpoint_id: None
+    ):
         self.count_hosts = count_hosts
         self.connect = connect
+        self.count_others_calls = count_others_calls
         self._pools = {}
 
     def get(self, record, service):
         """Return the pool of an endpoint, creating it if necessary.
 
-        Its limit follows the number of hosts and the configuration.
+        Its limit follows the number of hosts, the configuration and, once
+        this host has used its equal share, the calls of the others.
 
         :param record: an :class:`EndpointRecord`.
         :param service: its :class:`Service`.
         """
-        settings = self._make_settings(service)
+        limit = service.max_connections
+        hosts = self.count_hosts()
+        share = connectionshare.compute_equal_share(limit, hosts)
+        settings = make_settings(share)
         pool = self._pools.get(record.id)
         if pool is None:
             connect = functools.partial(self.connect, record)
             pool = Pool(record.address, settings, connect)
             self._pools[record.id] = pool
+        if pool.open_connections >= share:
+            others_calls = self.count_others_calls(record.id)
+            share = connectionshare.compute_share(limit, hosts, others_calls)
+            settings = make_settings(share)
         pool.settings = settings
         return pool
 
-    def _make_settings(self, service):
-        shared = service.max_connections * USED_SHARE
-        limit = max(MIN_CONNECTIONS, int(shared / max(1, self.count_hosts())))
-        return PoolSettings(limit, CONNECT_TIMEOUT_MS, TCP_USER_TIMEOUT_MS)
-
     def close_idle(self, endpoint_id):
         """Close the idle connections to an endpoint but keep its pool."""
         pool = self._pools.get(endpoint_id)
@@ -70,3 +74,10 @@
         pool = self._pools.pop(endpoint_id, None)
         if pool is not None:
             pool.close()
+
+
+def make_settings(max_connections):
+    """Return the :class:`PoolSettings` of an endpoint's pool."""
+    return PoolSettings(
+        max_connections, CONNECT_TIMEOUT_MS, TCP_USER_TIMEOUT_MS
+    )
