explain: from a refused request to the part, the crashes and what speaks for it

A call refused as quarantined names the verdict; explain shows when it began and for which crashes, the crash lines of all hosts about them, and what cleared the suspect before.

--- a/pearrun/explain.py
+++ b/pearrun/explain.py
@@ -33,6 +33,15 @@
         'endpoints reachable',
     )
 )
+# Lines about a quarantine, from its first crash to its end.
+QUARANTINE_EVENTS = frozenset(
+    (
+        'request quarantined',
+        'quarantine tested',
+        'quarantine ended',
+        'suspect cleared',
+    )
+)
 # Lines about one request, also of the hosts that forwarded it.
 TUNNEL_EVENTS = frozenset(('tunnel', 'tunnel not opened'))
 # Fields that any line may have and that are not shown.
@@ -137,6 +146,7 @@
         and started_s - BEFORE_S <= line.at <= result.at + AFTER_S
         and is_related(line, result)
     ]
+    related.extend(list_quarantine_lines(lines, result))
     events = [(line.at, describe(line)) for line in related]
     events.extend(describe_attempts(result, started_s))
     events.append((result.at, describe(result)))
@@ -152,6 +162,48 @@
     return text
 
 
+def list_quarantine_lines(lines, result):
+    """Return the lines about the quarantine that refused a request.
+
+    They are those of its host, and those of all hosts about the crashes that
+    the last of these names.
+    """
+    fingerprint = result.fields.get('quarantine')
+    if fingerprint is None:
+        return []
+    found = [
+        line
+        for line in lines
+        if line.event in QUARANTINE_EVENTS
+        and line.process == result.process
+        and line.fields.get('fingerprint') == fingerprint
+        and line.at <= result.at
+    ]
+    started = [line for line in found if line.event == 'request quarantined']
+    crashes = started[-1].fields.get('crashes', ()) if started else ()
+    crashed = {crash[0] for crash in crashes}
+    found.extend(
+        line
+        for line in lines
+        if line.event == 'endpoint crashed'
+        and line.fields.get('endpoint') in crashed
+        and has_crashed_call(line, fingerprint)
+    )
+    return found
+
+
+def has_crashed_call(line, fingerprint):
+    """Return whether a crash line has a call with a fingerprint.
+
+    :param fingerprint: that of a request or of a prompt part.
+    """
+    return any(
+        fingerprint == call[0] or fingerprint in call[2]
+        for call in line.fields.get('calls', ())
+        if len(call) > 2
+    )
+
+
 def is_related(line, result):
     """Return whether a line may explain how a request ended."""
     if line.event in TUNNEL_EVENTS:
@@ -174,7 +226,8 @@
         for name, value in line.fields.items()
         if name not in COMMON_FIELDS and value not in ('', None)
     )
-    host = f'{line.process}: ' if line.event == 'tunnel' else ''
+    of_others = ('tunnel', 'endpoint crashed')
+    host = f'{line.process}: ' if line.event in of_others else ''
     return f'{host}{line.event} {fields}'.rstrip()
 
 
@@ -218,6 +271,11 @@
                 f'{fields.get("units")} units asked, '
                 f'{fields.get("quota_left")} left'
             )
+        case 'refused', 'quarantined':
+            return (
+                f'endpoints crashed while running what has the fingerprint '
+                f'{fields.get("quarantine")}'
+            )
         case 'refused', 'overload':
             return (
                 f'the first token was expected after '
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -31,6 +31,7 @@
             FLAGS.crashing,
             FLAGS.limited,
             FLAGS.versions,
+            FLAGS.crashing_part,
         )
         try:
             findings, evidence = asyncio.run(run)
@@ -65,6 +66,11 @@
     flags.DEFINE_bool(
         'crashing', False, 'Also send a request that crashes endpoints.'
     )
+    flags.DEFINE_bool(
+        'crashing_part',
+        False,
+        'Also send requests with a prompt part that crashes endpoints.',
+    )
     flags.DEFINE_bool(
         'limited', False, 'Also let endpoints advertise rate limits.'
     )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -11,8 +11,8 @@
 - Duties: all reports of a usage window are equal, fencing tokens never
   decrease, and two hosts do not alternate as holder within the duration of a
   lease.
-- A request that crashed three endpoints is sent to few more, and no other
-  request is refused because of it.
+- A request or prompt part that crashed three endpoints is sent to few more,
+  and no other request is refused because of it.
 - An endpoint that names a rate limit gets few more calls than it allows; see
   :mod:`tests.soak.limits`.
 - A stream goes on at the software version that began it; see
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -20,6 +20,7 @@
 from tests.soak.site import SoakSite
 from tests.soak.traffic import CallKind
 from tests.soak.traffic import CRASHING_BODY
+from tests.soak.traffic import CRASHING_PART
 from tests.soak.traffic import KINDS
 from tests.soak.traffic import Traffic
 from tests.soak.versions import check_versions
@@ -123,6 +124,7 @@
     crashing=False,
     limited=False,
     several_versions=False,
+    crashing_part=False,
 ):
     """Run the soak with one seed.
 
@@ -134,6 +136,8 @@
     :param limited: whether endpoints advertise rate limits at times.
     :param several_versions: whether endpoints of several software versions
         serve side by side, and callers resume streams.
+    :param crashing_part: the same as ``crashing``, of different requests with
+        one prompt part in common.
     :returns: ``(findings, evidence)``.
     :raises DirectoryInUseError: another run uses the directory.
     """
@@ -147,11 +151,19 @@
             crashing,
             limited,
             several_versions,
+            crashing_part,
         )
 
 
 async def play(
-    seed, length_ms, directory, hosts, crashing, limited, several_versions
+    seed,
+    length_ms,
+    directory,
+    hosts,
+    crashing,
+    limited,
+    several_versions,
+    crashing_part,
 ):
     """Run the soak in a directory of its own; see :func:`run_seed`."""
     replicas = [Replica(*arguments) for arguments in REPLICAS]
@@ -166,8 +178,11 @@
         plan = plan.add(generate_kills(seed, length_ms, names))
     injector = FaultInjector(site)
     traffic = Traffic(site, seed)
-    if crashing:
+    if crashing_part:
+        site.crash_on_part = CRASHING_PART
+    elif crashing:
         site.crash_on = CRASHING_BODY
+    crashing = crashing or crashing_part
     resuming = ResumingCallers(site, seed)
     resuming.stopped = not several_versions
     crash_calls = []
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -87,6 +87,7 @@
         self.drain_start_ms = {}
         self.version = 0
         self.crash_on = None
+        self.crash_on_part = None
         self.several_versions = False
         self.crash_times_ms = []
         self.limit_periods = []
@@ -201,7 +202,9 @@
 
     def make_base_faults(self):
         """Return the faults of an endpoint that is not disrupted."""
-        return RunnerFaults(crash_on=self.crash_on)
+        return RunnerFaults(
+            crash_on=self.crash_on, crash_on_part=self.crash_on_part
+        )
 
     async def replace_crashed_endpoints(self):
         """Replace crashed endpoints until cancelled."""
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -45,6 +45,10 @@
 # A request that crashes the endpoints that run it, and the mean interval
 # between its repetitions.
 CRASHING_BODY = b'crash'
+# A prompt part that crashes endpoints, in requests with other bodies, and the
+# other part that these requests share with those of the other callers.
+CRASHING_PART = 'bad'
+CRASHING_PARTS = f'aa:100,{CRASHING_PART}:30,own:20'
 CRASHING_KIND = CallKind('/short/', True, True)
 CRASHING_INTERVAL_MS = 500
 
@@ -75,6 +79,7 @@
     complete: bool = False
     timed_out: bool = False
     request_body: bytes = b''
+    parts: str | None = None
 
 
 class Traffic:
@@ -101,7 +106,9 @@
             await self._call_on_connection(host)
 
     async def repeat_crashing_request(self):
-        """Send a request that crashes endpoints, until ``stopped`` is set.
+        """Send requests that crash endpoints, until ``stopped`` is set.
+
+        They are the same request, or have a prompt part in common.
 
         :returns: its :class:`CallRecord` objects, which are not added to
             ``records``.
@@ -120,6 +127,9 @@
                 self.clock.now(),
                 request_body=CRASHING_BODY,
             )
+            if self.site.crash_on_part is not None:
+                record.request_body = record.attempt.encode()
+                record.parts = CRASHING_PARTS
             records.append(record)
             try:
                 connection = await client.connect(
@@ -183,6 +193,8 @@
 
     async def _exchange(self, connection, record):
         prompt = make_prompt() if record.kind.stream else {}
+        if record.parts is not None:
+            prompt = make_prompt(record.parts)
         fields = make_headers(
             record.attempt, deadline_ms=DEADLINE_MS, **prompt
         )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -153,3 +153,53 @@
     assert 'sent to e-1 (v1): connection reset' in text
     assert 'request r-6 on host-2, resumes r-5' in text
     assert 'sent to e-7 (v2): answered' in text
+
+
+def make_crash_line(at, endpoint, process='host-1', part='part-bad'):
+    """Return the line of a crash under a request with a prompt part."""
+    calls = [['f-1', 80, ['part-first', part]]]
+    return make_line(
+        at, 'endpoint crashed', process, endpoint=endpoint, calls=calls
+    )
+
+
+def test_time_line_leads_from_a_refused_request_to_the_crashes_of_its_part():
+    crashes = [['e-1', 900, 80, 'r-8'], ['e-2', 100, 70, 'r-9']]
+    lines = [
+        make_line(
+            10.0, 'suspect cleared', fingerprint='part-bad', request_id='r-7'
+        ),
+        make_crash_line(20.0, 'e-1', 'host-2'),
+        make_crash_line(21.0, 'e-2'),
+        make_crash_line(22.0, 'e-2', part='part-other'),
+        make_line(
+            21.1,
+            'request quarantined',
+            fingerprint='part-bad',
+            members=['part-bad'],
+            crashes=crashes,
+        ),
+        make_line(21.2, 'quarantine ended', fingerprint='part-other'),
+        make_line(
+            90.0,
+            'call',
+            request_id='r-10',
+            ending='refused',
+            status=503,
+            reason='quarantined',
+            quarantine='part-bad',
+            parts=['first', 'bad'],
+            total_ms=1,
+            tries=[],
+        ),
+    ]
+    text = explain_request('r-10', lines)
+    events = [line.split('ms  ')[1].split(' ')[:3] for line in text[1:-1]]
+    assert [' '.join(event[:2]) for event in events[:4]] == [
+        'suspect cleared',
+        'host-2: endpoint',
+        'host-1: endpoint',
+        'request quarantined',
+    ]
+    assert len(events) == 5
+    assert 'part-bad' in text[-1]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,14 @@
 LIMITED_LENGTH_MS = 18_000
 
 
+def count_crashes(evidence):
+    """Return how often an endpoint crashed."""
+    return sum(
+        isinstance(timed.fault, faults.CrashEndpoint)
+        for timed in evidence.injected
+    )
+
+
 @pytest.mark.parametrize(
     'seed',
     [
@@ -47,12 +55,16 @@
     )
     assert not findings
     assert len(evidence.crash_calls) > 5
-    crashes = [
-        timed
-        for timed in evidence.injected
-        if isinstance(timed.fault, faults.CrashEndpoint)
-    ]
-    assert len(crashes) >= checks.QUARANTINE_CRASHES
+    assert count_crashes(evidence) >= checks.QUARANTINE_CRASHES
+
+
+def test_crashing_part_has_no_findings(tmp_path):
+    findings, evidence = asyncio.run(
+        run_seed(12, LENGTH_MS, tmp_path, crashing_part=True)
+    )
+    assert not findings
+    assert len(evidence.crash_calls) > 5
+    assert count_crashes(evidence) >= checks.QUARANTINE_CRASHES
 
 
 def test_limited_endpoints_have_no_findings(tmp_path):
