Relay: limits named in answers have a module of their own

No change of behaviour but one: a malformed Server-Limit no longer hides a valid Server-Brittle in the same answer. Call.customer_name replaces three copies.

--- a/pearrun/decisions/streamversion.py
+++ b/pearrun/decisions/streamversion.py
@@ -59,7 +59,7 @@
 
     :param origin: the :class:`StreamOrigin`.
     """
-    customer = call.customer.name if call.customer else ''
+    customer = call.customer_name
     services = {target.name for target in call.route.targets}
     return origin.customer == customer and origin.service in services
 
--- a/pearrun/relay/call.py
+++ b/pearrun/relay/call.py
@@ -43,6 +43,11 @@
     last_event_id: str | None = None
     resumes: RequestId | None = None
 
+    @property
+    def customer_name(self):
+        """Name of the customer; empty if there is none."""
+        return self.customer.name if self.customer else ''
+
     @property
     def is_resumption(self):
         """Whether the caller has received the beginning of the stream."""
@@ -54,12 +59,11 @@
     def fingerprint(self):
         """The fingerprint, which is equal for retries of the same request."""
         request = self.request
-        customer = self.customer.name if self.customer else ''
         return make_fingerprint(
             request.method,
             (request.get(b'host') or '').encode(),
             request.target,
-            customer.encode(),
+            self.customer_name.encode(),
             request.body,
         )
 
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -2,11 +2,10 @@
 
 import asyncio
 
-from loguru import logger
-
 from pearrun import exceptions
 from pearrun.clock import to_seconds
 from pearrun.decisions.evidence import is_call_stable
+from pearrun.relay.answeredlimits import AnsweredLimits
 from pearrun.relay.endpointfailures import EndpointFailures
 from pearrun.relay.events import EventSplitter
 from pearrun.relay.outcomes import Answered
@@ -39,8 +38,6 @@
 # A stream whose events have been arriving for this long shows that no part of
 # its prompt crashes endpoints.
 BEGUN_MS = 250
-# Responses that the expected endpoint is known to have sent for this call.
-LIMITING_KINDS = (ResponseKind.ANSWER, ResponseKind.NOT_RUN)
 
 
 class Exchange:
@@ -60,6 +57,7 @@
         self.caller = caller
         self.trace = trace
         self.failures = EndpointFailures(host)
+        self.limits = AnsweredLimits(host, trace)
         self.connection = None
         self.selected = None
         self.prompt_pending = False
@@ -173,8 +171,9 @@
             if watch is not None:
                 watch.cancel()
         self.host.selection.note_answer(self.selected.endpoint)
-        if kind in LIMITING_KINDS:
-            self._note_limits(head, kind)
+        self.limits.note_answer(
+            head, kind, self.selected.endpoint, self.sent_ms
+        )
         match kind:
             case ResponseKind.NOT_RUN | ResponseKind.WRONG_ENDPOINT:
                 return await self._read_refusal(head, kind)
@@ -223,41 +222,6 @@
                 lambda: self.failures.note_silence(endpoint),
             )
 
-    def _note_limits(self, head, kind):
-        """Record the limits that a response names, if they are valid."""
-        try:
-            self._note_rate_limit(head, kind)
-            self._note_brittleness(head, kind)
-        except exceptions.WireFormatError as exc:
-            logger.bind(
-                endpoint=self.selected.endpoint.id, code=exc.code
-            ).warning(exc.message)
-
-    def _note_rate_limit(self, head, kind):
-        """Record the rate limit that the endpoint advertises, if any.
-
-        A refusal may lack the limit although the endpoint still has one.
-        """
-        endpoint_id = self.selected.endpoint.id
-        limit = self.host.codec.decode_rate_limit(head)
-        self.trace.endpoint_limit = limit
-        if limit is not None:
-            self.host.counters.limited_answers += 1
-            self.host.limits.note_advertised(endpoint_id, limit)
-        elif kind is ResponseKind.ANSWER:
-            self.host.limits.note_unlimited(endpoint_id, self.sent_ms)
-
-    def _note_brittleness(self, head, kind):
-        """Record whether the endpoint is brittle, and a refusal if so."""
-        brittle = self.host.codec.decode_brittleness(head)
-        service_name = self.service.name
-        if brittle is not None:
-            self.host.brittle.note_brittle(service_name, brittle)
-        elif kind is ResponseKind.ANSWER:
-            self.host.brittle.note_sound(service_name, self.sent_ms)
-        if kind is ResponseKind.NOT_RUN and head.status == 503:
-            self.host.brittle.note_refused(self.selected.endpoint)
-
     async def _read_matching_head(self):
         """Read response heads until one belongs to this call.
 
@@ -375,7 +339,7 @@
                 call.id,
                 record.service,
                 record.version,
-                call.customer.name if call.customer else '',
+                call.customer_name,
                 call.deadline_ms,
             )
         )
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -136,7 +136,7 @@
         logger.bind(
             request_id=call.id,
             route=call.route.name,
-            customer=call.customer.name if call.customer else '',
+            customer=call.customer_name,
             ending=ending,
             status=self.status,
             reason=self.reason,
