A part whose crashes others explain is refused only with one of them

Cause: the first part has the crashes of both and was blamed alone; refused, it could not be answered. Change: where parts with several crashes each, none of them ever answered, explain all crashes of a part, only calls with one of these are refused, and one with none of them goes as a test, as for suspects with equal crashes.

--- a/benchmarks/crashingparts.py
+++ b/benchmarks/crashingparts.py
@@ -90,7 +90,7 @@
     'two parts': Scenario(
         crashing=(('first-0', 'bad'), ('first-0', 'worse')), interval_s=0.5
     ),
-    'two parts, few sound calls': Scenario(
+    'two parts, few calls': Scenario(
         crashing=(('first-0', 'bad'), ('first-0', 'worse')),
         interval_s=2.0,
         sound_per_s=2.0,
--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -15,7 +15,9 @@
 
 Suspects with the same crashes and no answer cannot be told apart.  They are
 quarantined together: calls that have all of them are refused, and a call with
-some of them shows which one is the cause.  Few such calls are sent at a time.
+some of them shows which one is the cause.  So does a call with a suspect whose
+crashes several others explain as well, and with none of these.  Few such calls
+are sent at a time.
 """
 
 import collections
@@ -70,22 +72,29 @@
         there is one among them.
     :param members: fingerprints that a call must have to be refused.
     :param until_ms: monotonic time at which the quarantine ends.
+    :param others: fingerprints of parts that may be the causes instead; if
+        there are any, a call must have one of them to be refused.
     """
 
     fingerprint: Fingerprint
     members: frozenset[Fingerprint]
     until_ms: int
+    others: frozenset[Fingerprint] = frozenset()
 
-    @property
-    def is_ambiguous(self):
-        """Whether it is unknown which of its members is the cause."""
-        return len(self.members) > 1
+    def applies_to(self, fingerprints):
+        """Return whether a call with these fingerprints is refused."""
+        if not self.members <= fingerprints:
+            return False
+        return not self.others or bool(self.others & fingerprints)
 
     def is_tested_by(self, fingerprints):
-        """Return whether the outcome of a call tells the members apart."""
+        """Return whether the outcome of a call tells the suspects apart."""
+        if self.applies_to(fingerprints):
+            return False
+        if self.others:
+            return self.members <= fingerprints
         shared = self.members & fingerprints
-        has_part = any(is_part(fingerprint) for fingerprint in shared)
-        return has_part and not self.members <= fingerprints
+        return any(is_part(fingerprint) for fingerprint in shared)
 
 
 class Suspects:
@@ -121,19 +130,19 @@
         applicable = [
             verdict
             for verdict in self.verdicts.values()
-            if verdict.members <= known
+            if verdict.applies_to(known)
         ]
         return max(applicable, key=lambda item: item.until_ms, default=None)
 
     def find_tested(self, fingerprints):
-        """Return an ambiguous verdict that a call would test, if any.
+        """Return a verdict that a call would test, if any.
 
         :param fingerprints: the call's fingerprints.
         :returns: a :class:`Verdict` or ``None``.
         """
         known = frozenset(fingerprints)
         for verdict in self.verdicts.values():
-            if verdict.is_ambiguous and verdict.is_tested_by(known):
+            if verdict.is_tested_by(known):
                 return verdict
         return None
 
@@ -221,11 +230,17 @@
             group = find_indistinguishable(strongest, candidates, explained)
             candidates = [item for item in candidates if item is not strongest]
             until_ms = self._compute_end_ms(strongest, explained)
+            explained_before = frozenset(explained)
             explained.update(strongest.crashes)
             if now_ms < until_ms:
                 members = [item.fingerprint for item in group]
                 key = min(members, key=lambda item: (is_part(item), item))
-                verdicts[key] = Verdict(key, frozenset(members), until_ms)
+                verdicts[key] = Verdict(
+                    key,
+                    frozenset(members),
+                    until_ms,
+                    self._find_others(group, explained_before),
+                )
         self.verdicts = verdicts
 
     def is_proven(self, fingerprint):
@@ -238,6 +253,33 @@
         trust_ms = self.settings.trust_ms
         return suspect.weigh(explained, include_unproven, trust_ms)
 
+    def _find_others(self, group, explained):
+        """Return parts that together explain the crashes of a single part.
+
+        Each has several of these crashes, and none was ever answered.
+
+        :returns: their fingerprints; empty if they do not explain all.
+        """
+        suspect = group[0]
+        if len(group) > 1 or not is_part(suspect.fingerprint):
+            return frozenset()
+        if suspect.answered_ms is not None:
+            return frozenset()
+        crashed = suspect.crashes.keys() - explained
+        others = [
+            item
+            for item in self.suspects.values()
+            if is_part(item.fingerprint)
+            and item is not suspect
+            and item.answered_ms is None
+            and len(item.crashes) > 1
+            and item.crashes.keys() <= crashed
+        ]
+        covered = {name for item in others for name in item.crashes}
+        if covered != crashed:
+            return frozenset()
+        return frozenset(item.fingerprint for item in others)
+
     def _compute_end_ms(self, suspect, explained):
         """Return the end of the quarantine of a suspect."""
         weight = self._weigh(suspect, explained, include_unproven=False)
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -375,6 +375,7 @@
         logger.bind(
             fingerprint=fingerprint,
             members=sorted(verdict.members),
+            others=sorted(verdict.others),
             proven=proven,
             source=source,
             left_ms=verdict.until_ms - now,
