--- a/pearrun/relay/endpointfailures.py
+++ b/pearrun/relay/endpointfailures.py
@@ -4,6 +4,8 @@
 this host's own paths are not the reason.
 """
 
+import dataclasses
+
 from pearrun import exceptions
 
 
@@ -95,13 +97,21 @@
             self.host.crashes.note_down(endpoint.id)
 
     def _report_broken_call(self, endpoint, broken):
-        if self._may_be_a_crash(endpoint):
+        """Report a call that may have crashed the endpoint.
+
+        Brittle endpoints crash because of their load, so that a request is not
+        held responsible; a prompt part that was never answered still is.
+        """
+        if self._is_brittle(endpoint):
+            broken = dataclasses.replace(broken, fingerprint=None)
+        if broken.fingerprints and not self.is_retiring(endpoint):
             self.host.crash_probe.note_broken(endpoint, broken)
 
     def _may_be_a_crash(self, endpoint):
-        """Return whether a call may have crashed the endpoint.
+        """Return whether an endpoint that is down may have crashed."""
+        return not self._is_brittle(endpoint) and not self.is_retiring(
+            endpoint
+        )
 
-        Brittle endpoints crash because of their load.
-        """
-        is_brittle = self.host.brittle.is_brittle(endpoint.record.service)
-        return not is_brittle and not self.is_retiring(endpoint)
+    def _is_brittle(self, endpoint):
+        return self.host.brittle.is_brittle(endpoint.record.service)
--- a/pearrun/shared/crashdetector.py
+++ b/pearrun/shared/crashdetector.py
@@ -42,6 +42,8 @@
 class BrokenCall:
     """A call whose connection to an endpoint broke.
 
+    :param fingerprint: that of the request; ``None`` if it cannot be the
+        cause.
     :param ran_ms: milliseconds between sending the call and the break.
     :param at_ms: monotonic time of the break.
     :param call_was_stable: see
@@ -51,7 +53,7 @@
     :param part_fingerprints: of the prompt parts that may be the cause.
     """
 
-    fingerprint: Fingerprint
+    fingerprint: Fingerprint | None
     ran_ms: int
     at_ms: int
     call_was_stable: bool = False
@@ -61,6 +63,8 @@
     @property
     def fingerprints(self):
         """Fingerprints of everything that may have crashed the endpoint."""
+        if self.fingerprint is None:
+            return self.part_fingerprints
         return (self.fingerprint, *self.part_fingerprints)
 
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -204,3 +204,16 @@
             assert count_reached(site, 'bad') <= MAX_CRASHES
 
     asyncio.run(main())
+
+
+def test_a_crashing_part_is_refused_beside_brittle_endpoints():
+    async def main():
+        async with run_crashing_site() as site:
+            crash_on_part(site, 'bad')
+            for runner in site.runners.values():
+                runner.faults.brittle = '3'
+            assert await send_good(site, 3, 'first', 'good') == [200] * 3
+            await send_bad(site, ROUNDS, 'first', 'bad')
+            assert count_reached(site, 'bad') <= MAX_CRASHES + MAX_LATE
+
+    asyncio.run(main())
