A first part is not blamed for one more crash than each part behind it

One of the parts that explain the crashes may now have a single one; with two the first part is blamed, so that at most two tests fail.

--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -256,7 +256,8 @@
     def _find_others(self, group, explained):
         """Return parts that together explain the crashes of a single part.
 
-        Each has several of these crashes, and none was ever answered.
+        All but one have several of these crashes, since parts that came once
+        each point to what they came with.  None was ever answered.
 
         :returns: their fingerprints; empty if they do not explain all.
         """
@@ -272,11 +273,12 @@
             if is_part(item.fingerprint)
             and item is not suspect
             and item.answered_ms is None
-            and len(item.crashes) > 1
+            and item.crashes
             and item.crashes.keys() <= crashed
         ]
         covered = {name for item in others for name in item.crashes}
-        if covered != crashed:
+        single = sum(len(item.crashes) == 1 for item in others)
+        if covered != crashed or single > 1:
             return frozenset()
         return frozenset(item.fingerprint for item in others)
 
