Quarantine: judge anew only when crashes change; answered suspects stay together

Each answer of a suspect without crashes led to a new judgement of all (17 ms at the limits of the state), once a second for each of them, and so did each peer's news of it. Now only those that add or remove crashes do. Suspects with equal crashes that were all answered before are refused together; the one that was answered longest ago was blamed alone, which a rarely sent sound part beside one that begins to crash endpoints would be.

--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -321,7 +321,7 @@
     """Return the suspects with the same crashes as the strongest one.
 
     Of several requests only one is returned, since no call is more than one
-    of them, and none that was answered more recently than another.
+    of them.  If some were never answered, only these are returned.
 
     :param explained: ids of endpoints whose crash is attributed to another
         suspect.
@@ -342,5 +342,5 @@
         ]
     parts = [item for item in equal if is_part(item.fingerprint)]
     group = [*requests, *parts]
-    first_ms = min(item.answered_ms or 0 for item in group)
-    return [item for item in group if (item.answered_ms or 0) == first_ms]
+    never_answered = [item for item in group if item.answered_ms is None]
+    return never_answered or group
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -190,7 +190,7 @@
 
     def _note_survived(self, fingerprints, call):
         now = self.clock.now()
-        changed = set()
+        cleared = False
         for fingerprint in fingerprints:
             self._get_answers(fingerprint).note(fingerprint, now)
             suspect = self.known.suspects.get(fingerprint)
@@ -198,17 +198,17 @@
                 continue
             crashes = len(suspect.crashes)
             if self.known.note_answered(fingerprint, now):
-                changed.add(fingerprint)
+                self._pending.add(fingerprint)
             if len(suspect.crashes) < crashes:
+                cleared = True
                 logger.bind(
                     fingerprint=fingerprint,
                     request_id=call.id,
                     crashes=crashes,
                 ).info('suspect cleared')
-        if not changed:
+        if not cleared:
             return
         verdicts = self.known.verdicts
-        self._pending |= changed
         self._update_quarantine('answer')
         if self.known.verdicts != verdicts:
             self.notify_peers()
@@ -253,16 +253,22 @@
         :param source: where they came from, for the log.
         :param forward: whether to send what is new to other hosts.
         """
-        changed = {
-            suspect.fingerprint
-            for suspect in suspects
-            if self._merge_suspect(suspect)
-        }
-        if not changed:
-            return
+        changed = set()
+        has_crashes = False
+        for suspect in suspects:
+            fingerprint = suspect.fingerprint
+            had_crashes = self._has_crashes(fingerprint)
+            if self._merge_suspect(suspect):
+                changed.add(fingerprint)
+                has_crashes |= had_crashes or self._has_crashes(fingerprint)
         if forward:
             self._pending |= changed
-        self._update_quarantine(source)
+        if has_crashes:
+            self._update_quarantine(source)
+
+    def _has_crashes(self, fingerprint):
+        suspect = self.known.suspects.get(fingerprint)
+        return suspect is not None and bool(suspect.crashes)
 
     def collect_updates(self):
         """Return the suspects to send to the connected hosts now.
