--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -20,9 +20,9 @@
 from pearrun.decisions.quarantine import QuarantineSettings
 from pearrun.fingerprints import make_fingerprint
 from pearrun.shared import suspects
-from pearrun.shared.quarantine import MAX_ANSWERED
 from pearrun.shared.quarantine import MAX_SENT
 from pearrun.shared.quarantine import Quarantine
+from pearrun.shared.recentanswers import MAX_ANSWERED
 
 FLAGS = flags.FLAGS
 
--- a/pearrun/decisions/evidence.py
+++ b/pearrun/decisions/evidence.py
@@ -232,3 +232,8 @@
         -suspect.compute_mean_run_ms(),
         suspect.fingerprint,
     )
+
+
+def is_refuted(crash, answered_ms):
+    """Return whether a later answer shows that the cause is another."""
+    return answered_ms is not None and crash.at_ms <= answered_ms
--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -23,12 +23,15 @@
 import collections
 import dataclasses
 
+from pearrun.decisions.evidence import is_refuted
 from pearrun.decisions.evidence import make_sort_key
 from pearrun.decisions.evidence import select_most_suspect
 from pearrun.decisions.evidence import Suspect
 from pearrun.decisions.evidence import TRUST_MS
+from pearrun.decisions.verdicts import find_indistinguishable
+from pearrun.decisions.verdicts import find_others
+from pearrun.decisions.verdicts import Verdict
 from pearrun.fingerprints import is_part
-from pearrun.ids import Fingerprint
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,39 +67,6 @@
     answer_resolution_ms: int = 1000
 
 
-@dataclasses.dataclass(frozen=True)
-class Verdict:
-    """Suspects that are quarantined together.
-
-    :param fingerprint: the one that stands for all of them: the request, if
-        there is one among them.
-    :param members: fingerprints that a call must have to be refused.
-    :param until_ms: monotonic time at which the quarantine ends.
-    :param others: fingerprints of parts that may be the causes instead; if
-        there are any, a call must have one of them to be refused.
-    """
-
-    fingerprint: Fingerprint
-    members: frozenset[Fingerprint]
-    until_ms: int
-    others: frozenset[Fingerprint] = frozenset()
-
-    def applies_to(self, fingerprints):
-        """Return whether a call with these fingerprints is refused."""
-        if not self.members <= fingerprints:
-            return False
-        return not self.others or bool(self.others & fingerprints)
-
-    def is_tested_by(self, fingerprints):
-        """Return whether the outcome of a call tells the suspects apart."""
-        if self.applies_to(fingerprints):
-            return False
-        if self.others:
-            return self.members <= fingerprints
-        shared = self.members & fingerprints
-        return any(is_part(fingerprint) for fingerprint in shared)
-
-
 class Suspects:
     """Requests and prompt parts that are suspected of crashing endpoints.
 
@@ -239,7 +209,9 @@
                     key,
                     frozenset(members),
                     until_ms,
-                    self._find_others(group, explained_before),
+                    find_others(
+                        group, self.suspects.values(), explained_before
+                    ),
                 )
         self.verdicts = verdicts
 
@@ -253,35 +225,6 @@
         trust_ms = self.settings.trust_ms
         return suspect.weigh(explained, include_unproven, trust_ms)
 
-    def _find_others(self, group, explained):
-        """Return parts that together explain the crashes of a single part.
-
-        All but one have several of these crashes, since parts that came once
-        each point to what they came with.  None was ever answered.
-
-        :returns: their fingerprints; empty if they do not explain all.
-        """
-        suspect = group[0]
-        if len(group) > 1 or not is_part(suspect.fingerprint):
-            return frozenset()
-        if suspect.answered_ms is not None:
-            return frozenset()
-        crashed = suspect.crashes.keys() - explained
-        others = [
-            item
-            for item in self.suspects.values()
-            if is_part(item.fingerprint)
-            and item is not suspect
-            and item.answered_ms is None
-            and item.crashes
-            and item.crashes.keys() <= crashed
-        ]
-        covered = {name for item in others for name in item.crashes}
-        single = sum(len(item.crashes) == 1 for item in others)
-        if covered != crashed or single > 1:
-            return frozenset()
-        return frozenset(item.fingerprint for item in others)
-
     def _compute_end_ms(self, suspect, explained):
         """Return the end of the quarantine of a suspect."""
         weight = self._weigh(suspect, explained, include_unproven=False)
@@ -310,37 +253,3 @@
                 self.suspects.values(), settings.max_suspects
             )
             self.suspects = {item.fingerprint: item for item in strongest}
-
-
-def is_refuted(crash, answered_ms):
-    """Return whether a later answer shows that the cause is another."""
-    return answered_ms is not None and crash.at_ms <= answered_ms
-
-
-def find_indistinguishable(strongest, candidates, explained):
-    """Return the suspects with the same crashes as the strongest one.
-
-    Of several requests only one is returned, since no call is more than one
-    of them.  If some were never answered, only these are returned.
-
-    :param explained: ids of endpoints whose crash is attributed to another
-        suspect.
-    :returns: a list of :class:`Suspect` objects, ``strongest`` among them.
-    """
-    crashed = strongest.crashes.keys() - explained
-    equal = [
-        suspect
-        for suspect in candidates
-        if suspect.crashes.keys() - explained == crashed
-    ]
-    requests = [item for item in equal if not is_part(item.fingerprint)]
-    if strongest in requests:
-        requests = [strongest]
-    elif requests:
-        requests = [
-            max(requests, key=lambda item: make_sort_key(item, explained))
-        ]
-    parts = [item for item in equal if is_part(item.fingerprint)]
-    group = [*requests, *parts]
-    never_answered = [item for item in group if item.answered_ms is None]
-    return never_answered or group
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -6,21 +6,19 @@
 save it in the store, so that it survives the loss of all hosts.
 """
 
-import collections
 import dataclasses
 
 from loguru import logger
 
-from pearrun.decisions import rendezvous
 from pearrun.decisions.evidence import select_most_suspect
 from pearrun.decisions.quarantine import Suspects
-from pearrun.decisions.quarantine import Verdict
-from pearrun.fingerprints import is_part
+from pearrun.decisions.verdicts import Verdict
 from pearrun.shared.crashdetector import READ_MARGIN_MS
+from pearrun.shared.recentanswers import RecentAnswers
+from pearrun.shared.trials import TRIAL_RETRY_MS
+from pearrun.shared.trials import Trials
 
-# Maximum number of answered requests kept, the same of answered prompt parts,
-# and of suspects in one message.
-MAX_ANSWERED = 4096
+# Maximum number of suspects in one message.
 MAX_SENT = 128
 # Interval at which known suspects are sent again, also to hosts that have
 # received them before.
@@ -28,13 +26,6 @@
 # Delay between the start of a quarantine and saving it: until then, crashes
 # reported by other hosts may show that a different request is the cause.
 SAVE_DELAY_MS = 300
-# Hosts of the fleet that send calls which test an ambiguous verdict, one at a
-# time each.
-TESTING_HOSTS = 3
-# Retry-After of such a call on another host, or while a test is running.
-TEST_RETRY_MS = 300
-# Hosts that have not reported for this long do not count as testing hosts.
-SILENT_MS = 2000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,30 +48,6 @@
     retry_after_ms: int
 
 
-class RecentAnswers:
-    """When what endpoints have answered was last answered on this host.
-
-    The entries that were not answered for longest are dropped.
-    """
-
-    def __init__(self):
-        self._answered_ms = collections.OrderedDict()
-
-    def note(self, fingerprint, now_ms):
-        """Record an answer."""
-        self._answered_ms[fingerprint] = now_ms
-        self._answered_ms.move_to_end(fingerprint)
-        if len(self._answered_ms) > MAX_ANSWERED:
-            self._answered_ms.popitem(last=False)
-
-    def __len__(self):
-        return len(self._answered_ms)
-
-    def get(self, fingerprint):
-        """Return when it was last answered; ``None`` if that is unknown."""
-        return self._answered_ms.get(fingerprint)
-
-
 class Quarantine:
     """Collects crashes and answers, and decides which calls to refuse.
 
@@ -94,15 +61,11 @@
 
     def __init__(self, clock, members=None):
         self.clock = clock
-        self.members = members
+        self.trials = Trials(members)
         self.known = Suspects()
         self.refused = 0
         self.notify_peers = lambda: None
-        # Callers choose the ids of prompt parts, so that they could displace
-        # the requests.
-        self.answered_requests = RecentAnswers()
-        self.answered_parts = RecentAnswers()
-        self._testing = {}
+        self.answers = RecentAnswers()
         self._local = set()
         self._pending = set()
         self._full_update_ms = clock.now()
@@ -130,38 +93,13 @@
         if not self.known.verdicts:
             return None
         tested = self.known.find_tested(call.fingerprints)
-        if tested is None:
+        if tested is None or self.trials.begin(tested, call):
             return None
-        busy = tested.fingerprint in self._testing
-        if busy or not self.is_testing_host(tested.fingerprint):
-            return QuarantineRefusal(tested, TEST_RETRY_MS)
-        self._testing[tested.fingerprint] = call.id
-        logger.bind(
-            fingerprint=tested.fingerprint,
-            members=sorted(tested.members),
-            request_id=call.id,
-        ).info('quarantine tested')
-        return None
+        return QuarantineRefusal(tested, TRIAL_RETRY_MS)
 
     def end(self, call):
         """Record that a call has ended."""
-        for fingerprint, call_id in list(self._testing.items()):
-            if call_id == call.id:
-                del self._testing[fingerprint]
-
-    def is_testing_host(self, fingerprint):
-        """Return whether this host tests an ambiguous verdict."""
-        if self.members is None:
-            return True
-        silent = self.members.list_silent(SILENT_MS)
-        names = {member.name for member in self.members.others()}
-        names.difference_update(silent)
-        key = rendezvous.hash_name(fingerprint)
-        own_weight = rendezvous.compute_weight(key, self.members.own_name)
-        before = sum(
-            rendezvous.compute_weight(key, name) > own_weight for name in names
-        )
-        return before < TESTING_HOSTS
+        self.trials.end(call)
 
     def find_verdict(self, call):
         """Return the :class:`Verdict` that a call is refused for, if any.
@@ -192,7 +130,7 @@
         now = self.clock.now()
         cleared = False
         for fingerprint in fingerprints:
-            self._get_answers(fingerprint).note(fingerprint, now)
+            self.answers.note(fingerprint, now)
             suspect = self.known.suspects.get(fingerprint)
             if suspect is None:
                 continue
@@ -213,11 +151,6 @@
         if self.known.verdicts != verdicts:
             self.notify_peers()
 
-    def _get_answers(self, fingerprint):
-        if is_part(fingerprint):
-            return self.answered_parts
-        return self.answered_requests
-
     def handle_crashes(self, crashes):
         """Add crashes that broke calls of this host.
 
@@ -341,7 +274,7 @@
         :returns: whether either was new.
         """
         is_new = self.known.note_crash(fingerprint, crash)
-        answered_ms = self._get_answers(fingerprint).get(fingerprint)
+        answered_ms = self.answers.get(fingerprint)
         if answered_ms is not None and self.known.note_answered(
             fingerprint, answered_ms
         ):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -25,6 +25,10 @@
 from pearrun.shared.members import Member
 from pearrun.shared.members import Members
 from pearrun.shared.quarantine import Quarantine
+from pearrun.shared.recentanswers import MAX_ANSWERED
+from pearrun.shared.trials import TRIAL_HOSTS
+from pearrun.shared.trials import TRIAL_RETRY_MS
+from pearrun.shared.trials import Trials
 from tests.crashes import count_crashed
 from tests.crashes import run_crashing_site
 from tests.crashes import send
@@ -421,7 +425,7 @@
     ]
     assert quarantine.admit(calls[0]) is None
     refusal = quarantine.admit(calls[1])
-    assert refusal.retry_after_ms <= quarantine_module.TEST_RETRY_MS
+    assert refusal.retry_after_ms <= TRIAL_RETRY_MS
     quarantine.end(calls[1])
     assert quarantine.admit(calls[1])
     quarantine.end(calls[0])
@@ -436,17 +440,17 @@
         members = Members(Clock(), name)
         for other in names:
             members.put(Member(other, '', 'zone-a', 0))
-        testing += Quarantine(Clock(), members).is_testing_host(key)
-    assert testing == quarantine_module.TESTING_HOSTS
+        testing += Trials(members).is_trial_host(key)
+    assert testing == TRIAL_HOSTS
 
 
 def test_part_ids_made_up_by_callers_take_bounded_memory():
     quarantine = Quarantine(Clock())
-    for number in range(2 * quarantine_module.MAX_ANSWERED):
+    for number in range(2 * MAX_ANSWERED):
         call = FakeCall('c', ('r', f'part-{number}'))
         quarantine.note_answered(call)
-    assert len(quarantine.answered_parts) == quarantine_module.MAX_ANSWERED
-    assert len(quarantine.answered_requests) == 1
+    assert len(quarantine.answers.parts) == MAX_ANSWERED
+    assert len(quarantine.answers.requests) == 1
     assert len(make_part_fingerprint('x' * 10_000)) < 100
 
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -67,7 +67,7 @@
             daemon = site.hosts['host-1']
             check_broken(await send_stream(site, daemon, BROKEN[name]))
             quarantine = daemon.host.quarantine
-            assert not len(quarantine.answered_requests)
+            assert not quarantine.answers.requests
 
     asyncio.run(main())
 
