Quarantine: calls that share a crashed endpoint all count

Cause: of several calls with one suspect on an endpoint the first that was heard of was kept. A call that is sent to two endpoints counts once, so that hosts which heard of the same call at both had fewer calls than others. Change: a further call replaces one that counts at another endpoint anyway. tests/test_quarantine.py failed before.

--- a/pearrun/decisions/evidence.py
+++ b/pearrun/decisions/evidence.py
@@ -102,6 +102,20 @@
         """
         return self.to_ages(now_ms).to_times(target_ms)
 
+    def adds_call(self, crash):
+        """Return whether a crash of a known endpoint names another call.
+
+        Several calls may run on an endpoint that crashes, and one is kept.
+        Calls are counted, so that one without another endpoint is preferred.
+        """
+        known = self.crashes[crash.endpoint_id]
+        elsewhere = {
+            item.call_id
+            for item in self.crashes.values()
+            if item.endpoint_id != crash.endpoint_id
+        }
+        return known.call_id in elsewhere and crash.call_id not in elsewhere
+
     def _shift(self, convert):
         crashes = {
             crash.endpoint_id: dataclasses.replace(
--- a/pearrun/decisions/quarantine.py
+++ b/pearrun/decisions/quarantine.py
@@ -130,7 +130,9 @@
             suspect = self.suspects[fingerprint] = Suspect(fingerprint)
         known = suspect.crashes.get(crash.endpoint_id)
         if known is not None and (known.proven or not crash.proven):
-            return False
+            if not suspect.adds_call(crash):
+                return False
+            crash = dataclasses.replace(crash, proven=known.proven)
         if is_refuted(crash, suspect.answered_ms):
             return False
         suspect.crashes[crash.endpoint_id] = crash
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -167,6 +167,21 @@
     assert not suspects.quarantined
 
 
+def test_calls_that_share_a_crashed_endpoint_all_count():
+    suspects = Suspects()
+    # The first call was sent to two endpoints; another one ran on the first.
+    for number, call_id in ((0, 'call-1'), (1, 'call-1'), (2, 'call-2')):
+        suspects.note_crash('bad', make_unproven(number, call_id))
+    suspects.evaluate(NOW_MS)
+    assert not suspects.quarantined
+    other = make_unproven(0, 'call-3')
+    assert suspects.note_crash('bad', other)
+    assert not suspects.note_crash('bad', other)
+    assert not suspects.note_crash('bad', make_unproven(0, 'call-1'))
+    suspects.evaluate(NOW_MS)
+    assert 'bad' in suspects.quarantined
+
+
 def test_a_crash_that_is_proven_later_counts_only_once():
     suspects = Suspects()
     for number in range(3):
