Log and count the budget's decision on a retry

'call' lines and metrics did not say whether a call that was not repeated lacked budget, nor with which share and number of hosts a host reckoned, so that an unknown number of hosts and a budget cleared by a restart looked alike. The budgets move out of the relay; no change of what is allowed.

--- a/pearrun/decisions/budget.py
+++ b/pearrun/decisions/budget.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import dataclasses
 
 # Fraction of the ratio and of the slack that is used.  The windows of the
 # hosts are not aligned: calls of one host may fall into a window in which
@@ -15,6 +16,21 @@
 SAFETY_FACTOR = 0.7
 
 
+@dataclasses.dataclass(frozen=True)
+class RetryDecision:
+    """Whether one retry is allowed, and from what that follows.
+
+    :param left: retries that this host had left.
+    :param share: its share of the slack.
+    :param hosts: number of hosts that share the slack.
+    """
+
+    granted: bool
+    left: float
+    share: float
+    hosts: int
+
+
 class RetryBudget:
     """Retries to one service within a sliding window.
 
@@ -35,17 +51,18 @@
         """Request one retry from the budget.
 
         :param hosts: number of hosts that share the slack.
-        :returns: whether the retry is allowed; if so, it is counted.
+        :returns: the :class:`RetryDecision`; a granted retry is counted.
         """
         self._drop_old(now_ms)
         slack = self.settings.slack / max(1, hosts)
         allowed = SAFETY_FACTOR * (
             self.settings.ratio * len(self._calls) + slack
         )
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now_ms)
-        return True
+        left = allowed - len(self._retries)
+        granted = left >= 1
+        if granted:
+            self._retries.append(now_ms)
+        return RetryDecision(granted, left, SAFETY_FACTOR * slack, hosts)
 
     def _drop_old(self, now_ms):
         oldest_ms = now_ms - self.settings.window_ms
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -322,6 +322,7 @@
             'quarantined': len(self.host.quarantine.known.quarantined),
             'endpoints_limited': self.host.limits.count(),
             'services_brittle': self.host.brittle.count(),
+            'retries_refused_total': self.host.retry_budgets.refused.total(),
             'quarantine_refusals_total': self.host.quarantine.refused,
             'store_calls_total': self.store.calls.total(),
             'store_failures_total': self.store.failures,
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -6,7 +6,6 @@
 from pearrun import exceptions
 from pearrun.clock import to_seconds
 from pearrun.decisions import admission
-from pearrun.decisions.budget import RetryBudget
 from pearrun.decisions.streamversion import StreamRefusal
 from pearrun.relay.exchange import Exchange
 from pearrun.relay.outcomes import Answered
@@ -50,7 +49,6 @@
         self.clock = host.clock
         self.admission = admission.AdmissionSettings()
         self.resumption = Resumption(host)
-        self.budgets = {}
         self._timeouts = set()
 
     async def relay(self, call, caller):
@@ -115,7 +113,7 @@
                 call, caller, trace, 503, NO_ENDPOINT_RETRY_AFTER_MS
             )
             return
-        self._get_budget(service.name).count_call(self.clock.now())
+        self.host.retry_budgets.count_call(service.name)
         resume = ResumePoint(call.last_event_id, began and began.version)
         await self._serve(call, service, caller, trace, resume)
 
@@ -212,7 +210,7 @@
                 trace.record_not_run(reason)
                 exhausted = len(trace.attempts) >= MAX_ATTEMPTS
                 if not exhausted and (
-                    not delivered or self._take_retry(service)
+                    not delivered or self._take_retry(service, trace)
                 ):
                     return True
             case OutcomeUnknown(reason) | Interrupted(reason):
@@ -239,22 +237,16 @@
             call.route.retryable
             and trace.runs < call.route.max_attempts
             and len(trace.attempts) < MAX_ATTEMPTS
-            and self._take_retry(service)
+            and self._take_retry(service, trace)
         )
 
-    def _take_retry(self, service):
+    def _take_retry(self, service, trace):
         """Take one retry from the service's budget.
 
         :returns: whether the budget had one left.
         """
-        hosts = self.host.count_hosts()
-        return self._get_budget(service.name).take(self.clock.now(), hosts)
-
-    def _get_budget(self, service_name):
-        if service_name not in self.budgets:
-            settings = self.host.settings.retry
-            self.budgets[service_name] = RetryBudget(settings)
-        return self.budgets[service_name]
+        trace.retry = self.host.retry_budgets.take(service.name)
+        return trace.retry.granted
 
     def _get_service(self, name):
         return self.host.config.current.services.get(name)
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -52,7 +52,8 @@
     was written has no outcome yet; ``endpoint_limit`` is the rate limit, in
     calls per second, that the last answering endpoint advertised;
     ``stream_version`` is the version that began the stream;
-    ``quarantine`` is the fingerprint of the verdict that refused the call.
+    ``quarantine`` is the fingerprint of the verdict that refused the call;
+    ``retry`` is the last :class:`RetryDecision`.
     """
 
     def __init__(self, call, started_ms):
@@ -69,6 +70,7 @@
         self.fingerprint = None
         self.part_ids = None
         self.quarantine = None
+        self.retry = None
         self.endpoint_limit = None
         self.stream_version = None
         self.ending = None
@@ -159,4 +161,17 @@
             parts=self.part_ids,
             quarantine=self.quarantine,
             endpoint_limit=self.endpoint_limit,
+            retry=describe_retry(self.retry),
         ).info('call')
+
+
+def describe_retry(decision):
+    """Return the fields of a :class:`RetryDecision` for a log line."""
+    if decision is None:
+        return None
+    return {
+        'granted': decision.granted,
+        'left': round(decision.left, 1),
+        'share': round(decision.share, 1),
+        'hosts': decision.hosts,
+    }
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -26,6 +26,7 @@
 from pearrun.shared.quarantine import Quarantine
 from pearrun.shared.quotas import Quotas
 from pearrun.shared.reachability import Reachability
+from pearrun.shared.retrybudgets import RetryBudgets
 from pearrun.shared.selection import Selection
 from pearrun.shared.streamorigins import StreamOrigins
 from pearrun.shared.tunnels import Tunnels
@@ -68,6 +69,7 @@
         self.demands = Demands(clock)
         self.engines = Engines(clock)
         self.members = Members(clock, settings.name)
+        self.retry_budgets = RetryBudgets(clock, settings.retry, self.members)
         self.reachability = Reachability(self.fleet, PROBE_SETTINGS)
         self.tunnels = Tunnels(clock, settings, self.members, PROBE_SETTINGS)
         connector = EndpointConnector(self.reachability, self.tunnels)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -170,8 +170,8 @@
         budget.count_call(index)
         calls += 1
         if is_retry:
-            retries += budget.take(index, hosts)
-            retries += budget.take(index, hosts)
+            retries += budget.take(index, hosts).granted
+            retries += budget.take(index, hosts).granted
     assert retries <= settings.ratio * calls + settings.slack
 
 
@@ -179,8 +179,8 @@
     budget = RetryBudget(RetrySettings(ratio=0.5, slack=0, window_ms=1000))
     for _ in range(10):
         budget.count_call(0)
-    assert budget.take(10, 1)
-    assert not budget.take(2000, 1)
+    assert budget.take(10, 1).granted
+    assert not budget.take(2000, 1).granted
 
 
 def test_pauses_double_up_to_maximum():
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,7 +5,6 @@
 import pytest
 
 from pearrun import exceptions
-from pearrun.decisions.budget import RetryBudget
 from pearrun.http1 import client
 from pearrun.platform import membership
 from pearrun.platform.daemon import Daemon
@@ -210,8 +209,8 @@
     async def scenario(site, host):
         site.runners['p1'].server.close()
         site.runners['p1'].server.abort()
-        host.relay.budgets['plain'] = RetryBudget(
-            RetrySettings(ratio=0.0, slack=0.0, window_ms=1000)
+        host.host.retry_budgets.settings = RetrySettings(
+            ratio=0.0, slack=0.0, window_ms=1000
         )
         for number in range(6):
             assert (await call(host, '/once/', f'a{number}')).status == 200
