Retry budget: token buckets that start empty, slack only for a known fleet

Now a host's bucket starts empty, gets half of the ratio for each call and half of its share of the slack a window, and holds 0.45 of both. What a window can see is bounded by the calls before it and in it, whichever hosts and runs they reached. The share needs the list; it counts the most hosts of the last window.

Hosts of tests count as up for a minute, since a bucket is empty at a start.

--- a/benchmarks/retries.py
+++ b/benchmarks/retries.py
@@ -1,7 +1,7 @@
 """Simulation of the retries of all hosts while endpoints refuse calls.
 
 Hosts are killed, drained and added, and read the list of hosts late or never.
-Callers call again at another host only if theirs is down.  For each day it
+Callers whose host is down call another.  For each day it
 prints the largest number of retries that a service got in a window, the number
 allowed there, and how many calls a retry saved:
 
@@ -247,11 +247,19 @@
         self.calls_ms.append(now)
         mean_ms = 1000.0 / self.day.calls_per_s
         self._at(now + self.rng.expovariate(1.0 / mean_ms), self._call)
-        host = self.rng.choice(self.hosts)
-        if host.up:
+        host = self._choose_host()
+        if host is not None:
             host.budgets.count_call(SERVICE)
             self._send(host, host.run, 1)
 
+    def _choose_host(self):
+        """Return the host that a caller reaches, or ``None``."""
+        host = self.rng.choice(self.hosts)
+        if host.up:
+            return host
+        others = [other for other in self.hosts if other.up]
+        return self.rng.choice(others) if others else None
+
     def _send(self, host, run, attempt):
         """Let an attempt arrive; ``attempt`` is 1 for the first one."""
         if attempt > 1:
@@ -337,6 +345,9 @@
     'most leave at once': Day(
         restarts=repeat_restart([500], share=0.8, drained=True, down_ms=60_000)
     ),
+    'most killed for long': Day(
+        restarts=repeat_restart([1500], share=0.8, down_ms=60_000)
+    ),
     'fleet doubled': Day(added=9),
     'fleet doubled, lists stale': Day(added=9, stale=True),
     'hosts added that read no list': Day(added=9, added_list_ms=None),
--- a/pearrun/shared/retrybudgets.py
+++ b/pearrun/shared/retrybudgets.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from pearrun.decisions.budget import HostCount
 from pearrun.decisions.budget import RetryBudget
 
 
@@ -18,26 +19,42 @@
         self.clock = clock
         self.settings = settings
         self.members = members
+        self.started_ms = clock.now()
         self.granted = collections.Counter()
         self.refused = collections.Counter()
         self._budgets = {}
+        self._hosts = HostCount(settings.window_ms)
 
     def count_call(self, service_name):
         """Count a call received from a caller; retries are not counted."""
-        self._get(service_name).count_call(self.clock.now())
+        now = self.clock.now()
+        hosts = self._count_hosts(now)
+        self._get(service_name).count_call(now, hosts)
 
     def take(self, service_name):
         """Request one retry.
 
         :returns: the :class:`RetryDecision`.
         """
-        hosts = self.members.count()
-        decision = self._get(service_name).take(self.clock.now(), hosts)
+        now = self.clock.now()
+        hosts = self._count_hosts(now)
+        decision = self._get(service_name).take(now, hosts)
         counter = self.granted if decision.granted else self.refused
         counter[service_name] += 1
         return decision
 
     def _get(self, service_name):
         if service_name not in self._budgets:
-            self._budgets[service_name] = RetryBudget(self.settings)
+            self._budgets[service_name] = RetryBudget(
+                self.settings, self.started_ms
+            )
         return self._budgets[service_name]
+
+    def _count_hosts(self, now_ms):
+        """Return the number of hosts that share the slack.
+
+        :returns: ``None`` until the list of hosts has been read.
+        """
+        if not self.members.listed:
+            return None
+        return self._hosts.update(self.members.count(), now_ms)
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -27,6 +27,9 @@
 from tests.builders import find_free_port
 from tests.builders import reserve_subnet
 
+# Hosts of tests have been up for this long as far as their retry budgets are
+# concerned, which are empty at the start of a process.
+UPTIME_MS = 60_000
 # Name of the host to which the current task belongs; ``None`` for callers and
 # stand-ins.
 HOST_NAME = contextvars.ContextVar('host_name', default=None)
@@ -64,6 +67,7 @@
         )
         self.contracts = contracts
         self.hosts = {}
+        self.uptime_ms = UPTIME_MS
         self.subnet = reserve_subnet()
         self.ports = {
             'front': find_free_port(),
@@ -97,6 +101,7 @@
         daemon = Daemon(settings, FakeLogWriter(), lambda: settings)
         # The delay of the event loop is that of all hosts together.
         daemon.host.overload.shedder = Shedder(SheddingSettings(max_share=0))
+        daemon.host.retry_budgets.started_ms -= self.uptime_ms
         self.hosts[settings.name] = daemon
         token = HOST_NAME.set(settings.name)
         await daemon.start()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -163,11 +163,11 @@
 )
 def test_retries_of_all_hosts_stay_within_shared_budget(steps, hosts):
     settings = RetrySettings(ratio=0.2, slack=58, window_ms=10_000)
-    budgets = [RetryBudget(settings) for _ in range(hosts)]
+    budgets = [RetryBudget(settings, 0) for _ in range(hosts)]
     calls, retries = 0, 0
     for index, (host, is_retry) in enumerate(steps):
         budget = budgets[host % hosts]
-        budget.count_call(index)
+        budget.count_call(index, hosts)
         calls += 1
         if is_retry:
             retries += budget.take(index, hosts).granted
@@ -176,9 +176,9 @@
 
 
 def test_old_calls_leave_budget_window():
-    budget = RetryBudget(RetrySettings(ratio=0.5, slack=0, window_ms=1000))
+    budget = RetryBudget(RetrySettings(ratio=0.5, slack=0, window_ms=1000), 0)
     for _ in range(10):
-        budget.count_call(0)
+        budget.count_call(0, 1)
     assert budget.take(10, 1).granted
     assert not budget.take(2000, 1).granted
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -59,6 +59,7 @@
 
 async def restart(site, numbers):
     """Kill some hosts at the same moment and start them again."""
+    site.uptime_ms = 0
     names = [f'host-{number}' for number in numbers]
     await asyncio.gather(*(site.hosts[name].end() for name in names))
     for number in numbers:
