Shared limits: no whole share at a host that has read no list of hosts

It could open 504 of an endpoint's 630 connections, start calls in all free slots of a brittle endpoint, take the others' calls for none, send calls that test a quarantine (three hosts of the fleet may), and as holder of the lease call a service idle that it alone knew. Now connections and slots are divided by the hosts that have reported, ten at least; the others wait for the list. Two tests of trials built a list without marking it as read; they mark it now.

--- a/pearrun/duties/conductor.py
+++ b/pearrun/duties/conductor.py
@@ -206,6 +206,8 @@
 
     def _is_idle(self, order):
         """Return whether nearly all hosts say that a service gets no calls."""
+        if not self.host.members.listed:
+            return False
         heard = self.host.evidence.count_runs(order.service, order.number)
         if heard < INFORMED_FRACTION * self.host.count_hosts():
             return False
--- a/pearrun/shared/brittleendpoints.py
+++ b/pearrun/shared/brittleendpoints.py
@@ -36,7 +36,7 @@
     :param demands: the :class:`Demands`, for the duration of answers.
     :param feed: the :class:`Feed`; says whether the hosts use hubs.
     :param limits: the :class:`EndpointLimits`, which all hosts share.
-    :param count_hosts: returns the number of hosts.
+    :param count_hosts: returns among how many hosts to divide free slots.
     """
 
     def __init__(self, clock, loads, demands, feed, limits, count_hosts):
@@ -127,7 +127,7 @@
         load = loads.get(endpoint.id)
         others = load.calls if load else 0
         free = endpoint.record.slots - endpoint.calls - others
-        hosts = max(1, self.count_hosts())
+        hosts = self.count_hosts()
         turnover_ms = self._get_turnover_ms(endpoint.record.service)
         allowance.refill(free, hosts, turnover_ms, now)
         return free > 0 and allowance.has_call()
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -74,7 +74,9 @@
         self.tunnels = Tunnels(clock, settings, self.members, PROBE_SETTINGS)
         connector = EndpointConnector(self.reachability, self.tunnels)
         self.pools = EndpointPools(
-            self.count_hosts, connector.connect, self.count_others_calls
+            self.members.count_sharing,
+            connector.connect,
+            self.count_others_calls,
         )
         self.reachability.close_idle = self.pools.close_idle
         self.limits = EndpointLimits(
@@ -91,7 +93,7 @@
             self.demands,
             self.feed,
             self.limits,
-            self.count_hosts,
+            self.members.count_sharing,
         )
         self.selection = Selection(
             clock,
@@ -134,8 +136,11 @@
     def count_others_calls(self, endpoint_id):
         """Return how many calls the other hosts have at an endpoint.
 
-        :returns: ``None`` if less than half of the other hosts are heard.
+        :returns: ``None`` if less than half of the other hosts are heard, or
+            if it is unknown how many there are.
         """
+        if not self.members.listed:
+            return None
         others = self.members.count() - 1
         if 2 * self.members.count_reporting() < others:
             return None
--- a/pearrun/shared/members.py
+++ b/pearrun/shared/members.py
@@ -6,6 +6,8 @@
 
 # Store topic on which hosts register themselves.
 MEMBER_TOPIC = 'hosts'
+# Number of hosts assumed at least until the list has been read.
+ASSUMED_HOSTS = 10
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,3 +118,13 @@
     def count(self):
         """Return the number of hosts, including this one."""
         return len(self.members) + (self.own_name not in self.members)
+
+    def count_sharing(self):
+        """Return among how many hosts to divide a limit that they share.
+
+        Before the list has been read, this is an estimate from the reports
+        received so far.
+        """
+        if self.listed:
+            return self.count()
+        return max(ASSUMED_HOSTS, 1 + len(self.reporting))
--- a/pearrun/shared/trials.py
+++ b/pearrun/shared/trials.py
@@ -49,9 +49,14 @@
                 del self._running[fingerprint]
 
     def is_trial_host(self, fingerprint):
-        """Return whether this host sends the trial calls of a verdict."""
+        """Return whether this host sends the trial calls of a verdict.
+
+        A host that does not know the others sends none.
+        """
         if self.members is None:
             return True
+        if not self.members.listed:
+            return False
         silent = self.members.list_silent(SILENT_MS)
         names = {member.name for member in self.members.others()}
         names.difference_update(silent)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -425,6 +425,7 @@
     members = Members(clock, 'host-1')
     for name in names:
         members.put(Member(name, '', 'zone-a', 0))
+    members.listed = True
     quarantine = Quarantine(clock, members)
     for number in range(3):
         crash = make_part_crash(f'e{number}', clock.now(), f'c{number}')
@@ -455,6 +456,7 @@
         members = Members(Clock(), name)
         for other in names:
             members.put(Member(other, '', 'zone-a', 0))
+        members.listed = True
         testing += Trials(members).is_trial_host(key)
     assert testing == TRIAL_HOSTS
 
