Quota: a refused connection to another failure domain ends no host's use

Both sides of the cut sent the whole limit, 145,000 units a second each: connections across a cut of that form are refused, which was taken for the end of the host's process, and its use was forgotten. Now the use of a refused host of another failure domain goes on as that of a silent one, until another run of that domain reports or the host leaves the list.

--- a/pearrun/shared/peerlinks.py
+++ b/pearrun/shared/peerlinks.py
@@ -224,9 +224,7 @@
                     self.down.pop(member, None)
                     await self._serve_link(link, member)
             except ConnectionRefusedError:
-                # The peer's process is not running: a broken network path
-                # would time out instead.
-                self.receiver.remove_host(member.name)
+                self.receiver.note_refused(member.name)
             except (OSError, TimeoutError, websockets.WebSocketException) as e:
                 logger.bind(peer=member.name, cause=repr(e)).info(
                     'peer link down'
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -4,6 +4,10 @@
 
 from pearrun.decisions import quota
 
+# Reports that arrive within this time of a refused connection may have been
+# sent before the path was cut.
+SUSPENDED_REPORT_MS = 500
+
 
 @dataclasses.dataclass(frozen=True)
 class AdmittedUnits:
@@ -42,6 +46,7 @@
         self._has_full_share = False
         self._is_restarted_fleet = False
         self._reported_runs = set()
+        self._suspended_ms = {}
         self._ended_units = {}
         self._averaged_totals = {}
         self._averaged_ms = clock.now()
@@ -100,6 +105,7 @@
         if self.config.current is None:
             return
         now = self.clock.now()
+        self._end_suspensions(run, now)
         share = self._compute_share(now)
         has_reported = run in self._reported_runs
         self._reported_runs.add(run)
@@ -111,8 +117,35 @@
                     run, use.total, use.rate, now, has_reported
                 )
 
+    def suspend(self, run):
+        """Keep a run that has ended, or whose failure domain is cut off.
+
+        It is taken for silent until a report of another run of that domain
+        shows that there is a path.
+        """
+        if run in self._reported_runs:
+            self._suspended_ms.setdefault(run, self.clock.now())
+
+    def _end_suspensions(self, reported, now_ms):
+        """Remove suspended runs after a report from their failure domain.
+
+        :param reported: the :class:`Run` that reports.
+        """
+        self.end_suspension(reported)
+        for run, since_ms in list(self._suspended_ms.items()):
+            is_late = now_ms - since_ms > SUSPENDED_REPORT_MS
+            if run.zone == reported.zone and is_late:
+                self.end_suspension(run)
+                self.remove(run)
+
+    def end_suspension(self, run):
+        """Let a suspended run be removed."""
+        self._suspended_ms.pop(run, None)
+
     def remove(self, run):
         """Remove a run that has ended, keeping its units in zone totals."""
+        if run in self._suspended_ms:
+            return
         self._reported_runs.discard(run)
         for name, bucket in self.buckets.items():
             units = bucket.forget(run)
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -427,19 +427,43 @@
     # removal
 
     def remove_host(self, name):
-        """Remove the reports of a host whose process has ended."""
+        """Remove the reports of a host that has left the list."""
+        for run in self._list_runs(name):
+            self.host.quotas.end_suspension(run)
+        self._end_host(name)
+
+    def note_refused(self, name):
+        """Remove the reports of a host that refuses connections.
+
+        Its process has ended, or the path to another failure domain is cut
+        and connections are refused on the way.  It may still use quotas then.
+        """
+        for run in self._list_runs(name):
+            if run.zone != self.host.settings.zone:
+                self.host.quotas.suspend(run)
+        self._end_host(name)
+
+    def _end_host(self, name):
+        """Remove the reports of a host, and let a hub forward that."""
         self._ended.append(reports.HostEnded(name))
         self._remove_runs(name)
 
+    def _list_runs(self, name):
+        """Return the runs of a host without those of the sums it sent."""
+        return [
+            run
+            for run in self._numbers
+            if run.host == name and not run.whole_zone
+        ]
+
     def _remove_runs(self, name):
         """Remove a host's own reports; sums that it sent as a hub stay."""
         self.host.members.reporting.discard(name)
         self.host.corrected_clock.remove(name)
         self.config_versions.pop(name, None)
         self.duty_notices.pop(name, None)
-        for run in [run for run in self._numbers if run.host == name]:
-            if not run.whole_zone:
-                self._drop_run(run)
+        for run in self._list_runs(name):
+            self._drop_run(run)
 
     def _drop_zone_runs(self, zone):
         """Remove the reports that a zone's hosts have sent directly."""
