Soak: endpoints that refuse calls while hosts are killed and writes get no answer

--refusing plays them, and each soak checks the retry budget of every service on what the endpoints received. The options of a run are a data class: eight of them went through two signatures.

--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -94,6 +94,7 @@
     :param version: the version of its software.
 
     ``names_version`` says whether the events of its streams contain it.
+    ``attempts`` holds the time and the attempt id of each request received.
     """
 
     def __init__(self, runner_id, service, zone, slots=8, version='v1'):
@@ -105,6 +106,7 @@
         self.address = None
         self.faults = RunnerFaults()
         self.runs = []
+        self.attempts = []
         self.arrivals_ms = []
         self.connections = 0
         self.refusals_ms = []
@@ -155,6 +157,7 @@
     async def _handle(self, request, caller):
         faults = self.faults
         attempt = request.get(b'pearrun-attempt-id') or ''
+        self.attempts.append((CLOCK.now(), attempt))
         expected = request.get(b'pearrun-expect-runner')
         if expected not in (None, self.id):
             await caller.reply(421, [(b'Pearrun-Runner-Id', self.id.encode())])
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,11 +27,12 @@
             seed,
             FLAGS.length_s * 1000,
             directory,
-            FLAGS.hosts,
-            FLAGS.crashing,
-            FLAGS.limited,
-            FLAGS.versions,
-            FLAGS.crashing_part,
+            hosts=FLAGS.hosts,
+            crashing=FLAGS.crashing,
+            limited=FLAGS.limited,
+            several_versions=FLAGS.versions,
+            crashing_part=FLAGS.crashing_part,
+            refusing=FLAGS.refusing,
         )
         try:
             findings, evidence = asyncio.run(run)
@@ -71,6 +72,11 @@
         False,
         'Also send requests with a prompt part that crashes endpoints.',
     )
+    flags.DEFINE_bool(
+        'refusing',
+        False,
+        'Also let all endpoints refuse calls while hosts are killed.',
+    )
     flags.DEFINE_bool(
         'limited', False, 'Also let endpoints advertise rate limits.'
     )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -15,6 +15,8 @@
   and no other request is refused because of it.
 - An endpoint that names a rate limit gets few more calls than it allows; see
   :mod:`tests.soak.limits`.
+- All endpoints of a service get no more retries than its budget allows; see
+  :mod:`tests.soak.retries`.
 - A stream goes on at the software version that began it; see
   :mod:`tests.soak.versions`.
 - No process exits unless it was told to.
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,6 +1,7 @@
 """One soak run: starts a site, injects a plan's faults, checks the result."""
 
 import asyncio
+import dataclasses
 import pathlib
 import signal
 import tempfile
@@ -16,6 +17,8 @@
 from tests.soak.limits import check_limits
 from tests.soak.limits import generate_limits
 from tests.soak.plan import generate_plan
+from tests.soak.retries import check_retries
+from tests.soak.retries import generate_refusals
 from tests.soak.site import Replica
 from tests.soak.site import SoakSite
 from tests.soak.traffic import CallKind
@@ -46,6 +49,30 @@
 LEASE_RENEWAL_S = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class SoakOptions:
+    """What a run plays beside the faults of its seed.
+
+    :param hosts: number of entry hosts; above 16 they use hubs.
+    :param crashing: whether a request that crashes endpoints is sent
+        repeatedly.
+    :param limited: whether endpoints advertise rate limits at times.
+    :param several_versions: whether endpoints of several software versions
+        serve side by side, and callers resume streams.
+    :param crashing_part: the same as ``crashing``, of different requests with
+        one prompt part in common.
+    :param refusing: whether all endpoints refuse calls at times, while hosts
+        are killed and the store does not acknowledge writes.
+    """
+
+    hosts: int = DEFAULT_HOSTS
+    crashing: bool = False
+    limited: bool = False
+    several_versions: bool = False
+    crashing_part: bool = False
+    refusing: bool = False
+
+
 class FaultInjector:
     """Injects a plan's faults into a site.
 
@@ -116,75 +143,44 @@
                 site.change_routes()
 
 
-async def run_seed(
-    seed,
-    length_ms,
-    directory=None,
-    hosts=DEFAULT_HOSTS,
-    crashing=False,
-    limited=False,
-    several_versions=False,
-    crashing_part=False,
-):
+async def run_seed(seed, length_ms, directory=None, **options):
     """Run the soak with one seed.
 
     :param length_ms: how long faults are injected.
     :param directory: directory for logs; by default a new temporary one.
-    :param hosts: number of entry hosts; above 16 they use hubs.
-    :param crashing: whether a request that crashes endpoints is sent
-        repeatedly.
-    :param limited: whether endpoints advertise rate limits at times.
-    :param several_versions: whether endpoints of several software versions
-        serve side by side, and callers resume streams.
-    :param crashing_part: the same as ``crashing``, of different requests with
-        one prompt part in common.
+    :param options: fields of :class:`SoakOptions`.
     :returns: ``(findings, evidence)``.
     :raises DirectoryInUseError: another run uses the directory.
     """
     directory = pathlib.Path(directory or tempfile.mkdtemp(prefix='soak-'))
     with lock_directory(directory):
-        return await play(
-            seed,
-            length_ms,
-            directory,
-            hosts,
-            crashing,
-            limited,
-            several_versions,
-            crashing_part,
-        )
+        return await play(seed, length_ms, directory, SoakOptions(**options))
 
 
-async def play(
-    seed,
-    length_ms,
-    directory,
-    hosts,
-    crashing,
-    limited,
-    several_versions,
-    crashing_part,
-):
+async def play(seed, length_ms, directory, options):
     """Run the soak in a directory of its own; see :func:`run_seed`."""
     replicas = [Replica(*arguments) for arguments in REPLICAS]
-    names = tuple(f'host-{number}' for number in range(1, hosts + 1))
+    names = tuple(f'host-{number}' for number in range(1, options.hosts + 1))
     site = SoakSite(directory, names, replicas)
-    site.several_versions = several_versions
+    site.several_versions = options.several_versions
     plan = generate_plan(seed, length_ms, names, tuple(site.replicas))
-    if limited:
+    if options.limited:
         added = generate_limits(seed, length_ms, tuple(site.replicas))
         plan = plan.add(added)
-    if several_versions:
+    if options.several_versions:
         plan = plan.add(generate_kills(seed, length_ms, names))
+    if options.refusing:
+        added = generate_refusals(seed, length_ms, names, tuple(site.replicas))
+        plan = plan.add(added)
     injector = FaultInjector(site)
     traffic = Traffic(site, seed)
-    if crashing_part:
+    if options.crashing_part:
         site.crash_on_part = CRASHING_PART
-    elif crashing:
+    elif options.crashing:
         site.crash_on = CRASHING_BODY
-    crashing = crashing or crashing_part
+    crashing = options.crashing or options.crashing_part
     resuming = ResumingCallers(site, seed)
-    resuming.stopped = not several_versions
+    resuming.stopped = not options.several_versions
     crash_calls = []
     try:
         await site.start()
@@ -221,6 +217,7 @@
     findings = checks.check_all(evidence)
     findings.extend(check_limits(evidence, site.limit_periods))
     findings.extend(check_versions(evidence.streams))
+    findings.extend(check_retries(evidence))
     return findings, evidence
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,6 +80,15 @@
     assert limited
 
 
+def test_refusing_endpoints_and_killed_hosts_have_no_findings(tmp_path):
+    findings, evidence = asyncio.run(
+        run_seed(304, LIMITED_LENGTH_MS, tmp_path, refusing=True)
+    )
+    assert not findings
+    retried = sum(len(runner.attempts) for runner in evidence.runners)
+    assert retried > len(evidence.records)
+
+
 def test_resumed_streams_of_several_versions_have_no_findings(tmp_path):
     findings, evidence = asyncio.run(
         run_seed(303, LENGTH_MS, tmp_path, several_versions=True)
