--- a/pearrun/decisions/budget.py
+++ b/pearrun/decisions/budget.py
@@ -58,7 +58,8 @@
     def update(self, listed, now_ms):
         """Return the largest number.
 
-        :param listed: number of hosts listed now.
+        :param listed: number of hosts that are listed now.
+        :param now_ms: monotonic time.
         """
         has_expired = now_ms - self._listed_ms > self.window_ms
         if listed >= self._largest or has_expired:
--- a/pearrun/decisions/evidence.py
+++ b/pearrun/decisions/evidence.py
@@ -235,10 +235,10 @@
 def make_sort_key(suspect, explained):
     """Return the key of a suspect for the attribution of crashes.
 
-    Crashes are attributed to the suspect with the highest key: what was never
-    answered goes before what was.  Among suspects with the same crashes, the
-    one with the shortest running time has the highest key.  The fingerprint
-    makes the order the same on every host.
+    Crashes are attributed to the suspect with the highest key; suspects
+    without an answer come before the others.  Among suspects with the same
+    crashes, the one with the shortest running time has the highest key.  The
+    fingerprint makes the order the same on every host.
     """
     return (
         suspect.answered_ms is None,
--- a/pearrun/decisions/verdicts.py
+++ b/pearrun/decisions/verdicts.py
@@ -76,8 +76,8 @@
 def find_others(group, suspects, explained):
     """Return parts that together explain the crashes of a single part.
 
-    All but one have several of these crashes, since parts that came once
-    each point to what they came with.  None was ever answered.
+    All but one have several of these crashes, since parts with one crash each
+    point to the other parts of the same calls.  None has an answer.
 
     :param group: the :class:`Suspect` objects of a verdict.
     :param suspects: all :class:`Suspect` objects.
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -120,8 +120,8 @@
     def suspend(self, run):
         """Keep a run that has ended, or whose failure domain is cut off.
 
-        It is taken for silent until a report of another run of that domain
-        shows that there is a path.
+        It counts as silent until a report of another run of that domain shows
+        that there is a path.
         """
         if run in self._reported_runs:
             self._suspended_ms.setdefault(run, self.clock.now())
--- a/pearrun/shared/retrybudgets.py
+++ b/pearrun/shared/retrybudgets.py
@@ -12,7 +12,7 @@
     :param settings: the :class:`RetrySettings`.
     :param members: the :class:`Members`.
 
-    ``granted`` and ``refused`` count the retries by service.
+    ``refused`` counts the retries that were not granted, by service.
     """
 
     def __init__(self, clock, settings, members):
@@ -20,7 +20,6 @@
         self.settings = settings
         self.members = members
         self.started_ms = clock.now()
-        self.granted = collections.Counter()
         self.refused = collections.Counter()
         self._budgets = {}
         self._hosts = HostCount(settings.window_ms)
@@ -39,8 +38,7 @@
         now = self.clock.now()
         hosts = self._count_hosts(now)
         decision = self._get(service_name).take(now, hosts)
-        counter = self.granted if decision.granted else self.refused
-        counter[service_name] += 1
+        self.refused[service_name] += not decision.granted
         return decision
 
     def _get(self, service_name):
