--- a/benchmarks/bystanders.py
+++ b/benchmarks/bystanders.py
@@ -13,13 +13,13 @@
 
 import collections
 import dataclasses
-import heapq
 import itertools
 import random
 
 from absl import app as absl_app
 from absl import flags
 
+from benchmarks.events import EventQueue
 from pearrun.decisions.evidence import Crash
 from pearrun.decisions.evidence import is_call_stable
 from pearrun.decisions.quarantine import Suspects
@@ -110,7 +110,7 @@
     )
 
 
-class Simulation:
+class Simulation(EventQueue):
     """Discrete-event simulation of a scenario."""
 
     def __init__(self, scenario, seed):
@@ -118,12 +118,11 @@
         self.rng = random.Random(seed)
         self.suspects = Suspects()
         self.counts = Counts()
+        super().__init__()
         self.ids = itertools.count()
-        self.events = []
         self.endpoint_ids = [f'e{n}.0' for n in range(scenario.endpoints)]
         self.running = {name: {} for name in self.endpoint_ids}
         self.answered_ms = {}
-        self.now_ms = 0.0
 
     def run(self, seconds):
         """Run the simulation.
@@ -131,26 +130,20 @@
         :param seconds: its duration in simulated time.
         :returns: the :class:`Counts`.
         """
-        self._schedule(0, self._send_good)
+        self.schedule(0, self._send_good)
         if self.scenario.crashes_per_s:
-            self._schedule(0, self._crash_one)
+            self.schedule(0, self._crash_one)
         if self.scenario.mass_crash_interval_s:
-            self._schedule(
+            self.schedule(
                 self.scenario.mass_crash_interval_s * 1000, self._crash_many
             )
         for number in range(self.scenario.crashing_requests):
-            self._schedule(0, self._send_crashing, f'bad-{number}')
-        while self.events and self.events[0][0] < seconds * 1000:
-            self.now_ms, _, action, args = heapq.heappop(self.events)
-            action(*args)
+            self.schedule(0, self._send_crashing, f'bad-{number}')
+        self.run_until(seconds * 1000)
         return self.counts
 
-    def _schedule(self, delay_ms, action, *args):
-        due_ms = self.now_ms + delay_ms
-        heapq.heappush(self.events, (due_ms, next(self.ids), action, args))
-
     def _send_good(self):
-        self._schedule(
+        self.schedule(
             self.rng.expovariate(self.scenario.calls_per_s) * 1000,
             self._send_good,
         )
@@ -159,7 +152,7 @@
         self._start_good(fingerprint, self.scenario.max_retries)
 
     def _send_crashing(self, fingerprint):
-        self._schedule(
+        self.schedule(
             self.rng.expovariate(1 / self.scenario.resend_interval_s) * 1000,
             self._send_crashing,
             fingerprint,
@@ -171,7 +164,7 @@
             return
         run_id = next(self.ids)
         self.running[name][run_id] = Run(fingerprint, self.now_ms, 0)
-        self._schedule(
+        self.schedule(
             self.rng.uniform(*CRASH_MS),
             self._crash_by_request,
             name,
@@ -199,7 +192,7 @@
         is_long = self.rng.random() < self.scenario.long_share
         mean_ms = 2500 if is_long else 180
         duration_ms = self.rng.uniform(0.5, 1.5) * mean_ms
-        self._schedule(duration_ms, self._complete, name, run_id)
+        self.schedule(duration_ms, self._complete, name, run_id)
 
     def _choose_endpoint(self):
         names = list(self.running)
@@ -212,7 +205,7 @@
             self.answered_ms[run.fingerprint] = self.now_ms
 
     def _crash_one(self):
-        self._schedule(
+        self.schedule(
             self.rng.expovariate(self.scenario.crashes_per_s) * 1000,
             self._crash_one,
         )
@@ -221,7 +214,7 @@
             self._crash_endpoint(name)
 
     def _crash_many(self):
-        self._schedule(
+        self.schedule(
             self.scenario.mass_crash_interval_s * 1000, self._crash_many
         )
         for name in list(self.running):
@@ -240,10 +233,10 @@
             if answered_ms is not None:
                 self.suspects.note_answered(run.fingerprint, answered_ms)
         self.suspects.evaluate(self.now_ms)
-        self._schedule(self.scenario.restart_s * 1000, self._restart, name)
+        self.schedule(self.scenario.restart_s * 1000, self._restart, name)
         for run in interrupted:
             if run.retries_left and not run.fingerprint.startswith('bad'):
-                self._schedule(
+                self.schedule(
                     1, self._start_good, run.fingerprint, run.retries_left - 1
                 )
 
--- a/benchmarks/crashingparts.py
+++ b/benchmarks/crashingparts.py
@@ -17,7 +17,6 @@
 
 import collections
 import dataclasses
-import heapq
 import itertools
 import math
 import random
@@ -25,6 +24,7 @@
 from absl import app as absl_app
 from absl import flags
 
+from benchmarks.events import EventQueue
 from pearrun.decisions import rendezvous
 from pearrun.decisions.evidence import Crash
 from pearrun.decisions.evidence import is_call_stable
@@ -256,7 +256,7 @@
     related_refused: int = 0
 
 
-class Simulation:
+class Simulation(EventQueue):
     """Discrete-event simulation of a scenario with one way of judging."""
 
     def __init__(self, scenario, judge, seed):
@@ -264,30 +264,23 @@
         self.judge = judge
         self.rng = random.Random(seed)
         self.counts = Counts()
+        super().__init__()
         self.ids = itertools.count()
-        self.events = []
         self.running = {f'e{n}.0': {} for n in range(scenario.endpoints)}
-        self.now_ms = 0.0
         self.fifth_ms = None
         self.shared_firsts = {item[0] for item in scenario.crashing}
 
     def run(self, seconds):
         """Run the simulation; return its :class:`Counts`."""
-        self._schedule(0, self._send_sound)
+        self.schedule(0, self._send_sound)
         for number in range(len(self.scenario.crashing)):
             begin_ms = self.scenario.begin_s * 1000
-            self._schedule(begin_ms, self._send_crashing, number)
+            self.schedule(begin_ms, self._send_crashing, number)
         if self.scenario.mass_crash_s:
-            self._schedule(self.scenario.mass_crash_s * 1000, self._crash_half)
-        while self.events and self.events[0][0] < seconds * 1000:
-            self.now_ms, _, action, args = heapq.heappop(self.events)
-            action(*args)
+            self.schedule(self.scenario.mass_crash_s * 1000, self._crash_half)
+        self.run_until(seconds * 1000)
         return self.counts
 
-    def _schedule(self, delay_ms, action, *args):
-        due_ms = self.now_ms + delay_ms
-        heapq.heappush(self.events, (due_ms, next(self.ids), action, args))
-
     def _draw_parts(self):
         first = f'first-{self.rng.randrange(self.scenario.firsts)}'
         second = f'second-{self.rng.randrange(self.scenario.seconds)}'
@@ -295,7 +288,7 @@
 
     def _send_sound(self):
         gap_s = self.rng.expovariate(self.scenario.sound_per_s)
-        self._schedule(gap_s * 1000, self._send_sound)
+        self.schedule(gap_s * 1000, self._send_sound)
         parts = self._draw_parts()
         related = parts[0] in self.shared_firsts
         run = self._make_run(parts, f'{next(self.ids):024}')
@@ -309,7 +302,7 @@
 
     def _send_crashing(self, number):
         gap_s = self.rng.expovariate(1 / self.scenario.interval_s)
-        self._schedule(gap_s * 1000, self._send_crashing, number)
+        self.schedule(gap_s * 1000, self._send_crashing, number)
         for _ in range(self.scenario.burst):
             drawn = self._draw_parts()
             named = self.scenario.crashing[number]
@@ -338,13 +331,13 @@
             preferred = self.rng.choice(names)
         self.running[preferred][run.id] = run
         if run.crashes:
-            self._schedule(PREFILL_MS, self._crash_by, preferred, run)
+            self.schedule(PREFILL_MS, self._crash_by, preferred, run)
             return
         is_long = self.rng.random() < 0.2
         mean_ms = 2500 if is_long else 200
         answer_ms = self.rng.uniform(0.5, 1.5) * mean_ms
-        self._schedule(BEGUN_MS, self._begin, preferred, run)
-        self._schedule(PREFILL_MS + answer_ms, self._complete, preferred, run)
+        self.schedule(BEGUN_MS, self._begin, preferred, run)
+        self.schedule(PREFILL_MS + answer_ms, self._complete, preferred, run)
 
     def _begin(self, name, run):
         if run.id in self.running.get(name, ()):
@@ -363,7 +356,7 @@
         self._crash(name)
 
     def _crash_half(self):
-        self._schedule(self.scenario.mass_crash_s * 1000, self._crash_half)
+        self.schedule(self.scenario.mass_crash_s * 1000, self._crash_half)
         for name in sorted(self.running):
             if self.rng.random() < 0.5:
                 self._crash(name)
@@ -372,10 +365,10 @@
         broken = list(self.running.pop(name).values())
         base, _, number = name.partition('.')
         restarted = f'{base}.{int(number) + 1}'
-        self._schedule(RESTART_MS, self.running.__setitem__, restarted, {})
+        self.schedule(RESTART_MS, self.running.__setitem__, restarted, {})
         for delay_ms, proven in ((DETECTION_MS, False), (PROOF_MS, True)):
             args = (broken, name, self.now_ms, proven)
-            self._schedule(delay_ms, self._report, *args)
+            self.schedule(delay_ms, self._report, *args)
 
     def _report(self, broken, name, at_ms, proven):
         for run in broken:
--- a/benchmarks/retries.py
+++ b/benchmarks/retries.py
@@ -10,14 +10,13 @@
 
 import bisect
 import dataclasses
-import heapq
-import itertools
 import math
 import random
 
 from absl import app as absl_app
 from absl import flags
 
+from benchmarks.events import EventQueue
 from pearrun.clock import Clock
 from pearrun.platform.settings import RetrySettings
 from pearrun.shared.members import Member
@@ -111,18 +110,14 @@
 
 
 class SimulatedClock(Clock):
-    """A clock that the simulation sets."""
+    """The clock of a simulation."""
 
-    def __init__(self):
-        self.__dict__['time_ms'] = 0
+    def __init__(self, simulation):
+        self.__dict__['simulation'] = simulation
 
     def now(self):
         """See :class:`Clock`."""
-        return self.time_ms
-
-    def set(self, time_ms):
-        """Set the time."""
-        self.__dict__['time_ms'] = time_ms
+        return round(self.simulation.now_ms)
 
 
 class SimulatedHost:
@@ -151,21 +146,20 @@
         self.members.listed = True
 
 
-class Simulation:
+class Simulation(EventQueue):
     """Simulates a :class:`Day`."""
 
     def __init__(self, day, seed):
+        super().__init__()
         self.day = day
         self.rng = random.Random(seed)
-        self.clock = SimulatedClock()
+        self.clock = SimulatedClock(self)
         self.settings = RetrySettings(0.2, day.slack, 10_000)
         self.hosts = []
         self.listed = set()
         self.calls_ms = []
         self.retries_ms = []
         self.saved = 0
-        self._events = []
-        self._order = itertools.count()
 
     def run(self):
         """Simulate the day.
@@ -177,26 +171,20 @@
             self._add_host(0)
         self._schedule_restarts()
         for _ in range(day.added):
-            self._at(FAULT_START_MS + 1000, self._add_host, day.added_list_ms)
-        self._at(0, self._call)
-        end_ms = FAULT_START_MS + day.length_ms
-        while self._events and self._events[0][0] <= end_ms:
-            at_ms, _, action, args = heapq.heappop(self._events)
-            self.clock.set(at_ms)
-            action(*args)
+            self.schedule(
+                FAULT_START_MS + 1000, self._add_host, day.added_list_ms
+            )
+        self.schedule(0, self._call)
+        self.run_until(FAULT_START_MS + day.length_ms)
         return self._evaluate()
 
-    def _at(self, at_ms, action, *args):
-        event = (round(at_ms), next(self._order), action, args)
-        heapq.heappush(self._events, event)
-
     def _schedule_restarts(self):
         for restart in self.day.restarts:
             count = round(restart.share * self.day.hosts)
             chosen = self.rng.sample(self.hosts, count)
             for index, host in enumerate(chosen):
                 at_ms = FAULT_START_MS + restart.at_ms + index * restart.gap_ms
-                self._at(at_ms, self._end, host, restart)
+                self.schedule(at_ms, self._end, host, restart)
 
     def _add_host(self, list_ms):
         host = SimulatedHost(
@@ -209,8 +197,7 @@
         host.start()
         self._register(host)
         if list_ms is not None:
-            at_ms = self.clock.now() + list_ms
-            self._at(at_ms, self._read_list, host, host.run)
+            self.schedule(list_ms, self._read_list, host, host.run)
 
     def _register(self, host):
         self.listed.add(host.name)
@@ -233,20 +220,17 @@
         for other in self.hosts:
             if other.up:
                 other.members.remove(host.name)
-        at_ms = self.clock.now() + STOP_ACCEPT_MS
-        self._at(at_ms, self._stop, host, restart)
+        self.schedule(STOP_ACCEPT_MS, self._stop, host, restart)
 
     def _stop(self, host, restart):
         host.up = False
-        at_ms = self.clock.now() + restart.down_ms
-        self._at(at_ms, self._start, host, restart.list_ms)
+        self.schedule(restart.down_ms, self._start, host, restart.list_ms)
 
     def _call(self):
         """Begin one call at a random host, and schedule the next call."""
-        now = self.clock.now()
-        self.calls_ms.append(now)
+        self.calls_ms.append(self.now_ms)
         mean_ms = 1000.0 / self.day.calls_per_s
-        self._at(now + self.rng.expovariate(1.0 / mean_ms), self._call)
+        self.schedule(self.rng.expovariate(1.0 / mean_ms), self._call)
         host = self._choose_host()
         if host is not None:
             host.budgets.count_call(SERVICE)
@@ -263,15 +247,14 @@
     def _send(self, host, run, attempt):
         """Let an attempt arrive; ``attempt`` is 1 for the first one."""
         if attempt > 1:
-            self.retries_ms.append(self.clock.now())
+            self.retries_ms.append(self.now_ms)
         if not self._is_refused(host):
             self.saved += attempt > 1 and host.run == run
             return
-        at_ms = self.clock.now() + REFUSAL_MS
-        self._at(at_ms, self._retry, host, run, attempt)
+        self.schedule(REFUSAL_MS, self._retry, host, run, attempt)
 
     def _is_refused(self, host):
-        since_ms = self.clock.now() - FAULT_START_MS
+        since_ms = self.now_ms - FAULT_START_MS
         if not 0 <= since_ms < self.day.fault_ms:
             return False
         affected = self.hosts.index(host) < (
@@ -284,8 +267,7 @@
             return
         if host.budgets.take(SERVICE).granted:
             delay_ms = self.rng.uniform(0, self.day.max_delay_ms)
-            at_ms = self.clock.now() + delay_ms
-            self._at(at_ms, self._send, host, run, attempt + 1)
+            self.schedule(delay_ms, self._send, host, run, attempt + 1)
 
     def _evaluate(self):
         """Return the :class:`Result` of the window that is worst."""
