Quota: all use of hosts that started with this one counts

After a loss of all hosts, each admits calls before it has heard of the others. What a host had admitted before its first report was left out, since it may be older than the receiver; of hosts that started together none of it is, and nine of them used it again.

--- a/pearrun/decisions/quota.py
+++ b/pearrun/decisions/quota.py
@@ -229,18 +229,20 @@
         min_level = -rate_per_s * MAX_DEBT_S
         self.level = max(min_level, min(burst, self.level))
 
-    def apply_report(self, peer, total, rate, now_ms, has_reported=False):
+    def apply_report(self, peer, total, rate, now_ms, from_start=False):
         """Apply the report of another host.
 
         :param peer: the run of the host; a new run counts from zero.
         :param total: units that it admitted since its start.
-        :param has_reported: whether that host has reported before.  If so, it
-            had admitted nothing for this customer until now.
+        :param from_start: whether all of it counts, although it is the first
+            report of that host on this customer: it has reported before, or
+            started when this host did or later.
         """
         usage = self.peers.get(peer)
         if usage is None:
-            # What it admitted before its first report is not counted.
-            base = 0.0 if has_reported else total
+            # What it admitted before its first report is not counted: it may
+            # be older than this host.
+            base = 0.0 if from_start else total
             usage = self.peers[peer] = PeerUsage(base=base, total=base)
         self.level -= (total - usage.total) - usage.assumed
         usage.total = total
--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -37,6 +37,7 @@
         self.members = members
         self.feed = feed
         self.started_ms = clock.now()
+        self.started_wall_ms = clock.wall()
         self.clock = clock
         self.settings = settings
         self.config = config
@@ -107,16 +108,24 @@
         now = self.clock.now()
         self._end_suspensions(run, now)
         share = self._compute_share(now)
-        has_reported = run in self._reported_runs
+        counts_from_start = run in self._reported_runs or self._is_newer(run)
         self._reported_runs.add(run)
         for name, use in admitted.items():
             customer = self.config.current.customers.get(name)
             if customer is not None and customer.rate_per_s > 0:
                 bucket = self._refill_bucket(customer, now, share)
                 bucket.apply_report(
-                    run, use.total, use.rate, now, has_reported
+                    run, use.total, use.rate, now, counts_from_start
                 )
 
+    def _is_newer(self, run):
+        """Return whether a run started with this host or later.
+
+        All that it has admitted then belongs to this host's time.
+        """
+        earliest_ms = self.started_wall_ms - quota.RESTART_SPREAD_MS
+        return not run.whole_zone and run.started_ms >= earliest_ms
+
     def suspend(self, run):
         """Keep a run that has ended, or whose failure domain is cut off.
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -160,12 +160,15 @@
                 if receiver != sender and self._is_connected(
                     receiver, sender, now
                 ):
-                    is_known = (receiver, sender) in self.received_from
+                    # All hosts started together after a restart.
+                    from_start = self.started_ms >= 0 or (
+                        (receiver, sender) in self.received_from
+                    )
                     self.received_from.add((receiver, sender))
                     if total:
                         self._refill(bucket, now)
                         bucket.apply_report(
-                            sender, total, rate_now, now, is_known
+                            sender, total, rate_now, now, from_start
                         )
 
     def _is_connected(self, receiver, sender, now):
--- a/tests/test_quota_partition.py
+++ b/tests/test_quota_partition.py
@@ -93,3 +93,17 @@
     host.report(CUT_OFF[:1])
     host.refuse(CUT_OFF[:1])
     assert set(host.quotas.buckets[NAME].peers) == set(CUT_OFF)
+
+
+@pytest.mark.parametrize(
+    ('started_ms', 'counted'), [(-60_000, 0), (-500, 9000), (5000, 9000)]
+)
+def test_units_of_hosts_started_with_this_one_count_from_their_start(
+    started_ms, counted
+):
+    # After a loss of all hosts, what each had admitted before its first
+    # report was used again by the others.
+    host = CutOffHost()
+    run = Run('c0', host.quotas.started_wall_ms + started_ms, 'zone-c')
+    host.quotas.put_report(run, {NAME: AdmittedUnits(9000.0, 0.0)})
+    assert host.quotas.buckets[NAME].peers[run].used == counted
