--- a/pearrun/shared/quotas.py
+++ b/pearrun/shared/quotas.py
@@ -108,7 +108,7 @@
         now = self.clock.now()
         self._end_suspensions(run, now)
         share = self._compute_share(now)
-        counts_from_start = run in self._reported_runs or self._is_newer(run)
+        counts_from_start = run in self._reported_runs or self._is_new(run)
         self._reported_runs.add(run)
         for name, use in admitted.items():
             customer = self.config.current.customers.get(name)
@@ -118,12 +118,16 @@
                     run, use.total, use.rate, now, counts_from_start
                 )
 
-    def _is_newer(self, run):
-        """Return whether a run started with this host or later.
+    def _is_new(self, run):
+        """Return whether a run started a moment ago, and not before this host.
 
-        All that it has admitted then belongs to this host's time.
+        All that it has admitted then counts.  Of an older run that reports
+        again after a partition, the units are counted already.
         """
-        earliest_ms = self.started_wall_ms - quota.RESTART_SPREAD_MS
+        earliest_ms = max(
+            self.started_wall_ms - quota.RESTART_SPREAD_MS,
+            self.clock.wall() - quota.STARTUP_MS,
+        )
         return not run.whole_zone and run.started_ms >= earliest_ms
 
     def suspend(self, run):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -161,7 +161,8 @@
                     receiver, sender, now
                 ):
                     # All hosts started together after a restart.
-                    from_start = self.started_ms >= 0 or (
+                    is_new = 0 <= self.started_ms >= now - quota.STARTUP_MS
+                    from_start = is_new or (
                         (receiver, sender) in self.received_from
                     )
                     self.received_from.add((receiver, sender))
--- a/tests/test_quota_partition.py
+++ b/tests/test_quota_partition.py
@@ -96,14 +96,23 @@
 
 
 @pytest.mark.parametrize(
-    ('started_ms', 'counted'), [(-60_000, 0), (-500, 9000), (5000, 9000)]
+    ('age_ms', 'started_ms', 'counted'),
+    [
+        (0, -60_000, 0),
+        (0, -500, 9000),
+        (0, 3000, 9000),
+        (60_000, 59_000, 9000),
+        # It had been forgotten, and reports again after a partition.
+        (60_000, 0, 0),
+    ],
 )
 def test_units_of_hosts_started_with_this_one_count_from_their_start(
-    started_ms, counted
+    age_ms, started_ms, counted
 ):
     # After a loss of all hosts, what each had admitted before its first
     # report was used again by the others.
     host = CutOffHost()
+    host.quotas.started_wall_ms -= age_ms
     run = Run('c0', host.quotas.started_wall_ms + started_ms, 'zone-c')
     host.quotas.put_report(run, {NAME: AdmittedUnits(9000.0, 0.0)})
     assert host.quotas.buckets[NAME].peers[run].used == counted
