--- a/pearrun/explain.py
+++ b/pearrun/explain.py
@@ -243,16 +243,19 @@
 
 
 def describe_attempt(
-    started_s, endpoint, after_ms, outcome, proxy='', version=''
+    started_s, endpoint, after_ms, outcome, proxy='', version='', notice=''
 ):
     """Return one attempt as a pair of its time and a text.
 
     :param proxy: the host through which it was sent, if any.
     :param version: version of the endpoint's software, if known.
+    :param notice: what the answer said about the endpoint, if anything.
     """
     through = f' through {proxy}' if proxy else ''
     software = f' ({version})' if version else ''
     text = f'sent to {endpoint}{software}{through}: {outcome or "answered"}'
+    if notice:
+        text += f' [endpoint: {notice}]'
     return started_s + after_ms / 1000, text
 
 
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -10,6 +10,8 @@
 from pearrun.platform import headers as header_names
 from pearrun.relay.call import Call
 from pearrun.relay.responsekinds import ResponseKind
+from pearrun.shared.endpointnotice import EndpointNotice
+from pearrun.shared.endpointnotice import NoticeField
 from pearrun.shared.prompts import Prompt
 from pearrun.shared.prompts import PromptPart
 
@@ -21,6 +23,8 @@
 ROUTE_PRIORITY_LEVELS = 3
 # Used if neither the caller nor the route sets a timeout.
 DEFAULT_TIMEOUT_MS = 30_000
+# Value of the header by which an endpoint says that it leaves.
+LEAVING_VALUE = '1'
 # Headers of an endpoint's response that are not forwarded.
 DROPPED_RESPONSE_HEADERS = frozenset((b'content-length',))
 
@@ -170,13 +174,31 @@
     :returns: a number per second.
     :raises WireFormatError: the value is not a finite number from 0 on.
     """
+    return decode_number(value, 'rate')
+
+
+def decode_number(value, what):
+    """Decode a number.
+
+    :param what: what it stands for, for error messages.
+    :raises WireFormatError: the value is not a finite number from 0 on.
+    """
     try:
-        rate_per_s = float(value)
+        number = float(value)
     except ValueError as exc:
-        raise exceptions.WireFormatError(f'invalid rate {value!r}') from exc
-    if not math.isfinite(rate_per_s) or rate_per_s < 0:
-        raise exceptions.WireFormatError(f'invalid rate {value!r}')
-    return rate_per_s
+        raise exceptions.WireFormatError(f'invalid {what} {value!r}') from exc
+    if not math.isfinite(number) or number < 0:
+        raise exceptions.WireFormatError(f'invalid {what} {value!r}')
+    return number
+
+
+def decode_seconds(value):
+    """Decode a length of time.
+
+    :returns: seconds, which may be fractions.
+    :raises WireFormatError: the value is not a finite number from 0 on.
+    """
+    return decode_number(value, 'time')
 
 
 class EndpointCodec:
@@ -228,6 +250,72 @@
             return ResponseKind.UNSEALED
         return ResponseKind.ANSWER
 
+    def decode_notice(self, head):
+        """Return what a response says about the endpoint that sent it.
+
+        :param head: the :class:`ResponseHead`.
+        :returns: an :class:`EndpointNotice`.
+        """
+        decoders = {
+            NoticeField.LEAVING: self.decode_leaving,
+            NoticeField.REST: self.decode_rest,
+            NoticeField.RATE_LIMIT: self.decode_rate_limit,
+            NoticeField.BRITTLENESS: self.decode_brittleness,
+        }
+        values = {}
+        errors = {}
+        for field, decode in decoders.items():
+            try:
+                values[field] = decode(head)
+            except exceptions.WireFormatError as exc:
+                errors[field] = exc
+        return EndpointNotice(
+            is_leaving=values.get(NoticeField.LEAVING, False),
+            rest_ms=values.get(NoticeField.REST),
+            rate_limit=values.get(NoticeField.RATE_LIMIT),
+            brittleness=values.get(NoticeField.BRITTLENESS),
+            errors=errors,
+        )
+
+    def decode_leaving(self, head):
+        """Return whether a response says that its endpoint is leaving.
+
+        :raises WireFormatError: the header has an unknown value.
+        """
+        values = get_all_headers(head.headers, header_names.LEAVING)
+        if not values:
+            return False
+        if LEAVING_VALUE not in (value.strip() for value in values):
+            raise exceptions.WireFormatError(
+                f'invalid notice of leaving {values!r}'
+            )
+        return True
+
+    def decode_rest(self, head):
+        """Return for how long an endpoint wants no calls from this host.
+
+        :returns: milliseconds, the longest if several are given; ``None`` if
+            the response is no refusal or gives no time.
+        :raises WireFormatError: no value is a number of seconds.
+        """
+        if head.status != 503:
+            return None
+        values = get_all_headers(
+            head.headers, header_names.RECEIVED_RETRY_AFTER
+        )
+        rests_s = []
+        error = None
+        for value in values:
+            try:
+                rests_s.append(decode_seconds(value))
+            except exceptions.WireFormatError as exc:
+                error = exc
+        if rests_s:
+            return math.ceil(max(rests_s) * 1000)
+        if error is not None:
+            raise error
+        return None
+
     def decode_rate_limit(self, head):
         """Return the rate limit that an endpoint advertises in a response.
 
--- a/pearrun/platform/headers.py
+++ b/pearrun/platform/headers.py
@@ -20,10 +20,14 @@
 URGENCY = b'pearrun-urgency'
 AUTHORIZATION = b'authorization'
 RETRY_AFTER = b'Retry-After'
+# The same in received messages.
+RECEIVED_RETRY_AFTER = b'retry-after'
 # Requests per second that an endpoint accepts from all hosts together.
 RATE_LIMIT = b'server-limit'
 # Refusals in a second beyond which a brittle endpoint crashes.
 BRITTLE = b'server-brittle'
+# "1" in the answers of an endpoint that is about to end.
+LEAVING = b'server-leaving'
 DUTY_HOLDER = 'Pearrun-Duty-Holder'
 FENCING_TOKEN = 'Pearrun-Fence-Token'
 
--- a/pearrun/relay/exchange.py
+++ b/pearrun/relay/exchange.py
@@ -5,7 +5,7 @@
 from pearrun import exceptions
 from pearrun.clock import to_seconds
 from pearrun.decisions.evidence import is_call_stable
-from pearrun.relay.answeredlimits import AnsweredLimits
+from pearrun.relay.answernotices import AnswerNotices
 from pearrun.relay.endpointfailures import EndpointFailures
 from pearrun.relay.events import EventSplitter
 from pearrun.relay.outcomes import Answered
@@ -57,7 +57,7 @@
         self.caller = caller
         self.trace = trace
         self.failures = EndpointFailures(host)
-        self.limits = AnsweredLimits(host, trace)
+        self.notices = AnswerNotices(host, trace)
         self.connection = None
         self.selected = None
         self.prompt_pending = False
@@ -171,7 +171,7 @@
             if watch is not None:
                 watch.cancel()
         self.host.selection.note_answer(self.selected.endpoint)
-        self.limits.note_answer(
+        self.notices.note_answer(
             head, kind, self.selected.endpoint, self.sent_ms
         )
         match kind:
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -31,6 +31,8 @@
     :param outcome: why the attempt failed; empty if it succeeded.
     :param proxy: the host through which it was sent; empty if directly.
     :param version: version of the endpoint's software.
+    :param notice: what the answer said about the endpoint: that it leaves, or
+        how long a rest it wants; empty if neither.
     """
 
     endpoint_id: EndpointId
@@ -38,6 +40,7 @@
     outcome: str = ''
     proxy: str = ''
     version: Version = Version('')
+    notice: str = ''
 
 
 class CallTrace:
@@ -98,6 +101,13 @@
         """Record that the attempt is sent through another host."""
         self.attempts[-1].proxy = proxy
 
+    def record_notice(self, notice):
+        """Record what the answer says about its endpoint.
+
+        :param notice: the :class:`EndpointNotice`.
+        """
+        self.attempts[-1].notice = notice.describe()
+
     def record_written(self):
         """Record that the request was written: it may run from now on."""
         self.outcome_pending = True
--- a/pearrun/shared/counters.py
+++ b/pearrun/shared/counters.py
@@ -22,6 +22,8 @@
         self.repeats = 0
         self.rejected = 0
         self.limited_answers = 0
+        self.leaving_answers = 0
+        self.rest_answers = 0
         self.resumptions = {}
         self.first_byte = {}
         self.response = {}
@@ -42,6 +44,15 @@
             record(self._find(self.first_byte, route), trace.first_byte_ms)
         record(self._find(self.response, route), now_ms - trace.started_ms)
 
+    def count_notice(self, notice):
+        """Count what an answer says about its endpoint.
+
+        :param notice: the :class:`EndpointNotice`.
+        """
+        self.limited_answers += notice.rate_limit is not None
+        self.leaving_answers += notice.is_leaving
+        self.rest_answers += notice.rest_ms is not None
+
     def _count_resumption(self, by, trace, ending):
         """Count a stream that went on at another endpoint, or did not.
 
@@ -64,6 +75,8 @@
         lines.append(f'pearrun_repeated_sends_total {self.repeats}')
         lines.append(f'pearrun_rejected_requests_total {self.rejected}')
         lines.append(f'pearrun_limited_answers_total {self.limited_answers}')
+        lines.append(f'pearrun_leaving_answers_total {self.leaving_answers}')
+        lines.append(f'pearrun_rest_answers_total {self.rest_answers}')
         for call, topic in sorted(store_calls):
             labels = f'call="{call}",topic="{topic}"'
             count = store_calls[call, topic]
