--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from pearrun.clock import Clock
 from pearrun.clock import to_seconds
@@ -45,6 +46,10 @@
     :param brittle: value of the header ``Server-Brittle`` in responses, the
         number of refusals in a second that the endpoint survives; ``None``
         for any.
+    :param leaving: say in all responses that the endpoint leaves.
+    :param rest: value of the header ``Retry-After`` in refusals; ``None`` for
+        none.
+    :param refuse_every: refuse one of so many requests; ``None`` for none.
     :param crash_on: crash when a request with this body starts to run.
     :param crash_on_part: crash when a request whose prompt has this part,
         not as its last one, begins to write its answer.
@@ -66,11 +71,26 @@
     rate_limit: str | None = None
     max_waiting: int | None = None
     brittle: str | None = None
+    leaving: bool = False
+    rest: str | None = None
+    refuse_every: int | None = None
     crash_on: bytes | None = None
     crash_on_part: str | None = None
     crash_after_events: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class SentNotice:
+    """A response in which the endpoint said that it leaves, or wants rest.
+
+    :param rest_s: the time of rest; 0 for none.
+    """
+
+    at_ms: int
+    attempt: str
+    rest_s: float = 0.0
+
+
 @dataclasses.dataclass
 class Run:
     """A request that reached the endpoint and was not refused.
@@ -94,7 +114,8 @@
     :param version: the version of its software.
 
     ``names_version`` says whether the events of its streams contain it.
-    ``attempts`` holds the time and the attempt id of each request received.
+    ``attempts`` holds the time and the attempt id of each request received;
+    ``leaves`` and ``rests`` are the :class:`SentNotice` objects.
     """
 
     def __init__(self, runner_id, service, zone, slots=8, version='v1'):
@@ -110,6 +131,8 @@
         self.arrivals_ms = []
         self.connections = 0
         self.refusals_ms = []
+        self.leaves = []
+        self.rests = []
         self.waiting = 0
         self.running = 0
         self.falls = 0
@@ -160,10 +183,11 @@
         self.attempts.append((CLOCK.now(), attempt))
         expected = request.get(b'pearrun-expect-runner')
         if expected not in (None, self.id):
-            await caller.reply(421, [(b'Pearrun-Runner-Id', self.id.encode())])
+            headers = [(b'Pearrun-Runner-Id', self.id.encode())]
+            await caller.reply(421, headers + self._make_leaving(attempt))
             return
         self.arrivals_ms.append(CLOCK.now())
-        if faults.full or self._is_full():
+        if self._refuses():
             await self._refuse(caller, attempt)
             return
         if faults.reset_before:
@@ -187,6 +211,14 @@
         finally:
             self.running -= 1
 
+    def _refuses(self):
+        """Return whether to refuse the request that has just arrived."""
+        faults = self.faults
+        if faults.full or self._is_full():
+            return True
+        every = faults.refuse_every
+        return every is not None and len(self.arrivals_ms) % every == 0
+
     def _is_full(self):
         """Return whether no more requests may wait."""
         max_waiting = self.faults.max_waiting
@@ -204,7 +236,14 @@
             (b'Pearrun-Not-Run', b'1'),
             (b'Pearrun-Attempt-Id', attempt.encode()),
             *self._make_limit_headers(),
+            *self._make_leaving(attempt),
         ]
+        rest = self.faults.rest
+        if rest is not None:
+            headers.append((b'Retry-After', rest.encode()))
+            self.rests.append(
+                SentNotice(CLOCK.now(), attempt, parse_seconds(rest))
+            )
         await caller.reply(503, headers, b'full')
         now = CLOCK.now()
         self.refusals_ms.append(now)
@@ -224,6 +263,7 @@
         headers = [
             (b'Pearrun-Attempt-Id', attempt.encode()),
             *self._make_limit_headers(),
+            *self._make_leaving(attempt),
         ]
         if not self.faults.unsealed:
             signature = f'seal.{self.id}.{attempt}'.encode()
@@ -240,6 +280,13 @@
         else:
             await self._send_response(request, caller, headers)
 
+    def _make_leaving(self, attempt):
+        """Return the header that says that the endpoint leaves, if it does."""
+        if not self.faults.leaving:
+            return []
+        self.leaves.append(SentNotice(CLOCK.now(), attempt))
+        return [(b'Server-Leaving', b'1')]
+
     def _make_limit_headers(self):
         named = (
             (b'Server-Limit', self.faults.rate_limit),
@@ -325,6 +372,15 @@
         return make_event(number, self.version if self.names_version else '')
 
 
+def parse_seconds(value):
+    """Return a header's number of seconds; 0 if it is none."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return 0.0
+    return seconds if math.isfinite(seconds) else 0.0
+
+
 def list_shared_parts(request):
     """Return the ids of a prompt's parts except the last."""
     value = request.get(b'pearrun-prompt-prefix') or ''
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+from pearrun.clock import Clock
 from tests.platformsite import call
 from tests.platformsite import wait_until
 
+CLOCK = Clock()
 # Any period of this length counts.
 WINDOW_MS = 4000
 # How much more than its rate limit an endpoint may get in a window.
@@ -51,6 +53,9 @@
     :param interval_s: time between two calls.
     :param path: the calls' path.
     :param headers: further headers of the calls.
+
+    ``sent_ms`` and ``hosts`` hold the time and the host of each call by its
+    attempt id.
     """
 
     def __init__(self, daemons, interval_s=0.025, path='/safe/', **headers):
@@ -59,6 +64,8 @@
         self.path = path
         self.headers = headers
         self.answers = []
+        self.sent_ms = {}
+        self.hosts = {}
         self._calls = set()
         self._task = None
 
@@ -83,6 +90,8 @@
             await asyncio.sleep(self.interval_s)
 
     async def _call(self, daemon, attempt):
+        self.sent_ms[attempt] = CLOCK.now()
+        self.hosts[attempt] = daemon.settings.name
         answer = await call(daemon, self.path, attempt, **self.headers)
         self.answers.append(answer)
 
