Endpoints that ask for rest in a refusal get none of this host's calls

Callers were refused (90 of 290 calls in 3 s of the record) while nine other endpoints served: three that refused all calls and named 3 s of rest got half of all calls to the service, since Retry-After was not read and an endpoint that refuses looks idle.

A rest is kept by the host that was refused, by process, to the longest end of several; no answer, entry or pause ends it. It lasts up to a quarter longer by chance, then single calls try the endpoint until it accepts one that was sent since. EndpointGate is the one filter for all that endpoints say (rest, rate limit, brittleness; those that leave are not listed); a call that waited for a connection passes it again. A proxy keeps the rests of the endpoints that refused its tunnels. If all endpoints of a service rest, calls are refused at once with the time left, and count as demand.

--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -201,6 +201,14 @@
         self.state.start_next_cycle()
         return True
 
+    def keep_idle(self):
+        """Keep the connection for later; nothing was sent on it.
+
+        :returns: whether it may carry a request then.
+        """
+        self.idle_since_ms = CLOCK.now()
+        return self.is_reusable()
+
     def is_reusable(self):
         """Return whether an idle connection may still be reused."""
         idle_ms = CLOCK.since(self.idle_since_ms)
--- a/pearrun/http1/pool.py
+++ b/pearrun/http1/pool.py
@@ -98,6 +98,13 @@
         else:
             self.open_connections -= 1
 
+    def put_back(self, connection):
+        """Return a connection on which nothing was sent."""
+        if connection.keep_idle():
+            self.idle.append(connection)
+        else:
+            self.discard(connection)
+
     def discard(self, connection):
         """Close a connection that must not be reused."""
         connection.abort()
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -322,6 +322,7 @@
             'rollouts_open': len(self.host.rollouts.list_open()),
             'quarantined': len(self.host.quarantine.known.quarantined),
             'endpoints_limited': self.host.limits.count(),
+            'endpoints_resting': self.host.rests.count(),
             'services_brittle': self.host.brittle.count(),
             'retries_refused_total': self.host.retry_budgets.refused.total(),
             'quarantine_refusals_total': self.host.quarantine.refused,
--- a/pearrun/relay/answernotices.py
+++ b/pearrun/relay/answernotices.py
@@ -38,6 +38,8 @@
         if kind is not ResponseKind.WRONG_ENDPOINT:
             # Any other response on the connection is from the same process.
             self.host.apply_notice(endpoint.id, notice)
+        if kind is ResponseKind.ANSWER:
+            self.host.rests.note_accepted(endpoint.id, sent_ms)
         if kind in LIMITING_KINDS:
             self._note_rate_limit(notice, kind, endpoint, sent_ms)
             self._note_brittleness(notice, kind, endpoint, sent_ms)
--- /dev/null
+++ b/pearrun/shared/endpointgate.py
@@ -0,0 +1,91 @@
+"""Which endpoints a host may send a call to, by what they have said.
+
+Endpoints say in their answers that they leave, want rest, have a rate limit or
+are brittle.  All of that is binding, unlike pauses after failures, which are
+lifted if no other endpoint is left.
+"""
+
+import dataclasses
+import enum
+
+
+class WaitReason(enum.Enum):
+    """Why no endpoint of a service may get a call now."""
+
+    RESTS = 'endpoints at rest'
+    LIMITS = 'endpoint limits'
+    BRITTLE = 'brittle endpoints'
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointWait:
+    """Why and for how long no endpoint of a service may get a call."""
+
+    reason: WaitReason
+    wait_ms: float
+
+
+# Expected wait for a free slot of a brittle endpoint: hosts learn of free
+# slots several times a second.
+BRITTLE_WAIT_MS = 500
+
+
+class EndpointGate:
+    """What endpoints have said, for all users of endpoints.
+
+    :param fleet: the :class:`Fleet`, without endpoints that leave.
+    :param rests: the :class:`Rests`.
+    :param limits: the :class:`EndpointLimits`.
+    :param brittle: the :class:`BrittleEndpoints`.
+    """
+
+    def __init__(self, fleet, rests, limits, brittle):
+        self.fleet = fleet
+        self.rests = rests
+        self.limits = limits
+        self.brittle = brittle
+
+    def filter_allowed(self, service_name, endpoints):
+        """Return the endpoints to which a call may be sent now.
+
+        :param endpoints: a list of :class:`Endpoint` of the service.
+        """
+        endpoints = [
+            item for item in endpoints if self.rests.allows_call(item.id)
+        ]
+        endpoints = self.limits.filter_allowed(endpoints)
+        return self.brittle.filter_allowed(service_name, endpoints)
+
+    def may_send(self, endpoint_id):
+        """Return whether a call that has been started may still be sent.
+
+        The endpoint may have said otherwise while a connection was opened.
+        """
+        is_resting = self.rests.is_resting(endpoint_id)
+        return not is_resting and self.fleet.accepts_calls(endpoint_id)
+
+    def begin_call(self, endpoint):
+        """Count a call that is about to be sent to an :class:`Endpoint`."""
+        self.limits.take(endpoint)
+        self.brittle.take(endpoint)
+        self.rests.begin_call(endpoint.id)
+
+    def end_call(self, endpoint):
+        """Record the end of a call that :meth:`begin_call` has counted."""
+        self.rests.end_call(endpoint.id)
+
+    def find_wait(self, service_name):
+        """Return the :class:`EndpointWait` of a service.
+
+        :returns: ``None`` if nothing that endpoints have said is the reason.
+        """
+        listed = self.fleet.find_by_service(service_name)
+        waits_ms = [self.rests.get_wait_ms(item.id) for item in listed]
+        if waits_ms and all(waits_ms):
+            return EndpointWait(WaitReason.RESTS, min(waits_ms))
+        wait_ms = self.limits.get_wait_ms(service_name)
+        if wait_ms:
+            return EndpointWait(WaitReason.LIMITS, wait_ms)
+        if self.brittle.is_brittle(service_name):
+            return EndpointWait(WaitReason.BRITTLE, BRITTLE_WAIT_MS)
+        return None
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -13,6 +13,7 @@
 from pearrun.shared.crashprobe import CrashProbe
 from pearrun.shared.demands import Demands
 from pearrun.shared.departures import Departures
+from pearrun.shared.endpointgate import EndpointGate
 from pearrun.shared.endpointlimits import EndpointLimits
 from pearrun.shared.engines import Engines
 from pearrun.shared.feed import Feed
@@ -27,6 +28,7 @@
 from pearrun.shared.quarantine import Quarantine
 from pearrun.shared.quotas import Quotas
 from pearrun.shared.reachability import Reachability
+from pearrun.shared.rests import Rests
 from pearrun.shared.retrybudgets import RetryBudgets
 from pearrun.shared.selection import Selection
 from pearrun.shared.streamorigins import StreamOrigins
@@ -98,6 +100,10 @@
             self.limits,
             self.members.count_sharing,
         )
+        self.rests = Rests(clock)
+        self.gate = EndpointGate(
+            self.fleet, self.rests, self.limits, self.brittle
+        )
         self.selection = Selection(
             clock,
             settings.zone,
@@ -107,9 +113,8 @@
             self.demands,
             self.feed,
             self.rollouts,
-            self.limits,
+            self.gate,
             self.reachability,
-            self.brittle,
         )
         self.paths = Paths(
             clock,
@@ -190,6 +195,8 @@
         """
         if notice.is_leaving:
             self.departures.note_leaving(endpoint_id)
+        if notice.rest_ms is not None:
+            self.rests.note_rest(endpoint_id, notice.rest_ms)
 
     def _handle_leaving(self, endpoint_id):
         self.crashes.note_leaving(endpoint_id)
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -48,9 +48,8 @@
         the calls of other hosts.
     :param feed: the :class:`Feed`; says whether the hosts use hubs.
     :param rollouts: the :class:`Rollouts`, which select the version.
-    :param limits: the :class:`EndpointLimits`.
+    :param gate: the :class:`EndpointGate`.
     :param reachability: the :class:`Reachability`.
-    :param brittle: the :class:`BrittleEndpoints`.
 
     ``notify_peers`` is called to report a large prompt to the other hosts
     immediately.
@@ -66,9 +65,8 @@
         demands,
         feed,
         rollouts,
-        limits,
+        gate,
         reachability,
-        brittle,
     ):
         self.clock = clock
         self.zone = zone
@@ -78,9 +76,8 @@
         self.demands = demands
         self.feed = feed
         self.rollouts = rollouts
-        self.limits = limits
+        self.gate = gate
         self.reachability = reachability
-        self.brittle = brittle
         self.prefixes = PrefixIndex()
         self._placements = []
         self.zones = {}
@@ -102,8 +99,7 @@
             for endpoint in self.fleet.find_by_service(service.name)
             if endpoint.id not in tried
         ]
-        endpoints = self.limits.filter_allowed(endpoints)
-        endpoints = self.brittle.filter_allowed(service.name, endpoints)
+        endpoints = self.gate.filter_allowed(service.name, endpoints)
         if version is None:
             endpoints = self.rollouts.select(
                 service.name, endpoints, call.id, call.route.name, bool(tried)
--- a/pearrun/shared/tunnelmessages.py
+++ b/pearrun/shared/tunnelmessages.py
@@ -29,6 +29,7 @@
     NO_PATH = 'no path'
     UNKNOWN_ENDPOINT = 'unknown endpoint'
     BUSY = 'busy'
+    RESTING = 'resting'
     STOPPING = 'stopping'
 
 
--- a/pearrun/shared/tunnels.py
+++ b/pearrun/shared/tunnels.py
@@ -59,9 +59,12 @@
         :raises NoPathError: no host was found that reaches the endpoint.
         :raises EndpointDownError: the endpoint refused the connection.
         :raises EndpointSilentError: the endpoint did not respond.
+        :raises OverloadedError: the endpoint wants no calls from the hosts
+            that could reach it.
         """
         table = self._tables.setdefault(record.service, ProxyTable())
         asked = set()
+        is_resting = False
         while table.may_search(self.clock.now()) and len(asked) < MAX_ASKED:
             proxy = self._choose(table, asked)
             if proxy is None:
@@ -84,7 +87,15 @@
                     raise exceptions.EndpointUnreachableError(
                         f'{record.id} is not listed at {proxy.name}'
                     )
+                case TunnelResult.RESTING:
+                    table.note_working(proxy.name)
+                    is_resting = True
+                    continue
             table.note_unavailable(proxy.name, self.clock.now())
+        if is_resting:
+            raise exceptions.OverloadedError(
+                f'{record.id} wants no calls, {len(asked)} hosts asked'
+            )
         if asked:
             table.note_search_failed(self.clock.now())
         raise exceptions.NoPathError(
--- a/pearrun/shared/tunnelserver.py
+++ b/pearrun/shared/tunnelserver.py
@@ -130,8 +130,8 @@
         host = self.host
         if host.stopping:
             return TunnelResult.STOPPING, None
-        if not host.fleet.accepts_calls(request.endpoint_id):
-            return TunnelResult.UNKNOWN_ENDPOINT, None
+        if not host.gate.may_send(request.endpoint_id):
+            return self._get_refusal(request.endpoint_id), None
         record = host.fleet.endpoints[request.endpoint_id].record
         if host.reachability.is_lost(record.service):
             return TunnelResult.NO_PATH, None
@@ -142,15 +142,21 @@
         )
         if stream is not None:
             host.reachability.note_connected(record)
-            if not host.fleet.accepts_calls(record.id):
-                stream.abort()
-                return TunnelResult.UNKNOWN_ENDPOINT, None
-            return result, stream
+            if host.gate.may_send(record.id):
+                return result, stream
+            stream.abort()
+            return self._get_refusal(record.id), None
         host.reachability.note_unreached(record)
         if host.reachability.is_suspect(record.service):
             return TunnelResult.NO_PATH, None
         return result, None
 
+    def _get_refusal(self, endpoint_id):
+        """Return why no tunnel to an endpoint is opened."""
+        if self.host.fleet.accepts_calls(endpoint_id):
+            return TunnelResult.RESTING
+        return TunnelResult.UNKNOWN_ENDPOINT
+
     async def _forward(self, link, stream, answer):
         """Forward bytes in both directions until either end closes.
 
--- a/pearrun/shared/tunneltransport.py
+++ b/pearrun/shared/tunneltransport.py
@@ -25,6 +25,10 @@
         self.proxy = proxy
         self.proxy_lost = False
 
+    def keep_idle(self):
+        """Return ``False``: the connection is never kept."""
+        return False
+
     def finish(self, head):
         """End the request; the connection is never reused."""
         super().finish(head)
