--- a/tests/notices.py
+++ b/tests/notices.py
@@ -9,25 +9,31 @@
 REST_CALLS = 2
 
 
-def find_late_calls(runner, sent_ms, hosts, drain_ms=DRAIN_MS):
+def find_late_calls(runner, told_ms, sent_ms, hosts):
     """Return the calls that reached an endpoint too long after its notice.
 
     :param runner: the :class:`PlatformRunner`.
+    :param told_ms: when it told each host that it leaves.
     :param sent_ms: when callers sent each call, by attempt id.
     :param hosts: names of the hosts by attempt id.
     :returns: attempt ids.
     """
-    told_ms = {}
-    for notice in runner.leaves:
-        told_ms.setdefault(hosts.get(notice.attempt), notice.at_ms)
     return [
         attempt
         for _, attempt in runner.attempts
         if (told := told_ms.get(hosts.get(attempt))) is not None
-        and sent_ms[attempt] > told + drain_ms
+        and sent_ms[attempt] > told + DRAIN_MS
     ]
 
 
+def find_told(runner, hosts):
+    """Return when an endpoint told each host that it leaves."""
+    told_ms = {}
+    for notice in runner.leaves:
+        told_ms.setdefault(hosts.get(notice.attempt), notice.at_ms)
+    return told_ms
+
+
 def find_broken_rests(runner, hosts):
     """Return the refusals after which a host did not let an endpoint rest.
 
@@ -51,10 +57,12 @@
 
 def count_late_calls(site, load):
     """Return how many calls reached any endpoint of a site too late."""
-    return sum(
-        len(find_late_calls(runner, load.sent_ms, load.hosts))
-        for runner in site.runners.values()
-    )
+    count = 0
+    for runner in site.runners.values():
+        told_ms = find_told(runner, load.hosts)
+        late = find_late_calls(runner, told_ms, load.sent_ms, load.hosts)
+        count += len(late)
+    return count
 
 
 def list_broken_rests(site, load):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -33,6 +33,7 @@
             several_versions=FLAGS.versions,
             crashing_part=FLAGS.crashing_part,
             refusing=FLAGS.refusing,
+            notices=FLAGS.notices,
         )
         try:
             findings, evidence = asyncio.run(run)
@@ -77,6 +78,11 @@
         False,
         'Also let all endpoints refuse calls while hosts are killed.',
     )
+    flags.DEFINE_bool(
+        'notices',
+        False,
+        'Also let endpoints say that they leave, or ask for rest.',
+    )
     flags.DEFINE_bool(
         'limited', False, 'Also let endpoints advertise rate limits.'
     )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -17,6 +17,9 @@
   :mod:`tests.soak.limits`.
 - All endpoints of a service get no more retries than its budget allows; see
   :mod:`tests.soak.retries`.
+- A host sends no calls to an endpoint that has said that it leaves, and two at
+  most in the time of rest that it has asked for; see
+  :mod:`tests.soak.notices`.
 - A stream goes on at the software version that began it; see
   :mod:`tests.soak.versions`.
 - No process exits unless it was told to.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -103,6 +103,32 @@
     duration_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class LeaveEndpoint:
+    """An endpoint says in its answers that it leaves, and ends later.
+
+    The store does not learn it, and the endpoint goes on sending heartbeats.
+
+    :param endpoint: name of the replica that the endpoint runs as.
+    """
+
+    endpoint: str
+    duration_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RestEndpoint:
+    """An endpoint refuses all calls for ``duration_ms`` and asks for rest.
+
+    :param endpoint: name of the replica that the endpoint runs as.
+    :param rest: seconds, as the header's value.
+    """
+
+    endpoint: str
+    rest: str
+    duration_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class ReplaceEndpoint:
     """An endpoint ends and another one replaces it.
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,6 +16,8 @@
 from tests.soak.directory import lock_directory
 from tests.soak.limits import check_limits
 from tests.soak.limits import generate_limits
+from tests.soak.notices import check_notices
+from tests.soak.notices import generate_notices
 from tests.soak.plan import generate_plan
 from tests.soak.retries import check_retries
 from tests.soak.retries import generate_refusals
@@ -63,6 +65,8 @@
         one prompt part in common.
     :param refusing: whether all endpoints refuse calls at times, while hosts
         are killed and the store does not acknowledge writes.
+    :param notices: whether endpoints say in their answers that they leave or
+        want rest.
     """
 
     hosts: int = DEFAULT_HOSTS
@@ -71,6 +75,7 @@
     several_versions: bool = False
     crashing_part: bool = False
     refusing: bool = False
+    notices: bool = False
 
 
 class FaultInjector:
@@ -136,6 +141,11 @@
             case faults.LimitEndpoint(endpoint, rate_limit, duration_ms):
                 replica = site.replicas[endpoint]
                 await site.limit_endpoint(replica, rate_limit, duration_ms)
+            case faults.LeaveEndpoint(endpoint, duration_ms):
+                await site.leave_endpoint(site.replicas[endpoint], duration_ms)
+            case faults.RestEndpoint(endpoint, rest, duration_ms):
+                replica = site.replicas[endpoint]
+                await site.rest_endpoint(replica, rest, duration_ms)
             case faults.ReplaceEndpoint(endpoint, drained, same_address):
                 replica = site.replicas[endpoint]
                 await site.replace_endpoint(replica, drained, same_address)
@@ -172,6 +182,9 @@
     if options.refusing:
         added = generate_refusals(seed, length_ms, names, tuple(site.replicas))
         plan = plan.add(added)
+    if options.notices:
+        added = generate_notices(seed, length_ms, tuple(site.replicas))
+        plan = plan.add(added)
     injector = FaultInjector(site)
     traffic = Traffic(site, seed)
     if options.crashing_part:
@@ -218,6 +231,7 @@
     findings.extend(check_limits(evidence, site.limit_periods))
     findings.extend(check_versions(evidence.streams))
     findings.extend(check_retries(evidence))
+    findings.extend(check_notices(evidence))
     return findings, evidence
 
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -46,6 +46,8 @@
     :param generation: number of the current endpoint, from 1 on.
     :param restarting: whether a crashed endpoint is being replaced.
     :param rate_limit: the rate limit that the current endpoint advertises.
+    :param leaving: whether the current endpoint says that it leaves.
+    :param rest: the rest that it asks for while it refuses all calls.
     """
 
     name: str
@@ -56,6 +58,8 @@
     generation: int = 0
     restarting: bool = False
     rate_limit: str | None = None
+    leaving: bool = False
+    rest: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,6 +153,8 @@
         """Start a replica's next endpoint and write its entry."""
         replica.generation += 1
         replica.rate_limit = None
+        replica.leaving = False
+        replica.rest = None
         name = f'{replica.name}-{replica.generation}'
         runner = PlatformRunner(name, replica.service, replica.zone)
         runner.work_ms = WORK_MS
@@ -231,10 +237,36 @@
         """Enable or disable a fault of a replica's current endpoint."""
         faults = self.make_base_faults()
         faults.rate_limit = replica.rate_limit
+        faults.leaving = replica.leaving
+        faults.rest = replica.rest
+        faults.full = replica.rest is not None
         if enabled:
             setattr(faults, fault.value, True)
         replica.runner.faults = faults
 
+    async def leave_endpoint(self, replica, duration_ms):
+        """Let a replica's endpoint say that it leaves, then replace it."""
+        runner = replica.runner
+        if replica.leaving or runner.ended_ms is not None:
+            return
+        replica.leaving = runner.faults.leaving = True
+        await asyncio.sleep(to_seconds(duration_ms))
+        if replica.runner is runner and runner.ended_ms is None:
+            await self.replace_endpoint(replica, False, False)
+
+    async def rest_endpoint(self, replica, rest, duration_ms):
+        """Let a replica's endpoint refuse calls and ask for rest."""
+        runner = replica.runner
+        if replica.rest is not None or runner.ended_ms is not None:
+            return
+        replica.rest = runner.faults.rest = rest
+        runner.faults.full = True
+        await asyncio.sleep(to_seconds(duration_ms))
+        runner.faults.rest = None
+        runner.faults.full = False
+        if replica.runner is runner:
+            replica.rest = None
+
     async def limit_endpoint(self, replica, rate_limit, duration_ms):
         """Let a replica's endpoint advertise a rate limit for a while."""
         runner = replica.runner
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -166,3 +166,12 @@
         await running
 
     asyncio.run(main())
+
+
+def test_endpoints_that_leave_or_rest_have_no_findings(tmp_path):
+    findings, evidence = asyncio.run(
+        run_seed(7, LENGTH_MS, tmp_path, notices=True)
+    )
+    assert not findings
+    assert any(runner.leaves for runner in evidence.runners)
+    assert any(runner.rests for runner in evidence.runners)
