Rests: a stream waits for the rests of its version; notices in plain terms

A stream that goes on at a version whose endpoints all rest was refused with 0.5 s in place of the time left (test_stream_waits_for_the_rests_of_its_ version_alone failed on the code before, where find_wait knew no version). A refusal with a malformed Server-Brittle counts for nothing again, as before the notices were decoded together. Comments and docstrings: announce, request and notice in place of say and ask.

--- a/pearrun/decisions/rest.py
+++ b/pearrun/decisions/rest.py
@@ -1,4 +1,4 @@
-"""When calls to an endpoint resume after it has asked for rest.
+"""When calls to an endpoint resume after it has requested rest.
 
 Load pattern: an overloaded endpoint refuses calls and names a time for which
 it wants none from the host that it refuses.  Refusing takes it no time, so
@@ -9,8 +9,8 @@
 that the endpoint accepts calls.
 """
 
-# Longer rests are cut to this length: the endpoint may have named one that it
-# does not need, and is asked by few calls.
+# Longer rests are cut to this length; few calls then show whether the endpoint
+# still refuses.
 MAX_REST_MS = 3_600_000
 
 
@@ -26,8 +26,8 @@
 class Rest:
     """The rest of one endpoint, as kept by one host.
 
-    ``pending`` is the number of calls that were started since it was asked
-    for and have not ended.
+    ``pending`` is the number of calls that were started since it was
+    requested and have not ended.
     """
 
     def __init__(self):
--- a/pearrun/explain.py
+++ b/pearrun/explain.py
@@ -249,7 +249,7 @@
 
     :param proxy: the host through which it was sent, if any.
     :param version: version of the endpoint's software, if known.
-    :param notice: what the answer said about the endpoint, if anything.
+    :param notice: the notice in the answer about the endpoint, if any.
     """
     through = f' through {proxy}' if proxy else ''
     software = f' ({version})' if version else ''
--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -23,7 +23,7 @@
 ROUTE_PRIORITY_LEVELS = 3
 # Used if neither the caller nor the route sets a timeout.
 DEFAULT_TIMEOUT_MS = 30_000
-# Value of the header by which an endpoint says that it leaves.
+# Value of the header by which an endpoint announces that it leaves.
 LEAVING_VALUE = '1'
 # Headers of an endpoint's response that are not forwarded.
 DROPPED_RESPONSE_HEADERS = frozenset((b'content-length',))
@@ -251,7 +251,7 @@
         return ResponseKind.ANSWER
 
     def decode_notice(self, head):
-        """Return what a response says about the endpoint that sent it.
+        """Return the notices in a response about the endpoint that sent it.
 
         :param head: the :class:`ResponseHead`.
         :returns: an :class:`EndpointNotice`.
@@ -278,7 +278,7 @@
         )
 
     def decode_leaving(self, head):
-        """Return whether a response says that its endpoint is leaving.
+        """Return whether a response announces that its endpoint leaves.
 
         :raises WireFormatError: the header has an unknown value.
         """
--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -111,7 +111,7 @@
             self.host.crashes.note_leaving(entry.id)
         self.host.rollouts.note_listed(entry)
         if self.host.fleet.put(entry):
-            # The endpoint may have said that it leaves.
+            # The endpoint may have announced that it leaves.
             state = self.host.fleet.find(entry.name).record.state
             logger.bind(
                 endpoint=entry.id,
--- a/pearrun/relay/answernotices.py
+++ b/pearrun/relay/answernotices.py
@@ -1,4 +1,4 @@
-"""Records what answers say about the endpoints that sent them."""
+"""Records the notices in answers about the endpoints that sent them."""
 
 from loguru import logger
 
@@ -21,7 +21,7 @@
         self.trace = trace
 
     def note_answer(self, head, kind, endpoint, sent_ms):
-        """Record what a response says about its endpoint.
+        """Record the notices in a response about its endpoint.
 
         :param head: the :class:`ResponseHead`.
         :param kind: its :class:`ResponseKind`.
@@ -42,9 +42,7 @@
             self.host.rests.note_accepted(endpoint.id, sent_ms)
         if kind in LIMITING_KINDS:
             self._note_rate_limit(notice, kind, endpoint, sent_ms)
-            self._note_brittleness(notice, kind, endpoint, sent_ms)
-            if kind is ResponseKind.NOT_RUN and head.status == 503:
-                self.host.brittle.note_refused(endpoint)
+            self._note_brittleness(notice, head, kind, endpoint, sent_ms)
 
     def _note_rate_limit(self, notice, kind, endpoint, sent_ms):
         """Record the rate limit that the endpoint advertises, if any.
@@ -59,8 +57,8 @@
         elif kind is ResponseKind.ANSWER:
             self.host.limits.note_unlimited(endpoint.id, sent_ms)
 
-    def _note_brittleness(self, notice, kind, endpoint, sent_ms):
-        """Record whether the endpoint is brittle."""
+    def _note_brittleness(self, notice, head, kind, endpoint, sent_ms):
+        """Record whether the endpoint is brittle, and a refusal if so."""
         if NoticeField.BRITTLENESS in notice.errors:
             return
         service_name = endpoint.record.service
@@ -68,3 +66,5 @@
             self.host.brittle.note_brittle(service_name, notice.brittleness)
         elif kind is ResponseKind.ANSWER:
             self.host.brittle.note_sound(service_name, sent_ms)
+        if kind is ResponseKind.NOT_RUN and head.status == 503:
+            self.host.brittle.note_refused(endpoint)
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -329,12 +329,12 @@
         if version is not None and not self._is_served(service, version):
             await self._fail_without_version(call, caller, trace)
             return
-        wait = self.host.gate.find_wait(service.name)
+        wait = self.host.gate.find_wait(service.name, version)
         if wait is None or trace.may_have_run:
             await self._fail(call, caller, trace, 'no endpoint')
             return
         if wait.reason is WaitReason.RESTS:
-            await self._refuse_for_rests(call, service, caller, trace)
+            await self._refuse_for_rests(call, service, caller, trace, wait)
             return
         if trace.attempts:
             await self._fail(call, caller, trace, 'no endpoint')
@@ -343,26 +343,25 @@
         retry_after_ms = self._compute_retry_after_ms(call, wait.wait_ms)
         await self._refuse(call, caller, trace, 503, retry_after_ms)
 
-    async def _refuse_for_rests(self, call, service, caller, trace):
-        """Refuse a call since all endpoints of its service rest."""
+    async def _refuse_for_rests(self, call, service, caller, trace, wait):
+        """Refuse a call since all endpoints of its service rest.
+
+        :param wait: the :class:`EndpointWait`.
+        """
         if not trace.attempts:
             self.host.demands.note_call(
                 service.name, call.prompt.tokens, call.route.latency_target_ms
             )
         trace.reason = WaitReason.RESTS.value
-        retry_after_ms = self._get_retry_after_ms(service)
+        retry_after_ms = draw_rest_retry_ms(wait)
         await self._refuse(call, caller, trace, 503, retry_after_ms)
 
     def _get_retry_after_ms(self, service):
-        """Return after how long to retry a call that no endpoint has taken.
-
-        A caller that returns earlier than the first rest ends is refused
-        again, here and at other hosts, and may have no further retry.
-        """
+        """Return after how long to retry a call that no endpoint has taken."""
         wait = self.host.gate.find_wait(service.name)
         if wait is None or wait.reason is not WaitReason.RESTS:
             return NO_ENDPOINT_RETRY_AFTER_MS
-        return wait.wait_ms * (1.0 + random.uniform(0.0, REST_RETRY_SPREAD))
+        return draw_rest_retry_ms(wait)
 
     def _is_served(self, service, version):
         """Return whether a stream may go on at a version of a service."""
@@ -441,3 +440,14 @@
         trace.end(Ending.ANSWERED, response.head.status)
         headers = self.host.codec.forward_headers(response.head)
         await caller.reply(response.head.status, headers, response.body)
+
+
+def draw_rest_retry_ms(wait):
+    """Return after how long to retry a call while all endpoints rest.
+
+    A caller that returns before the first rest ends is refused again, here and
+    at other hosts, and may have no further retry.
+
+    :param wait: the :class:`EndpointWait`.
+    """
+    return wait.wait_ms * (1.0 + random.uniform(0.0, REST_RETRY_SPREAD))
--- a/pearrun/relay/trace.py
+++ b/pearrun/relay/trace.py
@@ -31,8 +31,8 @@
     :param outcome: why the attempt failed; empty if it succeeded.
     :param proxy: the host through which it was sent; empty if directly.
     :param version: version of the endpoint's software.
-    :param notice: what the answer said about the endpoint: that it leaves, or
-        how long a rest it wants; empty if neither.
+    :param notice: the notice in the answer that the endpoint leaves, or how
+        long a rest it wants; empty if there is none.
     """
 
     endpoint_id: EndpointId
@@ -102,7 +102,7 @@
         self.attempts[-1].proxy = proxy
 
     def record_notice(self, notice):
-        """Record what the answer says about its endpoint.
+        """Record the notices in the answer about its endpoint.
 
         :param notice: the :class:`EndpointNotice`.
         """
--- a/pearrun/shared/counters.py
+++ b/pearrun/shared/counters.py
@@ -45,7 +45,7 @@
         record(self._find(self.response, route), now_ms - trace.started_ms)
 
     def count_notice(self, notice):
-        """Count what an answer says about its endpoint.
+        """Count the notices in an answer about its endpoint.
 
         :param notice: the :class:`EndpointNotice`.
         """
--- a/pearrun/shared/departures.py
+++ b/pearrun/shared/departures.py
@@ -1,6 +1,6 @@
 """Endpoints that are leaving according to their own answers.
 
-An endpoint that leaves says so in every answer, also while the list of
+An endpoint that leaves announces it in every answer, also while the list of
 endpoints cannot be read.  Hosts report it to each other, since a call that one
 of them still sends there may be lost when the endpoint ends.
 """
@@ -12,7 +12,7 @@
 
 
 class Departures:
-    """The endpoints that have said that they are leaving.
+    """The endpoints that have announced that they leave.
 
     :param fleet: the :class:`Fleet`, which keeps their state.
 
@@ -27,7 +27,7 @@
         self._pending = []
 
     def note_leaving(self, endpoint_id):
-        """Record that an answer said that its endpoint is leaving."""
+        """Record that an answer announced that its endpoint leaves."""
         if self._apply(endpoint_id, 'answer'):
             self._report(endpoint_id)
 
--- a/pearrun/shared/endpointgate.py
+++ b/pearrun/shared/endpointgate.py
@@ -1,7 +1,7 @@
-"""Which endpoints a host may send a call to, by what they have said.
+"""Which endpoints a host may send a call to, by the notices in their answers.
 
-Endpoints say in their answers that they leave, want rest, have a rate limit or
-are brittle.  All of that is binding, unlike pauses after failures, which are
+An answer may announce that its endpoint leaves, wants rest, has a rate limit
+or is brittle.  All of that is binding, unlike pauses after failures, which are
 lifted if no other endpoint is left.
 """
 
@@ -32,7 +32,7 @@
 
 
 class EndpointGate:
-    """What endpoints have said, for all users of endpoints.
+    """Applies the notices of endpoints to calls.
 
     :param fleet: the :class:`Fleet`, without endpoints that leave.
     :param rests: the :class:`Rests`.
@@ -65,7 +65,7 @@
     def may_send(self, endpoint_id):
         """Return whether a call that has been started may still be sent.
 
-        The endpoint may have said otherwise while a connection was opened.
+        A notice may have been received while a connection was opened.
         """
         is_resting = self.rests.is_resting(endpoint_id)
         return not is_resting and self.fleet.accepts_calls(endpoint_id)
@@ -80,15 +80,18 @@
         """Record the end of a call that :meth:`begin_call` has counted."""
         self.rests.end_call(endpoint.id)
 
-    def find_wait(self, service_name):
+    def find_wait(self, service_name, version=None):
         """Return the :class:`EndpointWait` of a service.
 
-        :returns: ``None`` if nothing that endpoints have said is the reason.
+        :param version: the version that began a call's stream, if it has one;
+            only endpoints of that version count then.
+        :returns: ``None`` if no notice is the reason.
         """
         listed = self.fleet.find_by_service(service_name)
         waits_ms = [
             self.rests.get_wait_ms(item.id, self._compute_share(item))
             for item in listed
+            if version in (None, item.record.version)
         ]
         if waits_ms and all(waits_ms):
             return EndpointWait(WaitReason.RESTS, min(waits_ms))
--- a/pearrun/shared/endpointnotice.py
+++ b/pearrun/shared/endpointnotice.py
@@ -1,4 +1,4 @@
-"""What an endpoint's answer says about the endpoint itself."""
+"""The notices in an answer about the endpoint that sent it."""
 
 import dataclasses
 import enum
@@ -8,7 +8,7 @@
 
 
 class NoticeField(enum.Enum):
-    """What an answer may say about its endpoint."""
+    """Kinds of notices in an answer about its endpoint."""
 
     REST = 'rest'
     LEAVING = 'leaving'
@@ -28,7 +28,7 @@
     :param brittleness: the :class:`Brittleness`; ``None`` if it is not
         brittle.
     :param errors: the :class:`WireFormatError` of each invalid field, which
-        says nothing then.
+        is absent then.
     """
 
     is_leaving: bool = False
--- a/pearrun/shared/fleet.py
+++ b/pearrun/shared/fleet.py
@@ -16,8 +16,8 @@
 # left, since an outdated entry of one may still arrive.  Several times the
 # size of a large fleet.
 MAX_STARTS = 8192
-# Endpoints that have said that they leave, kept after they have left: an entry
-# that expired while the store was away may return.
+# Endpoints that have announced that they leave, kept after they have left: an
+# entry that expired while the store was away may return.
 MAX_LEAVING = 8192
 
 
@@ -84,7 +84,7 @@
     """All known endpoints, indexed by id and by service.
 
     ``listed_ms`` is when the list was last known to be complete; ``leaving``
-    has the ids of the endpoints that have said that they leave.
+    has the ids of the endpoints that have announced that they leave.
     """
 
     def __init__(self):
@@ -107,8 +107,8 @@
     def put(self, record):
         """Add an endpoint, or update its record.
 
-        An endpoint that has said that it leaves stays so, whatever the
-        record says.
+        An endpoint that has announced that it leaves is not live again,
+        whatever the state in the record.
 
         :returns: whether its state changed.
         """
@@ -127,7 +127,7 @@
         return changed
 
     def mark_leaving(self, endpoint_id):
-        """Record that an endpoint has said that it leaves.
+        """Record that an endpoint has announced that it leaves.
 
         :returns: whether that was not known.
         """
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -193,7 +193,7 @@
         self.quarantine.note_heartbeat(endpoint_id, asked_ms)
 
     def apply_notice(self, endpoint_id, notice):
-        """Apply what an answer says about its endpoint to this host.
+        """Apply the notices in an answer that concern the host it was sent to.
 
         :param notice: the :class:`EndpointNotice`.
         """
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -165,7 +165,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class DepartureNote:
-    """Endpoints that have said that they are leaving.
+    """Endpoints that have announced that they leave.
 
     :param host: the sender.
     """
--- a/pearrun/shared/rests.py
+++ b/pearrun/shared/rests.py
@@ -1,4 +1,4 @@
-"""Endpoints that have asked this host for rest."""
+"""Endpoints that have requested rest from this host."""
 
 import collections
 
--- a/pearrun/shared/tunnelanswers.py
+++ b/pearrun/shared/tunnelanswers.py
@@ -10,9 +10,9 @@
 class TunnelAnswer:
     """The answer on a tunnel, as seen by the host that forwards it.
 
-    The endpoint takes that host for its caller, so that what the answer says
-    about the endpoint binds that host too.  A tunnel carries one request on a
-    new connection: the first head is that of the answer.
+    To the endpoint that host is the caller, so that the notices in the answer
+    bind it too.  A tunnel carries one request on a new connection: the first
+    head is that of the answer.
 
     :param host: the :class:`HostContext`.
     :param endpoint_id: the endpoint.
@@ -24,7 +24,7 @@
         self._parser = make_response_parser()
 
     def feed(self, data):
-        """Look at bytes that the endpoint has sent."""
+        """Examine bytes that the endpoint has sent."""
         if self._parser is None:
             return
         try:
--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -4,11 +4,15 @@
 
 import pytest
 
+from pearrun.shared.endpointgate import WaitReason
+from pearrun.shared.fleet import EndpointRecord
 from pearrun.standins.platformsite import make_config
+from pearrun.states import EndpointState
 from tests import limits
 from tests import notices
 from tests.partitions import Form
 from tests.platformsite import call
+from tests.platformsite import make_host_context
 from tests.platformsite import make_prompt
 from tests.platformsite import run_site
 from tests.platformsite import wait_until
@@ -236,3 +240,25 @@
             assert len(opened) == 1
 
     asyncio.run(main())
+
+
+def test_stream_waits_for_the_rests_of_its_version_alone():
+    host = make_host_context()
+    for name, version in (('m1', 'v1'), ('m2', 'v2')):
+        host.fleet.put(
+            EndpointRecord(
+                name,
+                'model',
+                '127.0.0.1:1',
+                'zone-a',
+                8,
+                EndpointState.LIVE,
+                version=version,
+            )
+        )
+    host.rests.note_rest('m1', 2000)
+    assert host.gate.find_wait('model') is None
+    assert host.gate.find_wait('model', 'v2') is None
+    wait = host.gate.find_wait('model', 'v1')
+    assert wait.reason is WaitReason.RESTS
+    assert 1900 < wait.wait_ms <= 2000
