--- a/pearrun/platform/codec.py
+++ b/pearrun/platform/codec.py
@@ -11,6 +11,7 @@
 from pearrun.relay.call import Call
 from pearrun.relay.responsekinds import ResponseKind
 from pearrun.shared.endpointnotice import EndpointNotice
+from pearrun.shared.endpointnotice import NO_NOTICE
 from pearrun.shared.endpointnotice import NoticeField
 from pearrun.shared.prompts import Prompt
 from pearrun.shared.prompts import PromptPart
@@ -256,6 +257,9 @@
         :param head: the :class:`ResponseHead`.
         :returns: an :class:`EndpointNotice`.
         """
+        names = {name.lower() for name, _ in head.headers}
+        if names.isdisjoint(header_names.NOTICES):
+            return NO_NOTICE
         decoders = {
             NoticeField.LEAVING: self.decode_leaving,
             NoticeField.REST: self.decode_rest,
--- a/pearrun/platform/headers.py
+++ b/pearrun/platform/headers.py
@@ -28,6 +28,8 @@
 BRITTLE = b'server-brittle'
 # "1" in the answers of an endpoint that is about to end.
 LEAVING = b'server-leaving'
+# Headers of an answer that concern its endpoint.
+NOTICES = frozenset((RECEIVED_RETRY_AFTER, RATE_LIMIT, BRITTLE, LEAVING))
 DUTY_HOLDER = 'Pearrun-Duty-Holder'
 FENCING_TOKEN = 'Pearrun-Fence-Token'
 
--- a/pearrun/shared/endpointnotice.py
+++ b/pearrun/shared/endpointnotice.py
@@ -47,3 +47,6 @@
         if self.rest_ms is not None:
             parts.append(f'rest {self.rest_ms} ms')
         return ', '.join(parts)
+
+
+NO_NOTICE = EndpointNotice()
