--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -81,6 +81,8 @@
     :param crash_calls: :class:`CallRecord` of each call that crashes
         endpoints.
     :param streams: :class:`Stream` objects of callers that resume them.
+    :param stream_hosts: names of the hosts of these callers' attempts, by
+        attempt id.
     """
 
     records: list
@@ -93,6 +95,7 @@
     lease_renewed: bool
     crash_calls: list = dataclasses.field(default_factory=list)
     streams: list = dataclasses.field(default_factory=list)
+    stream_hosts: dict = dataclasses.field(default_factory=dict)
 
 
 def check_all(evidence):
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -52,7 +52,7 @@
     findings = []
     for runner in evidence.runners:
         findings.extend(check_leaving(evidence, runner, records))
-        findings.extend(check_rests(evidence, runner, records))
+        findings.extend(check_rests(evidence, runner))
     return findings
 
 
@@ -86,9 +86,15 @@
     return told_ms
 
 
-def check_rests(evidence, runner, records):
+def check_rests(evidence, runner):
     """Check the calls to an endpoint that has asked hosts for rest."""
-    hosts = {attempt: record.host for attempt, record in records.items()}
+    records = (
+        *evidence.records,
+        *evidence.crash_calls,
+        *evidence.recovery_calls,
+    )
+    hosts = {record.attempt: record.host for record in records}
+    hosts.update(evidence.stream_hosts)
     for notice, calls in notices.find_broken_rests(runner, hosts):
         host = hosts.get(notice.attempt)
         end_ms = notice.at_ms + notice.rest_s * 1000
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -226,6 +226,7 @@
         recovery_calls=recovery_calls,
         lease_renewed=renewed,
         streams=resuming.streams,
+        stream_hosts=resuming.hosts,
     )
     findings = checks.check_all(evidence)
     findings.extend(check_limits(evidence, site.limit_periods))
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -49,12 +49,15 @@
     """Callers that resume their streams at any host until they end.
 
     :param site: the :class:`SoakSite`.
+
+    ``hosts`` holds the name of the host by attempt id.
     """
 
     def __init__(self, site, seed):
         self.site = site
         self.rng = random.Random(f'versions-{seed}')
         self.streams = []
+        self.hosts = {}
         self.stopped = False
 
     async def run(self):
@@ -66,9 +69,10 @@
             stream = versions.Stream(f'stream-{len(self.streams)}')
             self.streams.append(stream)
             while not stream.complete and len(stream.statuses) < MAX_ATTEMPTS:
-                address = self.rng.choice(
-                    list(self.site.front_addresses.values())
+                host, address = self.rng.choice(
+                    list(self.site.front_addresses.items())
                 )
+                self.hosts[stream.next_attempt_id] = host
                 await stream.attempt_at(address)
                 pause_ms = self.rng.expovariate(1 / THINK_MS)
                 await asyncio.sleep(to_seconds(pause_ms))
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -37,6 +37,11 @@
         """The id of the latest attempt."""
         return f'{self.id}-{len(self.statuses) - 1}'
 
+    @property
+    def next_attempt_id(self):
+        """The id of the next attempt."""
+        return f'{self.id}-{len(self.statuses)}'
+
     async def attempt(self, daemon, **headers):
         """Send the next attempt to a host; see :meth:`attempt_at`."""
         await self.attempt_at(daemon.settings.front_address, **headers)
