--- a/pearrun/duties/duties.py
+++ b/pearrun/duties/duties.py
@@ -203,9 +203,12 @@
         holds = self.holds()
         if holds != self.was_holder:
             self.was_holder = holds
-            logger.bind(fencing=self.view.fencing, log_end=self.view.end).info(
-                'lease taken' if holds else 'lease lost'
-            )
+            logger.bind(
+                fencing=self.view.fencing,
+                log_end=self.view.end,
+                closed_window=self._find_last_closed(),
+                history_lost=self.view.history_lost_ms is not None,
+            ).info('lease taken' if holds else 'lease lost')
 
     def _find_term(self):
         """Return the current :class:`Term`, or ``None`` if not the holder."""
@@ -295,6 +298,12 @@
             await self.log.write(
                 LeaseRecord(RecordKind.USAGE, self.view.run, window, counts)
             )
+            logger.bind(
+                window=window,
+                total=sum(counts.values()),
+                fencing=term.fencing,
+                log_end=self.view.end,
+            ).info('usage committed')
 
     def _list_missing(self, window):
         """Return the hosts whose counts in a window are still expected.
--- a/pearrun/platform/headers.py
+++ b/pearrun/platform/headers.py
@@ -30,6 +30,8 @@
 LEAVING = b'server-leaving'
 # Headers of an answer that concern its endpoint.
 NOTICES = frozenset((RECEIVED_RETRY_AFTER, RATE_LIMIT, BRITTLE, LEAVING))
+# Number of times that the store has come back from a copy, in its responses.
+STORE_ERA = b'store-era'
 DUTY_HOLDER = 'Pearrun-Duty-Holder'
 FENCING_TOKEN = 'Pearrun-Fence-Token'
 
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -9,13 +9,17 @@
 import collections
 import dataclasses
 import json
+import re
 import struct
 import urllib.parse
 
+from loguru import logger
+
 from pearrun import exceptions
 from pearrun.clock import to_seconds
 from pearrun.http1.pool import Pool
 from pearrun.http1.pool import PoolSettings
+from pearrun.platform import headers as header_names
 
 KEYED_PREFIX = 'keyed.'
 # The store is a few ms away and usually responds in 4 ms.
@@ -39,6 +43,9 @@
 RECORD_LENGTH = struct.Struct('>I')
 # End and first offset, which precede the records in the response to a read.
 READ_BOUNDS = struct.Struct('>QQ')
+# Largest era that is accepted.
+MAX_ERA = 2**31 - 1
+ERA_FORMAT = re.compile('[0-9]{1,10}')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,10 +77,15 @@
     """Client of the platform's store.
 
     :param settings: :class:`StoreSettings`.
+
+    ``era`` is the latest era of the store's responses: how often it has come
+    back from a copy.  It is 0 until a response names one.
     """
 
     def __init__(self, settings):
         self.settings = settings
+        self.era = 0
+        self._invalid_era = None
         self.calls = collections.Counter()
         self.failures = 0
         self.failing = False
@@ -241,10 +253,29 @@
                 f'{path}: {exc or "timed out"}'
             ) from exc
         self._consecutive_failures = 0
+        self._note_era(response.head, path)
         if response.head.status < 500 and response.head.status != 429:
             self._abort_hanging_calls()
         return response
 
+    def _note_era(self, head, path):
+        """Record the era that a response names."""
+        value = head.get(header_names.STORE_ERA)
+        era = self.era if value is None else parse_era(value)
+        if era is None:
+            self._log_invalid_era(value)
+        elif era != self.era:
+            logger.bind(path=path, era=era, previous=self.era).warning(
+                'store era changed'
+            )
+            self.era = max(self.era, era)
+
+    def _log_invalid_era(self, value):
+        """Log an invalid era, once for each value."""
+        if value != self._invalid_era:
+            self._invalid_era = value
+            logger.bind(value=value[:40]).error('invalid store era ignored')
+
     def _abort_hanging_calls(self):
         """After an outage, abort all calls in flight: they may hang."""
         if not self.failing:
@@ -273,6 +304,16 @@
         )
 
 
+def parse_era(value):
+    """Parse the era in a response's header.
+
+    :returns: the era; ``None`` if the value is invalid.
+    """
+    if not ERA_FORMAT.fullmatch(value) or int(value) > MAX_ERA:
+        return None
+    return int(value)
+
+
 def parse_json(body):
     """Parse a JSON body; an empty one yields an empty dictionary."""
     try:
