Tests: a store that comes back from a copy, answers without end (failing)

The stand-in of the store names its era, comes back from copies and executes appends late; endpoints send bytes without end.

Steps of the duties are public, for the model; no change of behaviour.

--- a/pearrun/duties/duties.py
+++ b/pearrun/duties/duties.py
@@ -79,27 +79,30 @@
     async def run(self):
         """Run the lease task and the duties until the process ends."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._repeat(self._maintain_lease, TICK_MS))
-            tasks.create_task(self._repeat(self._save_usage, SAVE_INTERVAL_MS))
-            tasks.create_task(self._repeat(self._report_usage, TICK_MS))
-            tasks.create_task(self._repeat(self._scale, TICK_MS))
-            tasks.create_task(self._repeat(self._roll_out, TICK_MS))
+            tasks.create_task(self._repeat(self.maintain_lease, TICK_MS))
+            tasks.create_task(self._repeat(self.save_usage, SAVE_INTERVAL_MS))
+            tasks.create_task(self._repeat(self.report_usage, TICK_MS))
+            tasks.create_task(self._repeat(self.scale, TICK_MS))
+            tasks.create_task(self._repeat(self.roll_out, TICK_MS))
 
     async def _repeat(self, step, pause_ms):
-        """Call a step repeatedly.
+        while True:
+            await self.try_step(step)
+            await asyncio.sleep(to_seconds(pause_ms))
+
+    async def try_step(self, step):
+        """Call one of the steps below.
 
         After an error the lease log is read again, since the local view of
         it may be out of date.
         """
-        while True:
-            try:
-                await step()
-            except exceptions.StoreConflictError:
-                await self._try_read_log()
-            except exceptions.PearrunError as exc:
-                logger.bind(code=exc.code).info(f'lease: {exc.message}')
-                await self._try_read_log()
-            await asyncio.sleep(to_seconds(pause_ms))
+        try:
+            await step()
+        except exceptions.StoreConflictError:
+            await self._try_read_log()
+        except exceptions.PearrunError as exc:
+            logger.bind(code=exc.code).info(f'lease: {exc.message}')
+            await self._try_read_log()
 
     def holds(self):
         """Return whether this host holds the lease and may act."""
@@ -109,7 +112,8 @@
         """Return the remaining milliseconds of the lease; 0 if not held."""
         return Term(self.view, self.clock).left_ms()
 
-    async def _maintain_lease(self):
+    async def maintain_lease(self):
+        """Renew the lease, or claim it once no other host can hold it."""
         if self.host.stopping or self.host.config.current is None:
             return
         if self.scaler is not None:
@@ -219,7 +223,8 @@
             self.term_since_ms = self.clock.now()
         return self.term
 
-    async def _save_usage(self):
+    async def save_usage(self):
+        """Save changed usage counts while holding the lease."""
         term = self._find_term()
         if term is None:
             return
@@ -234,7 +239,8 @@
             logger.bind(code=exc.code).info(f'usage not saved: {exc.message}')
             await asyncio.sleep(to_seconds(SAVE_RETRY_MS))
 
-    async def _report_usage(self):
+    async def report_usage(self):
+        """Commit and report ended usage windows while holding the lease."""
         term = self._find_term()
         if term is None:
             return
@@ -244,12 +250,14 @@
             await self._commit_usage(term)
         await self._deliver_usage(term)
 
-    async def _scale(self):
+    async def scale(self):
+        """Order endpoints while holding the lease."""
         term = self._find_term()
         if term is not None and self.scaler is not None:
             await self.scaler.act(term)
 
-    async def _roll_out(self):
+    async def roll_out(self):
+        """Conduct roll-outs while holding the lease."""
         term = self._find_term()
         if term is None:
             return
--- a/pearrun/standins/platformrunner.py
+++ b/pearrun/standins/platformrunner.py
@@ -15,11 +15,25 @@
 from pearrun.http1.server import Server
 
 EVENT_BYTES = 40
+# Size in bytes of the parts in which bytes without end are sent.
+ENDLESS_BLOCK_BYTES = 4096
 # How often waiting requests check for a free slot.
 SLOT_POLL_MS = 2
 CLOCK = Clock()
 
 
+@dataclasses.dataclass(frozen=True)
+class EndlessBytes:
+    """Bytes without end.
+
+    :param head: what comes once, at the beginning.
+    :param repeated: what follows again and again.
+    """
+
+    head: bytes
+    repeated: bytes
+
+
 @dataclasses.dataclass
 class RunnerFaults:
     """Faults injected into subsequent requests.
@@ -50,6 +64,8 @@
     :param rest: value of the header ``Retry-After`` in refusals; ``None`` for
         none.
     :param refuse_every: refuse one of so many requests; ``None`` for none.
+    :param endless: :class:`EndlessBytes` to send instead of a response, until
+        the caller closes the connection; ``None`` for none.
     :param crash_on: crash when a request with this body starts to run.
     :param crash_on_part: crash when a request whose prompt has this part,
         not as its last one, begins to write its answer.
@@ -74,6 +90,7 @@
     leaving: bool = False
     rest: str | None = None
     refuse_every: int | None = None
+    endless: EndlessBytes | None = None
     crash_on: bytes | None = None
     crash_on_part: str | None = None
     crash_after_events: int = 0
@@ -136,6 +153,7 @@
         self.waiting = 0
         self.running = 0
         self.falls = 0
+        self.endless_bytes = 0
         self.event_ms = 2
         self.work_ms = 2
         self.event_count = 5
@@ -272,6 +290,9 @@
             await asyncio.sleep(to_seconds(self.work_ms))
             self.crash(request.target)
             return
+        if self.faults.endless is not None:
+            await self._send_endless(caller, headers)
+            return
         if self.faults.stray_first:
             caller.transport.write(make_stray_response(b'someone-else'))
         is_stream = request.get(b'pearrun-token-count') is not None
@@ -280,6 +301,23 @@
         else:
             await self._send_response(request, caller, headers)
 
+    async def _send_endless(self, caller, headers):
+        """Send bytes until the caller closes the connection.
+
+        In their head, ``HEADERS`` stands for the headers of a response.
+        """
+        endless = self.faults.endless
+        lines = [name + b': ' + value + b'\r\n' for name, value in headers]
+        write = caller.transport.write
+        write(endless.head.replace(b'HEADERS', b''.join(lines)))
+        count = max(1, ENDLESS_BLOCK_BYTES // len(endless.repeated))
+        block = endless.repeated * count
+        while True:
+            self.endless_bytes += len(block)
+            write(block)
+            await caller.wait_until_writable()
+            await asyncio.sleep(0)
+
     def _make_leaving(self, attempt):
         """Return the header that says that the endpoint leaves, if it does."""
         if not self.faults.leaving:
--- a/pearrun/standins/platformsite.py
+++ b/pearrun/standins/platformsite.py
@@ -141,6 +141,7 @@
         self.store = PlatformStore()
         self.api = PlatformApi()
         self.runners = {}
+        self.operator_records = {}
 
     async def start(self):
         """Start the store and the API."""
@@ -179,12 +180,30 @@
 
     def configure(self, config):
         """Write a configuration to the store."""
-        self.store.put('op', 'config', config)
+        self._put_operator_record('config', config)
 
     def order_rollout(self, service, version, duration_s):
         """Write an operator's order to roll out a version to the store."""
         order = {'service': service, 'to': version, 'duration_s': duration_s}
-        self.store.put('op', f'rollout/{service}', order)
+        self._put_operator_record(f'rollout/{service}', order)
+
+    def _put_operator_record(self, key, value):
+        self.operator_records[key] = value
+        self.store.put('op', key, value)
+
+    def restore_store(self, topics):
+        """Let the store come back from a copy.
+
+        The operator and the endpoints write again what they wrote last.
+
+        :param topics: what :meth:`PlatformStore.take_copy` returned.
+        """
+        self.store.restore(topics)
+        for key, value in self.operator_records.items():
+            self.store.put('op', key, value)
+        for runner in self.runners.values():
+            if runner.ended_ms is None:
+                self.publish_runner(runner)
 
     def get_rollout_states(self, service):
         """Return the states of a service's roll-outs in the store, in order.
--- a/pearrun/standins/platformstore.py
+++ b/pearrun/standins/platformstore.py
@@ -31,6 +31,8 @@
     :param lose_answers: number of next appends that are applied but
         not acknowledged.
     :param refused_hosts: source addresses whose calls get status 503.
+    :param hold_appends: number of next appends that are not acknowledged, and
+        applied only by :meth:`PlatformStore.apply_held_appends`.
     :param long_polls_miss_appends: appends do not wake waiting reads,
         which respond only when their waiting time has passed.
     """
@@ -38,6 +40,7 @@
     status: int = 0
     silent: bool = False
     lose_answers: int = 0
+    hold_appends: int = 0
     refused_hosts: frozenset[str] = frozenset()
     long_polls_miss_appends: bool = False
 
@@ -61,6 +64,14 @@
         """The offset of the next record appended."""
         return self.first + len(self.records)
 
+    def copy(self):
+        """Return a copy that later appends do not change."""
+        topic = Topic()
+        topic.first = self.first
+        topic.records = list(self.records)
+        topic.newest = dict(self.newest)
+        return topic
+
     def append(self, records, keyed):
         """Append records.
 
@@ -90,14 +101,17 @@
     """The store stand-in.
 
     :meth:`put` writes what operators and endpoints write to the real
-    store.
+    store.  ``era`` is the value of the header ``Store-Era`` in all responses;
+    ``None`` for none.
     """
 
     def __init__(self):
         self.topics = {}
+        self.era = None
         self.faults = StoreFaults()
         self.calls = []
-        self.server = Server(self._handle)
+        self._held_appends = []
+        self.server = Server(self.handle)
 
     async def listen(self, address):
         """Start serving on ``IP:PORT``."""
@@ -136,7 +150,35 @@
         topic.first = topic.end
         topic.records = []
 
-    async def _handle(self, request, caller):
+    def take_copy(self):
+        """Return a copy of all topics."""
+        return {name: topic.copy() for name, topic in self.topics.items()}
+
+    def restore(self, topics):
+        """Come back from a copy: what was written since is lost.
+
+        :param topics: what :meth:`take_copy` returned.
+        """
+        lost = self.topics
+        self.topics = {name: topic.copy() for name, topic in topics.items()}
+        self.era = (self.era or 0) + 1
+        for topic in lost.values():
+            topic.appended.set()
+
+    def apply_held_appends(self):
+        """Apply the appends that were held, while their condition holds."""
+        held, self._held_appends = self._held_appends, []
+        for query, body in held:
+            if self._is_append_due(query):
+                self._apply_append(query, body)
+
+    async def _reply(self, caller, status, headers, body):
+        if self.era is not None:
+            headers = [*headers, (b'Store-Era', str(self.era).encode())]
+        await caller.reply(status, headers, body)
+
+    async def handle(self, request, caller):
+        """Respond to a call; see :class:`Server`."""
         path, _, query_text = request.target.decode().partition('?')
         query = dict(urllib.parse.parse_qsl(query_text))
         self.calls.append((path, query))
@@ -144,7 +186,7 @@
         if self.faults.silent:
             await asyncio.Event().wait()
         if self.faults.status or peer[0] in self.faults.refused_hosts:
-            await caller.reply(self.faults.status or 503, JSON, b'{}')
+            await self._reply(caller, self.faults.status or 503, JSON, b'{}')
             return
         match path:
             case '/log-append':
@@ -154,37 +196,53 @@
             case '/log-newest':
                 await self._newest(query, caller)
             case _:
-                await caller.reply(404, JSON, b'{}')
+                await self._reply(caller, 404, JSON, b'{}')
 
     async def _append(self, query, body, caller):
         topic = self.get_topic(query['topic'])
-        if 'at' in query and int(query['at']) != topic.end:
+        if self.faults.hold_appends:
+            self.faults.hold_appends -= 1
+            self._held_appends.append((query, body))
+            caller.abort()
+            return
+        if not self._is_append_due(query):
             reply = json.dumps({'end': topic.end}).encode()
-            await caller.reply(412, JSON, reply)
+            await self._reply(caller, 412, JSON, reply)
             return
-        keyed = query['topic'].startswith('keyed.')
-        offset = topic.append(split_records(body), keyed)
+        offset = self._apply_append(query, body)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
             caller.abort()
             return
         reply = json.dumps({'offset': offset, 'end': topic.end}).encode()
-        await caller.reply(200, JSON, reply)
+        await self._reply(caller, 200, JSON, reply)
+
+    def _is_append_due(self, query):
+        """Return whether the condition of an append holds."""
+        end = self.get_topic(query['topic']).end
+        return 'at' not in query or int(query['at']) == end
+
+    def _apply_append(self, query, body):
+        """Append the records of a call; return the first one's offset."""
+        topic = self.get_topic(query['topic'])
+        keyed = query['topic'].startswith('keyed.')
+        return topic.append(split_records(body), keyed)
 
     async def _read(self, query, caller):
         topic = self.get_topic(query['topic'])
         start = int(query['from'])
-        if start < topic.first:
-            reply = json.dumps({'first': topic.first}).encode()
-            await caller.reply(410, JSON, reply)
-            return
-        if start >= topic.end and 'wait_ms' in query:
+        if start == topic.end and 'wait_ms' in query:
             misses_appends = self.faults.long_polls_miss_appends
             appended = asyncio.Event() if misses_appends else topic.appended
             await wait_for(appended, int(query['wait_ms']))
+            topic = self.get_topic(query['topic'])
+        if not topic.first <= start <= topic.end:
+            reply = json.dumps({'first': topic.first}).encode()
+            await self._reply(caller, 410, JSON, reply)
+            return
         records = topic.records[max(0, start - topic.first) :]
         body = BOUNDS.pack(topic.end, topic.first) + join_records(records)
-        await caller.reply(200, [], body)
+        await self._reply(caller, 200, [], body)
 
     async def _newest(self, query, caller):
         topic = self.get_topic(query['topic'])
@@ -203,7 +261,7 @@
             'has_more': len(keys) > PAGE_ITEMS,
             'end': topic.end,
         }
-        await caller.reply(200, JSON, json.dumps(reply).encode())
+        await self._reply(caller, 200, JSON, json.dumps(reply).encode())
 
 
 async def wait_for(event, wait_ms):
--- a/tests/platformsite.py
+++ b/tests/platformsite.py
@@ -115,13 +115,17 @@
         await super().stop()
 
 
-def make_host_context():
-    """Return the :class:`HostContext` of a host in zone-a without a daemon."""
+def make_host_settings(name='h'):
+    """Return the :class:`HostSettings` of a host in zone-a."""
     site = StandinSite('10.0.0.1:1', '10.0.0.1:2')
     ports = {'front': 8360, 'ready': 8365, 'peer': 7500}
-    fields = make_settings_fields('h', 'zone-a', '10.1.0.1', site, ports)
-    settings = settings_module.decode(fields)
-    return HostContext(settings, EndpointCodec(), Clock())
+    fields = make_settings_fields(name, 'zone-a', '10.1.0.1', site, ports)
+    return settings_module.decode(fields)
+
+
+def make_host_context():
+    """Return the :class:`HostContext` of a host in zone-a without a daemon."""
+    return HostContext(make_host_settings(), EndpointCodec(), Clock())
 
 
 def make_customer(name, rate_per_s=20_000, burst=100_000):
