--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -320,6 +320,15 @@
         self.end = end
 
 
+class StoreRestoredError(StoreConflictError):
+    """The store has come back from a copy since the position was read.
+
+    A conditional append may have been executed all the same.
+    """
+
+    code = 1803
+
+
 class DutyCallError(PearrunError):
     """The platform did not accept a duty's call.
 
--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -328,7 +328,7 @@
             'quarantine_refusals_total': self.host.quarantine.refused,
             'store_calls_total': self.store.calls.total(),
             'store_failures_total': self.store.failures,
-            'store_era': self.store.era,
+            'store_era': self.store.era or 0,
             'log_lines_dropped_total': self.log_writer.dropped_total,
         }
 
--- a/pearrun/platform/followers.py
+++ b/pearrun/platform/followers.py
@@ -57,10 +57,13 @@
                 backoff.attempts = 0
                 self._mark_reachable()
                 await asyncio.sleep(to_seconds(self.pause_ms))
-            except exceptions.ExpiredOffsetError as exc:
-                logger.bind(topic=self.topic, position=self.position).info(
-                    f'history expired: {exc.message}'
-                )
+            except (
+                exceptions.ExpiredOffsetError,
+                exceptions.StoreRestoredError,
+            ) as exc:
+                logger.bind(
+                    topic=self.topic, position=self.position, code=exc.code
+                ).info(f'topic is read anew: {exc.message}')
                 self.position = None
             except exceptions.PearrunError as exc:
                 self._mark_unreachable(exc)
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -2,6 +2,10 @@
 
 All state that hosts share or persist goes through this client.  A keyed log
 can be read as a snapshot: the newest record of every key.
+
+The store may come back from a copy and lose what it has acknowledged since.
+Each response names its era, which rises every time; a call that refers to a
+position of an earlier era fails, so that its caller reads the log anew.
 """
 
 import asyncio
@@ -16,6 +20,7 @@
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun import positions
 from pearrun.clock import to_seconds
 from pearrun.http1.pool import Pool
 from pearrun.http1.pool import PoolSettings
@@ -43,8 +48,6 @@
 RECORD_LENGTH = struct.Struct('>I')
 # End and first offset, which precede the records in the response to a read.
 READ_BOUNDS = struct.Struct('>QQ')
-# Largest era that is accepted.
-MAX_ERA = 2**31 - 1
 ERA_FORMAT = re.compile('[0-9]{1,10}')
 
 
@@ -52,7 +55,7 @@
 class KeyedRecord:
     """A record of a key; ``value`` is ``None`` if the key was removed.
 
-    :param offset: its offset in the log; -1 if unknown.
+    :param offset: its position in the log; -1 if unknown.
     """
 
     key: str
@@ -64,8 +67,8 @@
 class Batch:
     """Records read from a log.
 
-    :param first: offset of the first record in the batch.
-    :param next: offset to read from next.
+    :param first: position of the first record in the batch.
+    :param next: position to read from next.
     """
 
     first: int
@@ -73,18 +76,34 @@
     next: int
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreResponse:
+    """A response of the store.
+
+    :param era: the era in which the store executed the call.
+    """
+
+    era: int
+    status: int
+    body: bytes
+
+    def make_position(self, offset):
+        """Return the position of an offset that the response contains."""
+        return positions.make_position(self.era, offset)
+
+
 class StoreClient:
     """Client of the platform's store.
 
     :param settings: :class:`StoreSettings`.
 
-    ``era`` is the latest era of the store's responses: how often it has come
-    back from a copy.  It is 0 until a response names one.
+    ``era`` is the latest era of the store's responses; ``None`` before the
+    first one.  A store that names none is in era 0.
     """
 
     def __init__(self, settings):
         self.settings = settings
-        self.era = 0
+        self.era = None
         self._invalid_era = None
         self.calls = collections.Counter()
         self.failures = 0
@@ -105,63 +124,78 @@
         """Append records to a topic.
 
         :param records: byte strings.
-        :param at: offset at which the topic must end for the append to
+        :param at: position at which the topic must end for the append to
             succeed; ``None`` to append unconditionally.
         :param timeout_ms: timeout of the call.
-        :returns: the offset of the first record.
+        :returns: the position of the first record.
         :raises StoreConflictError: the topic ends at another offset.
+        :raises StoreRestoredError: the store has been restored since ``at``
+            was read; the append may have been executed.
         :raises RateLimitedError: the store's rate limit was exceeded.
         :raises StoreUnavailableError: no response; the append may still be
             executed while its condition holds.
         """
         query = {'topic': topic, 'part': 0}
         if at is not None:
-            query['at'] = at
+            query['at'] = positions.get_offset(at)
         body = b''.join(
             RECORD_LENGTH.pack(len(item)) + item for item in records
         )
         response = await self._call(
-            'POST', '/log-append', query, body, timeout_ms
+            'POST', '/log-append', query, body, timeout_ms, at
         )
         reply = parse_json(response.body)
-        if response.head.status == 412:
+        if response.status == 412:
             raise exceptions.StoreConflictError(
-                'log does not end at the expected offset', reply['end']
+                'log does not end at the expected offset',
+                response.make_position(reply['end']),
             )
         check_status(response)
-        return reply['offset']
+        return response.make_position(reply['offset'])
 
     async def read(self, topic, start, wait_ms=0):
-        """Read records from an offset on, optionally waiting for the first.
+        """Read records from a position on, optionally waiting for the first.
 
+        :param start: the position; ``None`` for the beginning of the log.
         :param wait_ms: how long the store waits while there is none.
         :returns: a :class:`Batch`.
-        :raises ExpiredOffsetError: the record at this offset was deleted.
+        :raises ExpiredOffsetError: the record at this position was deleted.
+        :raises StoreRestoredError: the store has been restored since the
+            position was read.
         :raises RateLimitedError: the store's rate limit was exceeded.
         :raises StoreUnavailableError: no response, or an error status.
         """
-        query = {'topic': topic, 'part': 0, 'from': start}
+        offset = 0 if start is None else positions.get_offset(start)
+        query = {'topic': topic, 'part': 0, 'from': offset}
         if wait_ms:
             query['wait_ms'] = wait_ms
         response = await self._call(
-            'GET', '/log-read', query, b'', self._get_read_timeout_ms(wait_ms)
+            'GET',
+            '/log-read',
+            query,
+            b'',
+            self._get_read_timeout_ms(wait_ms),
+            start,
         )
-        if response.head.status == 410:
+        if response.status == 410:
             first = parse_json(response.body).get('first', 0)
             raise exceptions.ExpiredOffsetError(
-                f'{topic}: offset {start} expired', first_offset=first
+                f'{topic}: offset {offset} expired',
+                first_offset=response.make_position(first),
             )
         check_status(response)
         records = split_records(response.body[READ_BOUNDS.size :])
-        return Batch(start, records, start + len(records))
+        first = response.make_position(offset)
+        return Batch(first, records, first + len(records))
 
     async def read_newest(self, topic):
         """Read the newest record of every key of a keyed topic.
 
         :returns: ``(records, end)``: a list of :class:`KeyedRecord` and
-            the offset from which later changes can be read.  This is the
+            the position from which later changes can be read.  This is the
             end reported with the first page, so that no change between pages
             is missed.
+        :raises StoreRestoredError: the store was restored between two pages.
         :raises RateLimitedError: the store's rate limit was exceeded.
         :raises StoreUnavailableError: no response, or an error status.
         """
@@ -170,15 +204,17 @@
         query = {'topic': KEYED_PREFIX + topic, 'part': 0}
         while True:
             response = await self._call(
-                'GET', '/log-newest', query, b'', CALL_TIMEOUT_MS * 2
+                'GET', '/log-newest', query, b'', CALL_TIMEOUT_MS * 2, end
             )
             check_status(response)
             reply = parse_json(response.body)
-            end = reply['end'] if end is None else end
+            if end is None:
+                end = response.make_position(reply['end'])
             items = reply.get('items') or []
             for item in items:
                 value = base64.b64decode(item['value'])
-                records.append(KeyedRecord(item['key'], value, item['offset']))
+                position = response.make_position(item['offset'])
+                records.append(KeyedRecord(item['key'], value, position))
             if not reply.get('has_more') or not items:
                 return records, end
             query['after'] = items[-1]['key']
@@ -205,10 +241,10 @@
     async def read_changes(self, topic, start, wait_ms):
         """Read changes of a keyed topic.
 
-        :param start: offset to read from; see :meth:`read_newest`.
+        :param start: position to read from; see :meth:`read_newest`.
         :param wait_ms: how long the store waits while there is no change.
         :returns: ``(records, next)``: a list of :class:`KeyedRecord` and
-            the offset to read from next.
+            the position to read from next.
         """
         batch = await self.read(KEYED_PREFIX + topic, start, wait_ms)
         records = [
@@ -228,7 +264,15 @@
             LONG_POLL_MARGIN_MS, READ_TIMEOUT_MS << self._consecutive_failures
         )
 
-    async def _call(self, method, path, query, body, timeout_ms):
+    async def _call(self, method, path, query, body, timeout_ms, position):
+        """Make a call.
+
+        :param position: the position that the call refers to; ``None`` if it
+            refers to none.
+        :returns: a :class:`StoreResponse`.
+        :raises StoreRestoredError: the position is of an earlier era.
+        :raises StoreUnavailableError: no response, or one of an earlier era.
+        """
         self.calls[path.rpartition('-')[2], query['topic']] += 1
         target = f'{path}?{urllib.parse.urlencode(query)}'
         headers = [('Host', self.settings.address)]
@@ -253,22 +297,38 @@
                 f'{path}: {exc or "timed out"}'
             ) from exc
         self._consecutive_failures = 0
-        self._note_era(response.head, path)
+        era = self._note_era(response.head, path)
         if response.head.status < 500 and response.head.status != 429:
             self._abort_hanging_calls()
-        return response
+        if era < self.era:
+            raise exceptions.StoreUnavailableError(
+                f'{path}: response of era {era}, before {self.era}'
+            )
+        if position is not None and positions.get_era(position) != era:
+            raise exceptions.StoreRestoredError(
+                f'{query["topic"]}: store restored, era {era}'
+            )
+        return StoreResponse(era, response.head.status, response.body)
 
     def _note_era(self, head, path):
-        """Record the era that a response names."""
+        """Record the era that a response names.
+
+        :returns: the era; the latest one if the response names none.
+        """
+        latest = self.era or 0
         value = head.get(header_names.STORE_ERA)
-        era = self.era if value is None else parse_era(value)
+        era = latest if value is None else parse_era(value)
         if era is None:
             self._log_invalid_era(value)
-        elif era != self.era:
+            era = latest
+        if era != self.era:
             logger.bind(path=path, era=era, previous=self.era).warning(
                 'store era changed'
             )
-            self.era = max(self.era, era)
+            # Long polls of the former era may never return.
+            self.failing |= self.era is not None
+        self.era = max(latest, era)
+        return era
 
     def _log_invalid_era(self, value):
         """Log an invalid era, once for each value."""
@@ -295,7 +355,7 @@
 
 def check_status(response):
     """Raise the error that corresponds to a response's status."""
-    status = response.head.status
+    status = response.status
     if status == 429:
         raise exceptions.RateLimitedError('store rate limit exceeded')
     if status != 200:
@@ -309,7 +369,7 @@
 
     :returns: the era; ``None`` if the value is invalid.
     """
-    if not ERA_FORMAT.fullmatch(value) or int(value) > MAX_ERA:
+    if not ERA_FORMAT.fullmatch(value) or int(value) > positions.MAX_ERA:
         return None
     return int(value)
 
--- a/pearrun/platform/usagelog.py
+++ b/pearrun/platform/usagelog.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun import positions
 from pearrun.shared import cbor
 from pearrun.usage.saver import SavedRun
 
@@ -74,7 +75,8 @@
         """Return the last window that a holder may have committed.
 
         :returns: a :class:`ClosedWindow` with the highest fencing token;
-            ``None`` if no holder has written one, or an entry is malformed.
+            ``None`` if no holder has written one since the store was last
+            restored, or an entry is malformed.
         :raises StoreConflictError: the topic has changed meanwhile, or an
             outdated copy of it was read.
         :raises StoreError: the store did not respond.
@@ -98,6 +100,8 @@
             max(item.window for item in closed),
             max(item.fencing for item in closed),
         )
+        if positions.get_era(last.fencing) < positions.get_era(end):
+            return None
         await self.store.put(
             TOPIC, make_closed_key(last), CLOSED_VALUE, at=end
         )
--- a/tests/test_restored_lease.py
+++ b/tests/test_restored_lease.py
@@ -1,5 +1,9 @@
 """The lease and usage reports while the store comes back from copies."""
 
+import asyncio
+
+import cbor2
+from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant
@@ -8,9 +12,21 @@
 from hypothesis.stateful import run_state_machine_as_test
 import pytest
 
+from pearrun import exceptions
 from pearrun.decisions import lease
+from pearrun.decisions.lease import LeaseRecord
+from pearrun.decisions.lease import LeaseView
+from pearrun.decisions.lease import RecordKind
 from pearrun.duties import duties as duties_module
+from pearrun.platform import leaselog
+from pearrun.platform.usagelog import UsageLog
+from pearrun.positions import get_era
+from pearrun.positions import get_offset
+from pearrun.positions import make_position
+from pearrun.positions import MAX_ERA
+from pearrun.standins.platformstore import PlatformStore
 from tests.drills import DrillSite
+from tests.drills import make_store_client
 
 WINDOW_MS = 1000
 # A lease passes to another host within this time.
@@ -184,6 +200,98 @@
     )
 
 
+def test_record_written_before_and_executed_after_a_restore_is_void():
+    view = LeaseView('c/1')
+    late = LeaseRecord(RecordKind.USAGE, 'a/1', 7, {'anna': 1}, era=1)
+    claim = LeaseRecord(RecordKind.CLAIM, 'b/1', 6, era=2)
+    view.apply(make_position(2, 4), claim)
+    view.apply(make_position(2, 5), late)
+    assert view.holder == 'b/1'
+    assert not view.committed_counts
+    assert view.last_committed_window == 6
+    assert view.end == make_position(2, 6)
+
+
+def test_record_of_the_copy_is_kept():
+    view = LeaseView('c/1')
+    record = LeaseRecord(RecordKind.USAGE, 'a/1', 7, {'anna': 1}, era=1)
+    view.apply(make_position(2, 3), record)
+    assert view.committed_counts == {7: {'anna': 1}}
+
+
+def test_window_closed_before_a_restore_is_not_trusted():
+    # An entry of the copy named an older window than the last one committed.
+    store = PlatformStore()
+    store.era = 1
+    log = UsageLog(make_store_client(store))
+
+    async def main():
+        await log.close_window(7, make_position(1, 3))
+        assert (await log.read_closed()).window == 7
+        store.restore(store.take_copy())
+        assert await log.read_closed() is None
+        await log.close_window(9, make_position(2, 3))
+        assert (await log.read_closed()).window == 9
+
+    asyncio.run(main())
+
+
+def test_append_executed_at_an_offset_of_another_era_is_no_success():
+    store = PlatformStore()
+    store.era = 1
+    client = make_store_client(store)
+
+    async def main():
+        end = await client.append('t', [b'a']) + 1
+        copy = store.take_copy()
+        store.restore(copy)
+        with pytest.raises(exceptions.StoreRestoredError):
+            await client.append('t', [b'b'], at=end)
+        with pytest.raises(exceptions.StoreRestoredError):
+            await client.read('t', end)
+        assert (await client.read('t', None)).records == [b'a', b'b']
+
+    asyncio.run(main())
+
+
+def test_response_of_an_earlier_era_is_void():
+    store = PlatformStore()
+    store.era = 3
+    client = make_store_client(store)
+
+    async def main():
+        await client.read('t', None)
+        store.era = 2
+        with pytest.raises(exceptions.StoreUnavailableError):
+            await client.read('t', None)
+        store.era = None
+        assert (await client.read('t', None)).next == make_position(3, 0)
+
+    asyncio.run(main())
+
+
+@given(
+    st.integers(0, MAX_ERA),
+    st.integers(0, 2**32 - 1),
+    st.integers(0, MAX_ERA),
+    st.integers(0, 2**32 - 1),
+)
+def test_positions_are_ordered_by_era_and_offset(era, offset, era2, offset2):
+    position = make_position(era, offset)
+    assert (get_era(position), get_offset(position)) == (era, offset)
+    assert position < 2**63
+    is_before = position < make_position(era2, offset2)
+    assert is_before == ((era, offset) < (era2, offset2))
+
+
+def test_records_of_the_first_era_are_read_by_builds_without_eras():
+    record = LeaseRecord(RecordKind.CLAIM, 'a/1', 3)
+    kind, run, window, counts = cbor2.loads(leaselog.encode(record))
+    assert (kind, run, window, counts) == ('claim', 'a/1', 3, None)
+    later = LeaseRecord(RecordKind.CLAIM, 'a/1', 3, era=4)
+    assert leaselog.decode(leaselog.encode(later)) == later
+
+
 class RestoredStoreMachine(RuleBasedStateMachine):
     """Hosts hold the lease and report usage on a store that is restored.
 
