Restored store: configuration, orders and states of roll-outs

What callers saw (stand-ins): a finished roll-out was carried out again, an open one lost its deadline and evidence, an older order of the copy was carried out instead of the latest; final states stayed lost. An unknown route was denied although the store lacked the version in force.

Cause: the number of an order is a position, which a restore changes; the copy's records count as news.

Change: an order with the same version from a later era is the known one and is renumbered; its counts, state and deadline stay. The holder reads the states once a term and writes final ones again that are missing. A store that lacks the version in force does not confirm it as the newest.

--- a/pearrun/duties/conductor.py
+++ b/pearrun/duties/conductor.py
@@ -99,21 +99,33 @@
         :raises StoreError: the store did not answer.
         """
         while term.holds() and not self.host.stopping:
-            open_rollouts = self.rollouts.list_open()
-            if not open_rollouts:
+            if self.rollouts.has_orders():
+                await self._adopt(term)
+            if not self.rollouts.list_open():
                 return
-            await self._adopt(term)
             for known in self.rollouts.list_open():
                 await self._conduct(known, term)
             await asyncio.sleep(to_seconds(DECISION_INTERVAL_MS))
 
     async def _adopt(self, term):
-        """Read the states that were written before, once per term."""
+        """Read the states that were written before, once per term.
+
+        Final states that a restored store lacks are written again.
+        """
         if self.term is term:
             return
         self._conducts.clear()
-        for status in (await self.log.read()).values():
+        statuses = await self.log.read()
+        for status in statuses.values():
             self.rollouts.put_status(status)
+        for known in self.rollouts.list_closed():
+            status = statuses.get(known.order.service)
+            if status is None or not status.is_final_of(known.order):
+                await self.log.write(
+                    RolloutStatus(
+                        known.order.service, known.order.to, known.state
+                    )
+                )
         self.term = term
 
     async def _conduct(self, known, term):
--- a/pearrun/platform/followers.py
+++ b/pearrun/platform/followers.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun import positions
 from pearrun.backoff import Backoff
 from pearrun.clock import to_seconds
 from pearrun.platform import decoding
@@ -26,6 +27,11 @@
 FEED_POLL_MS = 2000
 RETRY_BASE_MS = 50
 RETRY_CAP_MS = 500
+# How long after a restore of the store records may be missing that are written
+# again: endpoints' entries are back within about two seconds.
+REWRITE_GRACE_MS = 2000
+# How long after a restore an order that is written again is not a new one.
+REPEATED_ORDER_MS = 5000
 
 
 class Follower:
@@ -47,6 +53,8 @@
         self.position = None
         self.reachable = True
         self.recovered_at_ms = None
+        self.era = None
+        self.restored_at_ms = None
 
     async def run(self):
         """Follow the topic for the lifetime of the process."""
@@ -80,6 +88,13 @@
         """Read a snapshot: the newest record of every key."""
         read_start_ms = self.host.clock.now()
         records, self.position = await self.store.read_newest(self.topic)
+        era = positions.get_era(self.position)
+        if self.era not in (None, era):
+            self.restored_at_ms = self.host.clock.now()
+            logger.bind(
+                topic=self.topic, era=era, records=len(records)
+            ).warning('restored topic read')
+        self.era = era
         self.apply_snapshot(records, read_start_ms)
 
     async def _read_changes(self, wait_ms):
@@ -95,9 +110,23 @@
         self.apply_changes(records, read_start_ms)
         return records
 
+    def get_rewrite_left_ms(self, grace_ms=REWRITE_GRACE_MS):
+        """Return how long records lost with a restore may still be missing.
+
+        :param grace_ms: how long after the restore.
+        :returns: milliseconds; 0 if there was no restore lately.
+        """
+        if self.restored_at_ms is None:
+            return 0
+        since_ms = self.host.clock.since(self.restored_at_ms)
+        return max(0, grace_ms - since_ms)
+
     def apply_snapshot(self, records, read_start_ms):
         """Apply the newest record of every key.
 
+        After a restore of the store, these are the records of the copy and
+        those that have been written again so far.
+
         :param read_start_ms: when the read was sent, in monotonic time.
         """
         raise NotImplementedError
@@ -226,6 +255,7 @@
         super().__init__(host, store, CONFIG_TOPIC)
         self.rollout_log = rollout_log
         self.statuses_due = False
+        self.stored_version = 0
         self.single_host_poll_ms = int(
             host.settings.config_ms * SINGLE_HOST_POLL_FRACTION
         )
@@ -241,7 +271,7 @@
 
     def _mark_reachable(self):
         super()._mark_reachable()
-        self.host.config.is_polling_store = True
+        self.host.config.is_polling_store = self._has_newest_version()
 
     def _mark_unreachable(self, exc):
         super()._mark_unreachable(exc)
@@ -249,33 +279,96 @@
 
     def apply_snapshot(self, records, read_start_ms):
         """See :class:`Follower`."""
-        self.apply_changes(records, read_start_ms)
+        self.stored_version = 0
+        orders = []
+        for record in records:
+            if record.key.startswith(rolloutlog.KEY_PREFIX):
+                orders.append(record)
+            else:
+                self._handle_put(record)
+        self._confirm(records, read_start_ms)
+        for record in orders:
+            self._apply_order(record, self._is_outdated)
         self.statuses_due = bool(self.host.rollouts.list_open())
 
     def apply_changes(self, records, read_start_ms):
         """See :class:`Follower`."""
-        for record in records:
-            if record.value is None:
-                continue
-            if record.key == CONFIG_KEY:
-                config = self.decode_or_skip(
-                    decoding.decode_configuration, record.value
-                )
-                if config is not None:
-                    self.host.config.offer(config, 'store')
-            elif record.key.startswith(rolloutlog.KEY_PREFIX):
-                self._apply_order(record)
-        # A read without records confirms that none was written until it ended.
+        super().apply_changes(records, read_start_ms)
+        self._confirm(records, read_start_ms)
+
+    def _handle_put(self, record):
+        if record.key == CONFIG_KEY:
+            config = self.decode_or_skip(
+                decoding.decode_configuration, record.value
+            )
+            if config is not None:
+                self.stored_version = max(self.stored_version, config.version)
+                self.host.config.offer(config, 'store')
+        elif record.key.startswith(rolloutlog.KEY_PREFIX):
+            self._apply_order(record, self._is_repeated)
+
+    def _handle_removal(self, key):
+        """The operator's records are only replaced."""
+
+    def _confirm(self, records, read_start_ms):
+        """Record when the version in force was known to be the newest.
+
+        A read without records confirms that none was written until it ended.
+        After a restore, a store that lacks this version may lack a newer one.
+        """
         newest_ms = read_start_ms if records else self.host.clock.now()
-        self.host.config.confirm(newest_ms)
+        if self._has_newest_version():
+            self.host.config.confirm(newest_ms)
+
+    def _has_newest_version(self):
+        """Return whether the store has the version in force or a later one."""
+        return self.stored_version >= self.host.config.version
+
+    def _is_outdated(self, order):
+        """Return whether a restored store lacks an order after this one.
+
+        The operator writes the latest order again.
+        """
+        known = self.host.rollouts.get(order.service).order
+        return (
+            known is not None
+            and positions.get_era(order.number)
+            > positions.get_era(known.number)
+            and order.to != known.to
+            and positions.get_offset(order.number)
+            <= positions.get_offset(known.number)
+        )
 
-    def _apply_order(self, record):
-        """Apply an order to roll out a version."""
+    def _is_repeated(self, order):
+        """Return whether the operator writes an order again after a restore.
+
+        The copy had it, too.
+        """
+        known = self.host.rollouts.get(order.service).order
+        return (
+            known is not None
+            and known.to == order.to
+            and self.get_rewrite_left_ms(REPEATED_ORDER_MS) > 0
+            and positions.get_era(order.number)
+            == positions.get_era(known.number)
+        )
+
+    def _apply_order(self, record, is_known):
+        """Apply an order to roll out a version.
+
+        :param is_known: returns whether a restore makes a
+            :class:`RolloutOrder` appear again.
+        """
         order = self.decode_or_skip(
             rolloutlog.decode_order, record.key, record.offset, record.value
         )
         if order is None:
             return
+        if is_known(order):
+            logger.bind(
+                service=order.service, to=order.to, number=order.number
+            ).info('order of a restored store ignored')
+            return
         config = self.host.config.current
         if config is not None and order.service not in config.services:
             exc = exceptions.UnknownServiceError(
--- a/pearrun/rollouts/orders.py
+++ b/pearrun/rollouts/orders.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from pearrun import positions
 from pearrun.ids import ServiceName
 from pearrun.ids import Version
 
@@ -11,8 +12,8 @@
 class RolloutOrder:
     """An order to move a service's calls to a new version.
 
-    :param number: position of the order in the operator's log, which tells a
-        repeated order from a record that was read twice.
+    :param number: :data:`Position` of the order in the operator's log, which
+        tells a repeated order from a record that was read twice.
     :param to: the new version.
     :param duration_ms: time from the order to its deadline.
     """
@@ -39,6 +40,10 @@
     to: Version
     state: RolloutState
 
+    def is_final_of(self, order):
+        """Return whether this is a final state of an order."""
+        return self.to == order.to and self.state is not RolloutState.RUNNING
+
 
 @dataclasses.dataclass(frozen=True)
 class RolloutNotice:
@@ -62,6 +67,17 @@
     route_shares: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+def is_written_again(order, known):
+    """Return whether an order is a known one, from a restored store.
+
+    :param order: :class:`RolloutOrder` or :class:`RolloutNotice`.
+    :param known: the latest one of the same service.
+    """
+    return order.to == known.to and (
+        positions.get_era(order.number) > positions.get_era(known.number)
+    )
+
+
 def encode_notice(notice):
     """Return the fields of a :class:`RolloutNotice`."""
     return [
--- a/pearrun/rollouts/serviceversions.py
+++ b/pearrun/rollouts/serviceversions.py
@@ -1,5 +1,7 @@
 """The versions of one service, as known to one host."""
 
+import dataclasses
+
 from pearrun.rollouts.answers import AnswerCounts
 from pearrun.rollouts.orders import RolloutOrder
 from pearrun.rollouts.orders import RolloutState
@@ -48,6 +50,11 @@
         if isinstance(order, RolloutOrder):
             self.order = order
 
+    def renumber(self, order):
+        """Replace the number of the order, which was written again."""
+        self.order = dataclasses.replace(self.order, number=order.number)
+        self.complete_order(order)
+
     def reject(self, version):
         """Give a version no calls, unless it is the one in force."""
         if version != self.current:
--- a/pearrun/rollouts/versions.py
+++ b/pearrun/rollouts/versions.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from pearrun.decisions import exposure
+from pearrun.rollouts.orders import is_written_again
 from pearrun.rollouts.orders import RolloutState
 from pearrun.rollouts.serviceversions import ServiceVersions
 from pearrun.states import EndpointState
@@ -49,6 +50,18 @@
         """Return the :class:`ServiceVersions` with an open roll-out."""
         return [known for known in self.services.values() if known.is_open]
 
+    def list_closed(self):
+        """Return the :class:`ServiceVersions` whose roll-out has ended."""
+        return [
+            known
+            for known in self.services.values()
+            if known.order is not None and not known.is_open
+        ]
+
+    def has_orders(self):
+        """Return whether there was a roll-out of any service."""
+        return any(known.order for known in self.services.values())
+
     # orders, statuses and notices
 
     def put_order(self, order):
@@ -61,6 +74,9 @@
             if order.number == known.order.number:
                 known.complete_order(order)
             return
+        if known.order is not None and is_written_again(order, known.order):
+            known.renumber(order)
+            return
         self._find_current(order.service, known, excluded=order.to)
         superseded = known.order if known.is_open else None
         if superseded is not None:
