Restored store: endpoints that left stay away, others are not taken for gone

What callers saw (stand-ins): endpoints listed as leaving, or removed, were used again once the copy listed them; endpoints listed since the copy were avoided for 1.5 s.

Change: an endpoint that was listed as leaving is not live again.

--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -71,11 +71,15 @@
         listed = {record.key for record in records}
         self.host.crashes.restart_proofs()
         self.host.version_history.note_snapshot(read_start_ms)
+        fleet = self.host.fleet
         for record in records:
-            self._handle_put(record)
-        for endpoint in list(self.host.fleet.endpoints.values()):
+            # The store may have restored an entry that was removed.  Endpoints
+            # that still run write theirs several times a second.
+            if record.key not in fleet.unlisted:
+                self._put_entry(record)
+        for endpoint in list(fleet.endpoints.values()):
             if endpoint.record.name not in listed:
-                self._handle_removal(endpoint.record.name)
+                self._handle_missing(endpoint)
         self._record_list_read(read_start_ms)
 
     def apply_changes(self, records, read_start_ms):
@@ -97,6 +101,10 @@
         self.host.config.confirm_while_polling(self.host.clock.now())
 
     def _handle_put(self, record):
+        self.host.fleet.unlisted.pop(record.key, None)
+        self._put_entry(record)
+
+    def _put_entry(self, record):
         entry = self.decode_or_skip(
             decoding.decode_endpoint, record.key, record.value
         )
@@ -131,7 +139,19 @@
         if timer is not None:
             timer.cancel()
 
+    def _handle_missing(self, endpoint):
+        """Handle that a snapshot lacks an endpoint's entry.
+
+        A restored store lacks those that are not written again yet.
+        """
+        left_ms = self.get_rewrite_left_ms()
+        if not left_ms:
+            self._handle_removal(endpoint.record.name)
+        elif endpoint.id not in self.removals:
+            self._remove_later(endpoint, left_ms)
+
     def _handle_removal(self, name):
+        self.host.fleet.note_unlisted(name)
         endpoint = self.host.fleet.find(name)
         if endpoint is None or endpoint.id in self.removals:
             return
@@ -140,6 +160,10 @@
             self.host.drop_endpoint(endpoint, 'entry removed')
             return
         endpoint.pause.until_ms = self.host.clock.now() + left_ms
+        self._remove_later(endpoint, left_ms)
+
+    def _remove_later(self, endpoint, left_ms):
+        """Remove an endpoint unless its entry is back by then."""
         loop = asyncio.get_running_loop()
         self.removals[endpoint.id] = loop.call_later(
             to_seconds(left_ms), self._remove_after_grace, endpoint.id
@@ -149,6 +173,7 @@
         self.removals.pop(endpoint_id, None)
         endpoint = self.host.fleet.endpoints.get(endpoint_id)
         if endpoint is not None:
+            self.host.fleet.note_unlisted(endpoint.record.name)
             self.host.drop_endpoint(
                 endpoint, 'entry not restored after outage'
             )
--- a/pearrun/shared/fleet.py
+++ b/pearrun/shared/fleet.py
@@ -16,8 +16,8 @@
 # left, since an outdated entry of one may still arrive.  Several times the
 # size of a large fleet.
 MAX_STARTS = 8192
-# Endpoints that have announced that they leave, kept after they have left: an
-# entry that expired while the store was away may return.
+# Endpoints that leave, kept after they have left: an entry that expired while
+# the store was away may return, or one of a copy from which it was restored.
 MAX_LEAVING = 8192
 
 
@@ -84,13 +84,16 @@
     """All known endpoints, indexed by id and by service.
 
     ``listed_ms`` is when the list was last known to be complete; ``leaving``
-    has the ids of the endpoints that have announced that they leave.
+    has the ids of the endpoints that have announced that they leave, and
+    ``unlisted`` the names of those whose entries were removed.
     """
 
     def __init__(self):
         self.endpoints = {}
         self.listed_ms = None
         self.leaving = collections.OrderedDict()
+        self.unlisted = collections.OrderedDict()
+        self._drained = collections.OrderedDict()
         self._live = {}
         self._starts = collections.OrderedDict()
 
@@ -107,12 +110,14 @@
     def put(self, record):
         """Add an endpoint, or update its record.
 
-        An endpoint that has announced that it leaves is not live again,
-        whatever the state in the record.
+        An endpoint that has announced that it leaves, or was listed as
+        leaving, is not live again, whatever the state in the record.
 
         :returns: whether its state changed.
         """
-        if record.id in self.leaving and record.state is EndpointState.LIVE:
+        if record.state is not EndpointState.LIVE:
+            add_bounded(self._drained, record.id)
+        elif record.id in self.leaving or record.id in self._drained:
             record = dataclasses.replace(record, state=EndpointState.LEAVING)
         self._record_start(record)
         endpoint = self.endpoints.get(record.id)
@@ -133,14 +138,16 @@
         """
         if endpoint_id in self.leaving:
             return False
-        self.leaving[endpoint_id] = None
-        while len(self.leaving) > MAX_LEAVING:
-            self.leaving.popitem(last=False)
+        add_bounded(self.leaving, endpoint_id)
         endpoint = self.endpoints.get(endpoint_id)
         if endpoint is not None:
             self.put(endpoint.record)
         return True
 
+    def note_unlisted(self, name):
+        """Record that an endpoint's entry was removed."""
+        add_bounded(self.unlisted, name)
+
     def accepts_calls(self, endpoint_id):
         """Return whether an endpoint is listed and not leaving."""
         endpoint = self.endpoints.get(endpoint_id)
@@ -179,3 +186,10 @@
     def _unindex(self, endpoint):
         record = endpoint.record
         self._live.get(record.service, {}).pop(record.id, None)
+
+
+def add_bounded(ids, new_id):
+    """Add an id to an ordered dictionary; drop the oldest ones."""
+    ids[new_id] = None
+    while len(ids) > MAX_LEAVING:
+        ids.popitem(last=False)
