--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -1,10 +1,13 @@
 """The list of entry hosts, kept in the platform's store."""
 
+import collections
+
 import cbor2
 from loguru import logger
 
 from pearrun import exceptions
 from pearrun.platform.followers import LONG_POLL_MS
+from pearrun.platform.followers import REWRITE_GRACE_MS
 from pearrun.platform.followers import SharedFollower
 from pearrun.shared import cbor
 from pearrun.shared.members import Member
@@ -30,6 +33,9 @@
 # partitioned host is remembered only while it is listed.  A host that is still
 # alive registers again.
 STALE_HOST_MS = 600_000
+# Runs of hosts that have left the list, kept in case the store restores their
+# entries.
+MAX_LEFT_RUNS = 4096
 
 
 class MemberFollower(SharedFollower):
@@ -38,6 +44,10 @@
     :param own_member: this host's :class:`Member`.
     :param may_remove_stale: returns whether this host removes stale
         entries of other hosts.
+
+    After a restore of the store, ``unconfirmed`` has the names of the hosts
+    whose entries were lost, and ``outdated`` those of hosts that have left and
+    whose entries are back.
     """
 
     def __init__(self, host, store, own_member, may_remove_stale):
@@ -49,6 +59,9 @@
         self.registered = False
         self.leaving = False
         self.list_read_ms = 0
+        self.unconfirmed = set()
+        self.outdated = set()
+        self._left_runs = collections.OrderedDict()
 
     async def deregister(self):
         """Remove this host's entry, without retries: the process is ending."""
@@ -74,8 +87,26 @@
             self.registered = True
         if self.may_remove_stale():
             await self._remove_stale()
+            await self._remove_outdated()
+        self._remove_unconfirmed()
+        is_settled = not self.unconfirmed and not self.outdated
+        self.wait_ms = LONG_POLL_MS if is_settled else REWRITE_GRACE_MS
         await super()._read_once()
 
+    async def _remove_outdated(self):
+        """Remove the entries of hosts that had left before a restore."""
+        for name in sorted(self.outdated):
+            logger.bind(host=name).info('restored entry of a host removed')
+            await self.store.put(MEMBER_TOPIC, name, None)
+
+    def _remove_unconfirmed(self):
+        """Remove hosts that are silent and whose entries are not back."""
+        if self.get_rewrite_left_ms():
+            return
+        silent = self.host.members.list_silent(REWRITE_GRACE_MS)
+        for name in self.unconfirmed.intersection(silent):
+            self._handle_removal(name)
+
     async def _remove_stale(self):
         """Remove entries of hosts that ended without deregistering."""
         for name in self.host.members.list_silent(STALE_HOST_MS):
@@ -103,15 +134,41 @@
         """See :class:`Follower`."""
         self.registered = False
         listed = {record.key for record in records}
-        for name in set(self.host.members.members) - listed:
-            self._handle_removal(name)
+        missing = set(self.host.members.members) - listed
+        if self.get_rewrite_left_ms():
+            self.unconfirmed = missing - {self.own_member.name}
+            self.outdated = {
+                record.key for record in records if self._has_left(record)
+            }
+            records = [
+                record for record in records if record.key not in self.outdated
+            ]
+        else:
+            for name in missing:
+                self._handle_removal(name)
         self.apply_changes(records, read_start_ms)
         self.host.members.listed = True
 
+    def _has_left(self, record):
+        """Return whether an entry is of a run that has left the list."""
+        member = self.decode_or_skip(decode, record.key, record.value)
+        return member is not None and get_run(member) in self._left_runs
+
+    def _note_left(self, member):
+        self._left_runs[get_run(member)] = None
+        while len(self._left_runs) > MAX_LEFT_RUNS:
+            self._left_runs.popitem(last=False)
+
     def _handle_put(self, record):
         member = self.decode_or_skip(decode, record.key, record.value)
         if member is None:
             return
+        self.unconfirmed.discard(member.name)
+        self.outdated.discard(member.name)
+        self._left_runs.pop(get_run(member), None)
+        previous = self.host.members.members.get(member.name)
+        if previous is not None and previous.started_ms != member.started_ms:
+            self._note_left(previous)
         if member.name == self.own_member.name:
             # The store may execute a delayed write of this host's previous
             # run, which replaces the entry of this run.
@@ -124,11 +181,20 @@
     def _handle_removal(self, name):
         if name == self.own_member.name:
             self.registered = False
-        if self.host.members.remove(name) is not None:
+        self.unconfirmed.discard(name)
+        self.outdated.discard(name)
+        removed = self.host.members.remove(name)
+        if removed is not None:
+            self._note_left(removed)
             self.host.remove_host_reports(name)
             logger.bind(host=name).info('host removed')
 
 
+def get_run(member):
+    """Return what distinguishes the runs of all hosts."""
+    return member.name, member.started_ms
+
+
 def encode(member):
     """Encode a :class:`Member`."""
     return cbor2.dumps(
