Restored store: stream origins and quarantined requests are saved again

Cause: both were saved once and taken for kept. Change: in a new era the holder saves the latest origins again, each host the quarantined requests that it has detected.

--- a/pearrun/platform/quarantinelog.py
+++ b/pearrun/platform/quarantinelog.py
@@ -31,6 +31,7 @@
         super().__init__(host, store, TOPIC, pause_ms=READ_PAUSE_MS)
         self.quarantine = host.quarantine
         self.stored_keys = set()
+        self.saved_era = None
 
     async def run(self):
         """See :class:`Follower`."""
@@ -86,6 +87,10 @@
     async def _save_periodically(self):
         while True:
             await asyncio.sleep(to_seconds(SAVE_INTERVAL_MS))
+            if self.store.era != self.saved_era:
+                # A restored store lacks the latest entries.
+                self.quarantine.mark_unsaved()
+                self.saved_era = self.store.era
             unsaved = self.quarantine.list_unsaved()
             if not unsaved:
                 continue
--- a/pearrun/platform/streamlog.py
+++ b/pearrun/platform/streamlog.py
@@ -54,6 +54,7 @@
         self.host = host
         self.store = store
         self.holds_lease = holds_lease
+        self.saved_era = None
 
     async def run(self):
         """Read what was saved, then save periodically until cancelled."""
@@ -61,6 +62,10 @@
             await asyncio.sleep(to_seconds(READ_RETRY_MS))
         while True:
             await asyncio.sleep(to_seconds(SAVE_INTERVAL_MS))
+            if self.store.era != self.saved_era:
+                # A restored store lacks the latest origins.
+                self.host.origins.mark_unsaved()
+                self.saved_era = self.store.era
             unsaved = self.host.origins.take_unsaved()
             if self.holds_lease() and len(self.host.origins):
                 await self._save(unsaved)
@@ -90,7 +95,7 @@
 
     async def _read(self):
         try:
-            batch = await self.store.read(TOPIC, 0)
+            batch = await self.store.read(TOPIC, None)
         except exceptions.ExpiredOffsetError as exc:
             batch = await self.store.read(TOPIC, exc.first_offset)
         return batch.records
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -247,6 +247,10 @@
                 }
         return list(unsaved.values())
 
+    def mark_unsaved(self):
+        """Mark all suspects as not saved."""
+        self._saved_ms.clear()
+
     def note_saved(self, suspects):
         """Record that suspects were saved in the store."""
         for suspect in suspects:
--- a/pearrun/shared/streamorigins.py
+++ b/pearrun/shared/streamorigins.py
@@ -170,6 +170,11 @@
         for origin in origins:
             self._put(origin)
 
+    def mark_unsaved(self):
+        """Mark the latest origins of all hosts as new."""
+        self._unsaved.clear()
+        self._unsaved.extend(self._known.values())
+
     def take_unsaved(self):
         """Return the origins that are new since the last call."""
         origins = tuple(self._unsaved)
