Answers without end: at most 16 informational responses precede an answer

What callers saw: a call to an endpoint that sends responses with status 100 or 103 without end ended with 504 after the route's timeout, with some 7 MB read. Cause: the head was awaited through any number of them. Change: the 17th breaks the connection; an idempotent call goes to another endpoint.

--- a/pearrun/http1/client.py
+++ b/pearrun/http1/client.py
@@ -24,6 +24,8 @@
 READ_BUFFER_BYTES = 256 * 1024
 # Largest response head that is accepted from an endpoint or the platform.
 MAX_HEAD_BYTES = 64 * 1024
+# Responses with status 1xx that may precede a response.
+MAX_INFORMATIONAL_RESPONSES = 16
 # Keep-Alive gives an endpoint's idle timeout in whole seconds.  Reuse of a
 # connection stops this long before it, so that a request is not sent while
 # the endpoint closes the connection.
@@ -102,9 +104,10 @@
         """Read a response's status and headers.
 
         :returns: a :class:`ResponseHead`.
-        :raises ConnectionBrokenError: the connection ended early.
+        :raises ConnectionBrokenError: the connection ended early, or too many
+            informational responses came first.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             match event:
                 case h11.InformationalResponse():
@@ -115,6 +118,9 @@
                         list(event.headers.raw_items()),
                     )
             raise exceptions.ConnectionBrokenError('no response head received')
+        raise exceptions.ConnectionBrokenError(
+            'too many informational responses'
+        )
 
     async def read_chunk(self):
         """Read the next part of a response's body.
