--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -34,6 +34,7 @@
             crashing_part=FLAGS.crashing_part,
             refusing=FLAGS.refusing,
             notices=FLAGS.notices,
+            restoring=FLAGS.restoring,
         )
         try:
             findings, evidence = asyncio.run(run)
@@ -83,6 +84,9 @@
         False,
         'Also let endpoints say that they leave, or ask for rest.',
     )
+    flags.DEFINE_bool(
+        'restoring', False, 'Also let the store come back from copies.'
+    )
     flags.DEFINE_bool(
         'limited', False, 'Also let endpoints advertise rate limits.'
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -67,6 +67,19 @@
     """The store deletes its history; the newest record of each key stays."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RestoreStore:
+    """The store is away for ``duration_ms`` and comes back from a copy.
+
+    :param age_ms: age of the copy when the store goes away.
+    :param status: status code of the errors meanwhile; 0 for no responses.
+    """
+
+    age_ms: int
+    status: int
+    duration_ms: int
+
+
 class EndpointFault(enum.Enum):
     """Faults of one endpoint; the values are fields of RunnerFaults."""
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -19,6 +19,7 @@
 from tests.soak.notices import check_notices
 from tests.soak.notices import generate_notices
 from tests.soak.plan import generate_plan
+from tests.soak.restores import generate_restores
 from tests.soak.retries import check_retries
 from tests.soak.retries import generate_refusals
 from tests.soak.site import Replica
@@ -67,6 +68,7 @@
         are killed and the store does not acknowledge writes.
     :param notices: whether endpoints say in their answers that they leave or
         want rest.
+    :param restoring: whether the store comes back from copies.
     """
 
     hosts: int = DEFAULT_HOSTS
@@ -76,6 +78,7 @@
     crashing_part: bool = False
     refusing: bool = False
     notices: bool = False
+    restoring: bool = False
 
 
 class FaultInjector:
@@ -128,6 +131,8 @@
                 await asyncio.sleep(to_seconds(duration_ms))
                 store_faults.status = 0
                 store_faults.silent = False
+            case faults.RestoreStore():
+                await site.lose_store(fault)
             case faults.LoseStoreResponses(count):
                 site.store.faults.lose_answers += count
             case faults.CompactStore():
@@ -185,6 +190,9 @@
     if options.notices:
         added = generate_notices(seed, length_ms, tuple(site.replicas))
         plan = plan.add(added)
+    if options.restoring:
+        site.store.era = 1
+        plan = plan.add(generate_restores(seed, length_ms, names))
     injector = FaultInjector(site)
     traffic = Traffic(site, seed)
     if options.crashing_part:
@@ -201,6 +209,8 @@
         if crashing:
             site.spawn(site.replace_crashed_endpoints())
             crash_task = asyncio.create_task(traffic.repeat_crashing_request())
+        if options.restoring:
+            site.spawn(site.keep_copies())
         traffic_task = asyncio.create_task(traffic.run(CALLERS))
         resuming_task = asyncio.create_task(resuming.run())
         await injector.run(plan)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -1,6 +1,7 @@
 """The test site: stand-ins in this process, hosts as separate processes."""
 
 import asyncio
+import collections
 import dataclasses
 import pathlib
 
@@ -33,6 +34,9 @@
 # The entry of an endpoint that ended without draining is removed from the
 # store after about this long.
 ENTRY_EXPIRY_S = 1.0
+# Interval and number of the copies from which the store can come back.
+COPY_INTERVAL_S = 0.25
+MAX_COPIES = 40
 # Interval between checks for crashed endpoints.
 CRASH_POLL_S = 0.02
 
@@ -96,6 +100,8 @@
         self.crash_times_ms = []
         self.limit_periods = []
         self.clock = Clock()
+        self.copies = collections.deque(maxlen=MAX_COPIES)
+        self.away_count = 0
         self.tasks = set()
         self.ports = {
             'front': find_free_port(),
@@ -147,6 +153,46 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    # the store
+
+    async def keep_copies(self):
+        """Copy the store periodically until cancelled."""
+        while True:
+            copy = self.store.take_copy()
+            self.copies.append((self.clock.now(), copy))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def lose_store(self, fault):
+        """Let the store be away and come back from a copy.
+
+        :param fault: the :class:`RestoreStore`.
+        """
+        at_ms = self.clock.now() - fault.age_ms
+        copy = next(
+            (topics for taken_ms, topics in self.copies if taken_ms >= at_ms),
+            self.copies[-1][1],
+        )
+        store_faults = self.store.faults
+        self.away_count += 1
+        store_faults.status = fault.status
+        store_faults.silent = not fault.status
+        self.store.server.abort()
+        await asyncio.sleep(to_seconds(fault.duration_ms))
+        self.restore_store(copy)
+        self.away_count -= 1
+        if not self.away_count:
+            store_faults.status = 0
+            store_faults.silent = False
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        self.expire_entries()
+
+    def expire_entries(self):
+        """Remove the entries of endpoints that have ended."""
+        for key in list(self.store.get_topic('keyed.servers').newest):
+            runner = self.runners.get(key)
+            if runner is not None and runner.ended_ms is not None:
+                self.store.put('servers', key, None)
+
     # endpoints
 
     async def start_endpoint(self, replica, same_address=False):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -99,6 +99,19 @@
     assert complete
 
 
+def test_restored_store_has_no_findings(tmp_path):
+    findings, evidence = asyncio.run(
+        run_seed(6201, LIMITED_LENGTH_MS, tmp_path, restoring=True)
+    )
+    assert not findings
+    restores = [
+        timed
+        for timed in evidence.injected
+        if isinstance(timed.fault, faults.RestoreStore)
+    ]
+    assert len(restores) >= 2
+
+
 def test_hosts_with_hubs_have_no_findings(tmp_path):
     findings, _ = asyncio.run(run_seed(7, LENGTH_MS, tmp_path, hosts=18))
     assert not findings
