--- a/pearrun/decisions/lease.py
+++ b/pearrun/decisions/lease.py
@@ -136,6 +136,7 @@
         self.unchanged_since_ms = None
         self.announced_end = None
         self.record_era = 0
+        self.history_lost_ms = None
 
     def note_expired(self, first, now_ms):
         """Record that records before a position were deleted unread.
@@ -183,9 +184,9 @@
     def _may_lack_commits(self, now_ms):
         """Return whether a restore may have lost commits of other hosts."""
         is_recorded = positions.get_era(self.end) <= self.record_era
-        return not is_recorded and not self._is_sole(now_ms)
+        return not is_recorded and not self.is_sole(now_ms)
 
-    def _is_sole(self, now_ms):
+    def is_sole(self, now_ms):
         """Return whether no other host can have claimed the lease."""
         return self.sole_until_ms is not None and now_ms < self.sole_until_ms
 
@@ -204,7 +205,7 @@
         """Return whether no other host can be acting any more."""
         if self.end is None or self.unchanged_since_ms is None:
             return False
-        if self.end == 0 or self._is_sole(now_ms):
+        if self.end == 0 or self.is_sole(now_ms):
             return True
         return now_ms - self.unchanged_since_ms >= self.takeover_delay_ms
 
--- a/pearrun/duties/duties.py
+++ b/pearrun/duties/duties.py
@@ -180,6 +180,9 @@
 
     def _is_read_due(self, now):
         """Return whether to read the log: initially, and before a claim."""
+        if self.view.is_sole(self.clock.boot()):
+            # No other host can claim yet.
+            return True
         if (
             self.last_read_ms is not None
             and now - self.last_read_ms < MONITOR_INTERVAL_MS
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -44,6 +44,9 @@
 READ_TIMEOUT_MS = 300
 MAX_TIMEOUT_DOUBLINGS = 2
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Consecutive responses of an earlier era after which it is the store's current
+# one and the later one was an error: more than can be in flight.
+MAX_OUTDATED_RESPONSES = MAX_CONNECTIONS
 # Length in bytes, which precedes each record.
 RECORD_LENGTH = struct.Struct('>I')
 # End and first offset, which precede the records in the response to a read.
@@ -104,6 +107,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.era = None
+        self._outdated_responses = 0
         self._invalid_era = None
         self.calls = collections.Counter()
         self.failures = 0
@@ -116,6 +120,7 @@
         if settings.address != self.settings.address:
             self.pool.close()
             self.pool = make_pool(settings.address)
+            self.era = None
         self.settings = settings
 
     async def append(
@@ -321,13 +326,20 @@
         if era is None:
             self._log_invalid_era(value)
             era = latest
-        if era != self.era:
-            logger.bind(path=path, era=era, previous=self.era).warning(
-                'store era changed'
-            )
-            # Long polls of the former era may never return.
-            self.failing |= self.era is not None
-        self.era = max(latest, era)
+        is_outdated = era < latest
+        self._outdated_responses = (
+            self._outdated_responses + 1 if is_outdated else 0
+        )
+        if era == self.era:
+            return era
+        logger.bind(path=path, era=era, previous=self.era).warning(
+            'store era changed'
+        )
+        if is_outdated and self._outdated_responses <= MAX_OUTDATED_RESPONSES:
+            return era
+        # Long polls of the former era may never return.
+        self.failing |= self.era is not None
+        self.era = era
         return era
 
     def _log_invalid_era(self, value):
--- a/tests/test_restored_lease.py
+++ b/tests/test_restored_lease.py
@@ -19,6 +19,7 @@
 from pearrun.decisions.lease import RecordKind
 from pearrun.duties import duties as duties_module
 from pearrun.platform import leaselog
+from pearrun.platform.store import MAX_OUTDATED_RESPONSES
 from pearrun.platform.usagelog import UsageLog
 from pearrun.positions import get_era
 from pearrun.positions import get_offset
@@ -182,6 +183,33 @@
     check_reports(site)
 
 
+def test_former_holder_claims_again_soon_after_a_claim_without_an_answer():
+    # It waited for the interval between reads, until others could claim.
+    site = make_site('a', 'b')
+    copy = site.store.take_copy()
+    site.advance(lease.RENEW_INTERVAL_MS + 250, 'a')
+    site.store.faults.status = 503
+    site.advance(lease.LEASE_DURATION_MS, 'a')
+    site.store.restore(copy)
+    site.store.faults.status = 0
+    # The renewal that notices the restore, and the first claim.
+    site.store.faults.hold_appends = 2
+    site.advance(1000, 'a')
+    assert site.hosts['a'].duties.holds()
+
+
+def test_successor_without_records_of_the_former_era_closes_its_windows():
+    # It took the start of its own process for the time of the loss.
+    site = DrillSite(('a', 'b'))
+    site.hosts['b'].act()
+    site.advance(TAKEOVER_MS, 'a')
+    copy = site.store.take_copy()
+    count_and_report(site, 'a', a=5, b=3)
+    site.store.restore(copy)
+    succeed(site, 'b')
+    check_reports(site)
+
+
 def test_append_from_before_a_restore_does_not_make_a_holder():
     # The former holder's append was executed where another host's log ended.
     site = make_site('a', 'b')
@@ -270,6 +298,25 @@
     asyncio.run(main())
 
 
+def test_store_is_read_again_after_one_response_of_a_wrong_era():
+    # The host took all further responses for outdated ones.
+    store = PlatformStore()
+    store.era = 3
+    client = make_store_client(store)
+
+    async def main():
+        await client.read('t', None)
+        store.era = 999
+        await client.read('t', None)
+        store.era = 3
+        for _ in range(MAX_OUTDATED_RESPONSES):
+            with pytest.raises(exceptions.StoreUnavailableError):
+                await client.read('t', None)
+        assert (await client.read('t', None)).next == make_position(3, 0)
+
+    asyncio.run(main())
+
+
 @given(
     st.integers(0, MAX_ERA),
     st.integers(0, 2**32 - 1),
