Restored store: origins at the next holder, hosts of large fleets, unread log

Origins of streams that a copy lacks were saved again by a surviving holder alone: the others drop what a holder has saved. A host now saves the latest ones when it first holds the lease in an era (a test failed before).

A write to a lease log that has not been read since a restore is a conflict instead of an unconditional append. Offsets are called positions where they are.

--- a/pearrun/decisions/lease.py
+++ b/pearrun/decisions/lease.py
@@ -2,7 +2,7 @@
 
 Load pattern: hosts are killed, frozen or partitioned, or lose responses of the
 store, while exactly one of them has to act.  The lease is decided by a log: a
-record is appended only at the offset up to which its writer has read, so two
+record is appended only at the position up to which its writer has read, so two
 concurrent claims cannot both succeed.  A holder acts until a fixed time after
 it *sent* its last acknowledged record.  Another host claims the lease only
 after the log has been unchanged for longer than that by its own clock.  The
--- a/pearrun/platform/leaselog.py
+++ b/pearrun/platform/leaselog.py
@@ -72,6 +72,8 @@
         :raises StoreError: no response; the record may have been written.
         """
         expected_end = self.view.end
+        if expected_end is None:
+            raise exceptions.StoreConflictError('log has not been read')
         record = dataclasses.replace(
             record, era=positions.get_era(expected_end)
         )
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -7,7 +7,6 @@
 
 from pearrun import exceptions
 from pearrun.platform.followers import LONG_POLL_MS
-from pearrun.platform.followers import REWRITE_GRACE_MS
 from pearrun.platform.followers import SharedFollower
 from pearrun.shared import cbor
 from pearrun.shared.members import Member
@@ -33,6 +32,11 @@
 # partitioned host is remembered only while it is listed.  A host that is still
 # alive registers again.
 STALE_HOST_MS = 600_000
+# How long after a restore of the store entries of hosts may be missing: in a
+# large fleet they notice it one after the other.
+REWRITE_GRACE_MS = 5000
+# Long-poll wait of a read while entries are missing or outdated.
+RESTORED_POLL_MS = 1000
 # Runs of hosts that have left the list, kept in case the store restores their
 # entries.
 MAX_LEFT_RUNS = 4096
@@ -90,7 +94,7 @@
             await self._remove_outdated()
         self._remove_unconfirmed()
         is_settled = not self.unconfirmed and not self.outdated
-        self.wait_ms = LONG_POLL_MS if is_settled else REWRITE_GRACE_MS
+        self.wait_ms = LONG_POLL_MS if is_settled else RESTORED_POLL_MS
         await super()._read_once()
 
     async def _remove_outdated(self):
@@ -101,7 +105,7 @@
 
     def _remove_unconfirmed(self):
         """Remove hosts that are silent and whose entries are not back."""
-        if self.get_rewrite_left_ms():
+        if self.get_rewrite_left_ms(REWRITE_GRACE_MS):
             return
         silent = self.host.members.list_silent(REWRITE_GRACE_MS)
         for name in self.unconfirmed.intersection(silent):
@@ -135,7 +139,7 @@
         self.registered = False
         listed = {record.key for record in records}
         missing = set(self.host.members.members) - listed
-        if self.get_rewrite_left_ms():
+        if self.get_rewrite_left_ms(REWRITE_GRACE_MS):
             self.unconfirmed = missing - {self.own_member.name}
             self.outdated = {
                 record.key for record in records if self._has_left(record)
--- a/pearrun/platform/rolloutlog.py
+++ b/pearrun/platform/rolloutlog.py
@@ -17,8 +17,8 @@
 class RolloutLog:
     """Reads and writes the states of roll-outs.
 
-    Each write is conditional on the offset read last, so that a delayed write
-    of a former lease holder is not executed after one of its successor.
+    Each write is conditional on the position read last, so that a delayed
+    write of a former lease holder is not executed after one of its successor.
 
     :param store: the :class:`StoreClient`.
     """
@@ -53,13 +53,13 @@
         :raises StoreConflictError: another state was written since.
         :raises StoreError: no response; the state may have been written.
         """
-        offset = await self.store.put(
+        position = await self.store.put(
             TOPIC,
             f'{KEY_PREFIX}{status.service}',
             encode_status(status),
             at=self.end,
         )
-        self.end = offset + 1
+        self.end = position + 1
         logger.bind(
             service=status.service, to=status.to, state=status.state.value
         ).info('roll-out state written')
@@ -68,7 +68,7 @@
 def decode_order(key, number, raw):
     """Decode an order of the operator.
 
-    :param number: offset of its record.
+    :param number: position of its record.
     :returns: a :class:`RolloutOrder`.
     :raises WireFormatError: the order is malformed.
     """
--- a/pearrun/platform/streamlog.py
+++ b/pearrun/platform/streamlog.py
@@ -62,13 +62,20 @@
             await asyncio.sleep(to_seconds(READ_RETRY_MS))
         while True:
             await asyncio.sleep(to_seconds(SAVE_INTERVAL_MS))
-            if self.store.era != self.saved_era:
-                # A restored store lacks the latest origins.
-                self.host.origins.mark_unsaved()
-                self.saved_era = self.store.era
-            unsaved = self.host.origins.take_unsaved()
             if self.holds_lease() and len(self.host.origins):
-                await self._save(unsaved)
+                self._mark_lost()
+                await self._save(self.host.origins.take_unsaved())
+            else:
+                self.host.origins.take_unsaved()
+
+    def _mark_lost(self):
+        """Mark the latest origins as unsaved, which the store may lack.
+
+        It lacks some after a restore, and after the loss of the last holder.
+        """
+        if self.store.era != self.saved_era:
+            self.saved_era = self.store.era
+            self.host.origins.mark_unsaved()
 
     async def _restore(self):
         """Apply the records that the store still has.
--- a/pearrun/shared/feed.py
+++ b/pearrun/shared/feed.py
@@ -10,8 +10,8 @@
 
 # Received batches buffered until they are consumed: a few report rounds.
 MAX_BATCHES = 16
-# How often the end offset of the last read is sent again while the topic does
-# not change.
+# How often the end position of the last read is sent again while the topic
+# does not change.
 REPEAT_INTERVAL_MS = 1000
 # Without a batch for this long, hosts assume that no host reads for them.
 READER_TIMEOUT_MS = 3000
@@ -19,10 +19,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Changes:
-    """Changes of a topic between two offsets.
+    """Changes of a topic between two positions.
 
-    :param start: offset of the first record.
-    :param next: offset after the last record.
+    :param start: :data:`Position` of the first record.
+    :param next: position after the last record.
     :param records: pairs of a key and its entry, ``None`` for a deleted
         key.
     :param asked_ms: when the read was sent to the store, by this host's
@@ -64,10 +64,11 @@
         self._pending.append(changes)
 
     def repeat(self, changes):
-        """Send the end offset of a read periodically until the next change.
+        """Send the end position of a read periodically until the next change.
 
         A host whose link was down when a change was sent detects by this
-        offset that it has missed the change.
+        position that it has missed the change, or that the store has been
+        restored.
 
         :param changes: the last :class:`Changes`; ``None`` to stop.
         """
@@ -115,7 +116,7 @@
         )
 
     async def wait(self, position, until_ms):
-        """Wait for the next batch that does not end before an offset.
+        """Wait for the next batch that does not end before a position.
 
         :param until_ms: deadline, by this host's clock.
         :returns: the batch as :class:`Changes`; ``None`` if none arrived
@@ -136,7 +137,7 @@
                 return None
 
     def _pop_batch(self, position):
-        """Return the next batch; discard those that end before an offset."""
+        """Return the next batch; discard those that end before a position."""
         while self._received:
             batch = self._received.popleft()
             if batch.next >= position:
@@ -145,7 +146,7 @@
 
 
 def trim_batch(batch, position):
-    """Return a batch without the records before an offset."""
+    """Return a batch without the records before a position."""
     if batch.start >= position:
         return batch
     records = batch.records[position - batch.start :]
--- a/pearrun/shared/reports.py
+++ b/pearrun/shared/reports.py
@@ -27,7 +27,7 @@
     """Notice that a host holds the lease for the cluster-wide duties.
 
     :param fencing: fencing token of the lease.
-    :param log_end: end offset of the lease log after its last record.
+    :param log_end: position after the last record of the lease log.
     :param age_ms: time since the holder created the notice.
     :param rollouts: its decisions on roll-outs.
     """
@@ -104,8 +104,8 @@
 class TopicFeed:
     """Changes of a topic, as read from the store.
 
-    :param start: offset of the first record.
-    :param next: offset after the last record.
+    :param start: :data:`Position` of the first record.
+    :param next: position after the last record.
     :param records: pairs of a key and its entry, ``None`` for a deleted
         key.
     :param age_ms: how long ago the read was sent to the store.
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -282,6 +282,24 @@
     asyncio.run(main())
 
 
+def test_host_that_is_lost_in_a_drill_with_its_entry_is_removed():
+    async def main():
+        async with run_restorable_site() as site:
+            copy = site.store.take_copy()
+            await site.add_host(3)
+            await wait_until(lambda: have_hosts_registered(site))
+            lost = site.hosts.pop('host-3')
+            hosts = [daemon.host for daemon in site.hosts.values()]
+            await wait_until(lambda: all(h.count_hosts() == 3 for h in hosts))
+            await lost.end()
+            await play_drill(site, copy)
+            await wait_until(
+                lambda: all(host.count_hosts() == 2 for host in hosts), 12
+            )
+
+    asyncio.run(main())
+
+
 async def play_completed_rollout(site):
     """Roll out a version that no call asks for, which completes it."""
     await wait_until(lambda: find_holders(site))
@@ -402,6 +420,28 @@
     asyncio.run(main())
 
 
+def test_origins_of_streams_are_saved_again_by_the_next_holder():
+    # The next holder had dropped them as saved by the one before.
+    async def main():
+        async with run_restorable_site(STREAMS) as site:
+            await wait_until(lambda: find_holders(site), 8)
+            (holder,) = find_holders(site)
+            copy = site.store.take_copy()
+            origin = StreamOrigin(
+                's1', 'model', 'v1', 'anna', CLOCK.now() + 60_000
+            )
+            for daemon in site.hosts.values():
+                daemon.host.origins.publish(origin)
+            await wait_until(lambda: is_saved(site, b's1'))
+            del site.hosts[holder.settings.name]
+            await holder.end()
+            await play_drill(site, copy)
+            assert not is_saved(site, b's1')
+            await wait_until(lambda: is_saved(site, b's1'), 12)
+
+    asyncio.run(main())
+
+
 def is_saved(site, text):
     """Return whether a record of saved origins contains some bytes."""
     records = site.store.get_topic('streams').records
