Operator's log and era tracking in modules of their own

Behaviour is unchanged but for two cases: the log line of an era names no path, and the lease holder does not remove the restored entry of a host that has started again, which replaces it itself.

--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -23,11 +23,11 @@
 from pearrun.platform.decoding import decode_configuration
 from pearrun.platform.dutyclient import DutyClient
 from pearrun.platform.endpointlist import EndpointFollower
-from pearrun.platform.followers import ConfigFollower
 from pearrun.platform.frontend import Frontend
 from pearrun.platform.frontend import ReadinessHandler
 from pearrun.platform.leaselog import LeaseLog
 from pearrun.platform.membership import MemberFollower
+from pearrun.platform.operatorlog import ConfigFollower
 from pearrun.platform.quarantinelog import QuarantineFollower
 from pearrun.platform.rolloutlog import RolloutLog
 from pearrun.platform.store import StoreClient
--- a/pearrun/platform/followers.py
+++ b/pearrun/platform/followers.py
@@ -9,20 +9,13 @@
 from pearrun import positions
 from pearrun.backoff import Backoff
 from pearrun.clock import to_seconds
-from pearrun.platform import decoding
-from pearrun.platform import rolloutlog
 from pearrun.platform.store import KeyedRecord
 from pearrun.shared.feed import Changes
 
-CONFIG_TOPIC = 'op'
-CONFIG_KEY = 'config'
 # Long-poll wait of a read, and so the interval of calls while nothing changes.
 # If a read hangs on a dead connection or misses a record, the other hosts
 # compensate: they forward a newer configuration within 1.5 s.
 LONG_POLL_MS = 25_000
-# Long-poll wait while there is only one host, as a fraction of the time within
-# which a configuration must be in force.
-SINGLE_HOST_POLL_FRACTION = 0.4
 # How often a host checks whether another host still reads on its behalf.
 FEED_POLL_MS = 2000
 RETRY_BASE_MS = 50
@@ -30,8 +23,6 @@
 # How long after a restore of the store records may be missing that are written
 # again: endpoints' entries are back within about two seconds.
 REWRITE_GRACE_MS = 2000
-# How long after a restore an order that is written again is not a new one.
-REPEATED_ORDER_MS = 5000
 
 
 class Follower:
@@ -242,139 +233,3 @@
     def get_read_pause_ms(self):
         """Return the pause between this host's own reads, in ms."""
         raise NotImplementedError
-
-
-class ConfigFollower(Follower):
-    """Follows the operator's configuration and orders, and applies them.
-
-    :param rollout_log: the :class:`RolloutLog`; read if an order may have
-        been carried out before this host started.
-    """
-
-    def __init__(self, host, store, rollout_log):
-        super().__init__(host, store, CONFIG_TOPIC)
-        self.rollout_log = rollout_log
-        self.statuses_due = False
-        self.stored_version = 0
-        self.single_host_poll_ms = int(
-            host.settings.config_ms * SINGLE_HOST_POLL_FRACTION
-        )
-
-    async def _read_once(self):
-        alone = self.host.count_hosts() <= 1
-        self.wait_ms = self.single_host_poll_ms if alone else LONG_POLL_MS
-        if self.statuses_due:
-            for status in (await self.rollout_log.read()).values():
-                self.host.rollouts.put_status(status)
-            self.statuses_due = False
-        await super()._read_once()
-
-    def _mark_reachable(self):
-        super()._mark_reachable()
-        self.host.config.is_polling_store = self._has_newest_version()
-
-    def _mark_unreachable(self, exc):
-        super()._mark_unreachable(exc)
-        self.host.config.is_polling_store = False
-
-    def apply_snapshot(self, records, read_start_ms):
-        """See :class:`Follower`."""
-        self.stored_version = 0
-        orders = []
-        for record in records:
-            if record.key.startswith(rolloutlog.KEY_PREFIX):
-                orders.append(record)
-            else:
-                self._handle_put(record)
-        self._confirm(records, read_start_ms)
-        for record in orders:
-            self._apply_order(record, self._is_outdated)
-        self.statuses_due = bool(self.host.rollouts.list_open())
-
-    def apply_changes(self, records, read_start_ms):
-        """See :class:`Follower`."""
-        super().apply_changes(records, read_start_ms)
-        self._confirm(records, read_start_ms)
-
-    def _handle_put(self, record):
-        if record.key == CONFIG_KEY:
-            config = self.decode_or_skip(
-                decoding.decode_configuration, record.value
-            )
-            if config is not None:
-                self.stored_version = max(self.stored_version, config.version)
-                self.host.config.offer(config, 'store')
-        elif record.key.startswith(rolloutlog.KEY_PREFIX):
-            self._apply_order(record, self._is_repeated)
-
-    def _handle_removal(self, key):
-        """The operator's records are only replaced."""
-
-    def _confirm(self, records, read_start_ms):
-        """Record when the version in force was known to be the newest.
-
-        A read without records confirms that none was written until it ended.
-        After a restore, a store that lacks this version may lack a newer one.
-        """
-        newest_ms = read_start_ms if records else self.host.clock.now()
-        if self._has_newest_version():
-            self.host.config.confirm(newest_ms)
-
-    def _has_newest_version(self):
-        """Return whether the store has the version in force or a later one."""
-        return self.stored_version >= self.host.config.version
-
-    def _is_outdated(self, order):
-        """Return whether a restored store lacks an order after this one.
-
-        The operator writes the latest order again.
-        """
-        known = self.host.rollouts.get(order.service).order
-        return (
-            known is not None
-            and positions.get_era(order.number)
-            > positions.get_era(known.number)
-            and order.to != known.to
-            and positions.get_offset(order.number)
-            <= positions.get_offset(known.number)
-        )
-
-    def _is_repeated(self, order):
-        """Return whether the operator writes an order again after a restore.
-
-        The copy had it, too.
-        """
-        known = self.host.rollouts.get(order.service).order
-        return (
-            known is not None
-            and known.to == order.to
-            and self.get_rewrite_left_ms(REPEATED_ORDER_MS) > 0
-            and positions.get_era(order.number)
-            == positions.get_era(known.number)
-        )
-
-    def _apply_order(self, record, is_known):
-        """Apply an order to roll out a version.
-
-        :param is_known: returns whether a restore makes a
-            :class:`RolloutOrder` appear again.
-        """
-        order = self.decode_or_skip(
-            rolloutlog.decode_order, record.key, record.offset, record.value
-        )
-        if order is None:
-            return
-        if is_known(order):
-            logger.bind(
-                service=order.service, to=order.to, number=order.number
-            ).info('order of a restored store ignored')
-            return
-        config = self.host.config.current
-        if config is not None and order.service not in config.services:
-            exc = exceptions.UnknownServiceError(
-                f'{record.key}: unknown service {order.service}'
-            )
-            logger.bind(topic=self.topic, code=exc.code).error(
-                f'order not carried out: {exc.message}'
-            )
-        self.host.rollouts.put_order(order)
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -98,8 +98,11 @@
         await super()._read_once()
 
     async def _remove_outdated(self):
-        """Remove the entries of hosts that had left before a restore."""
-        for name in sorted(self.outdated):
+        """Remove the entries of hosts that had left before a restore.
+
+        A host that has started again since replaces its entry itself.
+        """
+        for name in sorted(self.outdated - set(self.host.members.members)):
             logger.bind(host=name).info('restored entry of a host removed')
             await self.store.put(MEMBER_TOPIC, name, None)
 
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -13,18 +13,16 @@
 import collections
 import dataclasses
 import json
-import re
 import struct
 import urllib.parse
 
-from loguru import logger
-
 from pearrun import exceptions
 from pearrun import positions
 from pearrun.clock import to_seconds
 from pearrun.http1.pool import Pool
 from pearrun.http1.pool import PoolSettings
 from pearrun.platform import headers as header_names
+from pearrun.platform.storeera import EraTracker
 
 KEYED_PREFIX = 'keyed.'
 # The store is a few ms away and usually responds in 4 ms.
@@ -44,14 +42,10 @@
 READ_TIMEOUT_MS = 300
 MAX_TIMEOUT_DOUBLINGS = 2
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# Consecutive responses of an earlier era after which it is the store's current
-# one and the later one was an error: more than can be in flight.
-MAX_OUTDATED_RESPONSES = MAX_CONNECTIONS
 # Length in bytes, which precedes each record.
 RECORD_LENGTH = struct.Struct('>I')
 # End and first offset, which precede the records in the response to a read.
 READ_BOUNDS = struct.Struct('>QQ')
-ERA_FORMAT = re.compile('[0-9]{1,10}')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,15 +94,12 @@
 
     :param settings: :class:`StoreSettings`.
 
-    ``era`` is the latest era of the store's responses; ``None`` before the
-    first one.  A store that names none is in era 0.
+    ``eras`` is the :class:`EraTracker` of its responses.
     """
 
     def __init__(self, settings):
         self.settings = settings
-        self.era = None
-        self._outdated_responses = 0
-        self._invalid_era = None
+        self.eras = EraTracker(MAX_CONNECTIONS)
         self.calls = collections.Counter()
         self.failures = 0
         self.failing = False
@@ -120,9 +111,14 @@
         if settings.address != self.settings.address:
             self.pool.close()
             self.pool = make_pool(settings.address)
-            self.era = None
+            self.eras = EraTracker(MAX_CONNECTIONS)
         self.settings = settings
 
+    @property
+    def era(self):
+        """The latest era; ``None`` before the first response."""
+        return self.eras.latest
+
     async def append(
         self, topic, records, at=None, timeout_ms=CALL_TIMEOUT_MS
     ):
@@ -302,7 +298,10 @@
                 f'{path}: {exc or "timed out"}'
             ) from exc
         self._consecutive_failures = 0
-        era = self._note_era(response.head, path)
+        previous = self.era
+        era = self.eras.note(response.head.get(header_names.STORE_ERA))
+        # Long polls of the former era may never return.
+        self.failing |= previous not in (None, self.era)
         if response.head.status < 500 and response.head.status != 429:
             self._abort_hanging_calls()
         if era < self.era:
@@ -315,39 +314,6 @@
             )
         return StoreResponse(era, response.head.status, response.body)
 
-    def _note_era(self, head, path):
-        """Record the era that a response names.
-
-        :returns: the era; the latest one if the response names none.
-        """
-        latest = self.era or 0
-        value = head.get(header_names.STORE_ERA)
-        era = latest if value is None else parse_era(value)
-        if era is None:
-            self._log_invalid_era(value)
-            era = latest
-        is_outdated = era < latest
-        self._outdated_responses = (
-            self._outdated_responses + 1 if is_outdated else 0
-        )
-        if era == self.era:
-            return era
-        logger.bind(path=path, era=era, previous=self.era).warning(
-            'store era changed'
-        )
-        if is_outdated and self._outdated_responses <= MAX_OUTDATED_RESPONSES:
-            return era
-        # Long polls of the former era may never return.
-        self.failing |= self.era is not None
-        self.era = era
-        return era
-
-    def _log_invalid_era(self, value):
-        """Log an invalid era, once for each value."""
-        if value != self._invalid_era:
-            self._invalid_era = value
-            logger.bind(value=value[:40]).error('invalid store era ignored')
-
     def _abort_hanging_calls(self):
         """After an outage, abort all calls in flight: they may hang."""
         if not self.failing:
@@ -376,16 +342,6 @@
         )
 
 
-def parse_era(value):
-    """Parse the era in a response's header.
-
-    :returns: the era; ``None`` if the value is invalid.
-    """
-    if not ERA_FORMAT.fullmatch(value) or int(value) > positions.MAX_ERA:
-        return None
-    return int(value)
-
-
 def parse_json(body):
     """Parse a JSON body; an empty one yields an empty dictionary."""
     try:
--- a/tests/test_restored_lease.py
+++ b/tests/test_restored_lease.py
@@ -19,7 +19,7 @@
 from pearrun.decisions.lease import RecordKind
 from pearrun.duties import duties as duties_module
 from pearrun.platform import leaselog
-from pearrun.platform.store import MAX_OUTDATED_RESPONSES
+from pearrun.platform.store import MAX_CONNECTIONS
 from pearrun.platform.usagelog import UsageLog
 from pearrun.positions import get_era
 from pearrun.positions import get_offset
@@ -309,7 +309,7 @@
         store.era = 999
         await client.read('t', None)
         store.era = 3
-        for _ in range(MAX_OUTDATED_RESPONSES):
+        for _ in range(MAX_CONNECTIONS):
             with pytest.raises(exceptions.StoreUnavailableError):
                 await client.read('t', None)
         assert (await client.read('t', None)).next == make_position(3, 0)
