--- a/pearrun/decisions/lease.py
+++ b/pearrun/decisions/lease.py
@@ -126,8 +126,8 @@
     def note_restored(self):
         """Record that the store has come back from a copy.
 
-        The log has to be read from its beginning.  What this host knows of
-        committed windows remains true.
+        The log has to be read from its beginning.  Windows that were committed
+        before remain committed.
         """
         self.end = None
         self.holder = None
--- a/pearrun/platform/followers.py
+++ b/pearrun/platform/followers.py
@@ -105,7 +105,7 @@
         """Return how long records lost with a restore may still be missing.
 
         :param grace_ms: how long after the restore.
-        :returns: milliseconds; 0 if there was no restore lately.
+        :returns: milliseconds; 0 if there was no recent restore.
         """
         if self.restored_at_ms is None:
             return 0
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -69,6 +69,14 @@
     }
 
 
+async def check_throughout(condition, duration_s):
+    """Check that a condition holds for some time."""
+    until_ms = CLOCK.now() + duration_s * 1000
+    while CLOCK.now() < until_ms:
+        assert condition()
+        await asyncio.sleep(0.02)
+
+
 async def play_drill(site, copy, write_again=True):
     """Let the store be away for a moment and come back from a copy.
 
@@ -162,10 +170,7 @@
             await wait_until(lambda: have_endpoints(site, 1))
             del site.runners['p1']
             await play_drill(site, copy)
-            until_ms = CLOCK.now() + 1500
-            while CLOCK.now() < until_ms:
-                assert have_endpoints(site, 1)
-                await asyncio.sleep(0.02)
+            await check_throughout(lambda: have_endpoints(site, 1), 1.5)
             runner.end()
 
     asyncio.run(main())
@@ -179,10 +184,7 @@
             site.store.put('servers', 'p1', None)
             await wait_until(lambda: have_endpoints(site, 1))
             await play_drill(site, copy)
-            until_ms = CLOCK.now() + 1500
-            while CLOCK.now() < until_ms:
-                assert have_endpoints(site, 1)
-                await asyncio.sleep(0.02)
+            await check_throughout(lambda: have_endpoints(site, 1), 1.5)
             # It is listed again once it writes itself.
             site.runners['p1'] = runner
             await wait_until(lambda: have_endpoints(site, 2), REREAD_S)
@@ -198,10 +200,7 @@
             await wait_until(lambda: have_endpoints(site, 3))
             del site.runners['p3']
             await play_drill(site, copy)
-            until_ms = CLOCK.now() + 800
-            while CLOCK.now() < until_ms:
-                assert have_endpoints(site, 3)
-                await asyncio.sleep(0.02)
+            await check_throughout(lambda: have_endpoints(site, 3), 0.8)
             site.runners['p3'] = runner
             site.publish_runner(runner)
             await asyncio.sleep(REREAD_S)
@@ -268,10 +267,9 @@
             hosts = [daemon.host for daemon in site.hosts.values()]
             await wait_until(lambda: all(h.count_hosts() == 2 for h in hosts))
             await play_drill(site, copy)
-            until_ms = CLOCK.now() + 1500
-            while CLOCK.now() < until_ms:
-                assert all(host.count_hosts() == 2 for host in hosts)
-                await asyncio.sleep(0.02)
+            await check_throughout(
+                lambda: all(host.count_hosts() == 2 for host in hosts), 1.5
+            )
             await wait_until(
                 lambda: (
                     'host-3' not in site.store.get_topic('keyed.hosts').newest
@@ -282,6 +280,27 @@
     asyncio.run(main())
 
 
+def test_host_cut_off_from_the_store_over_a_restore_catches_up():
+    async def main():
+        async with run_restorable_site() as site:
+            copy = site.store.take_copy()
+            cut_off = site.hosts['host-2']
+            ip = cut_off.settings.ip
+            site.store.faults.refused_hosts = frozenset([ip])
+            await play_drill(site, copy)
+            site.configure(make_config(2))
+            await site.add_runner('p3', 'plain')
+            hosts = [daemon.host for daemon in site.hosts.values()]
+            # The configuration comes from the other host.
+            await wait_until(lambda: all(h.config.version == 2 for h in hosts))
+            await check_throughout(lambda: len(list_live(cut_off)) >= 2, 1.5)
+            site.store.faults.refused_hosts = frozenset()
+            await wait_until(lambda: have_endpoints(site, 3), REREAD_S)
+            await wait_until(lambda: have_hosts_registered(site), REREAD_S)
+
+    asyncio.run(main())
+
+
 def test_host_that_is_lost_in_a_drill_with_its_entry_is_removed():
     async def main():
         async with run_restorable_site() as site:
@@ -343,10 +362,10 @@
             copy = site.store.take_copy()
             await play_completed_rollout(site)
             await play_drill(site, copy)
-            until_ms = CLOCK.now() + 5000
-            while CLOCK.now() < until_ms:
-                assert not any(known.is_open for known in list_orders(site))
-                await asyncio.sleep(0.02)
+            await check_throughout(
+                lambda: not any(known.is_open for known in list_orders(site)),
+                5.0,
+            )
             # The next order is a new one.
             site.order_rollout('plain', 'v3', 3)
             for name in ('o1', 'o2'):
