--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -18,6 +18,7 @@
 from tests.platformsite import wait_until
 from tests.test_crashing_requests import is_quarantine_stored
 from tests.test_platform_duties import find_holders
+from tests.test_takeover import cut_from_store
 
 PLAIN = [('p1', 'plain'), ('p2', 'plain')]
 STREAMS = [('m1', 'model')]
@@ -285,8 +286,8 @@
         async with run_restorable_site() as site:
             copy = site.store.take_copy()
             cut_off = site.hosts['host-2']
-            ip = cut_off.settings.ip
-            site.store.faults.refused_hosts = frozenset([ip])
+            address = cut_off.store.pool.address
+            cut_from_store(cut_off)
             await play_drill(site, copy)
             site.configure(make_config(2))
             await site.add_runner('p3', 'plain')
@@ -294,7 +295,8 @@
             # The configuration comes from the other host.
             await wait_until(lambda: all(h.config.version == 2 for h in hosts))
             await check_throughout(lambda: len(list_live(cut_off)) >= 2, 1.5)
-            site.store.faults.refused_hosts = frozenset()
+            assert cut_off.store.era == 1
+            cut_off.store.pool.address = address
             await wait_until(lambda: have_endpoints(site, 3), REREAD_S)
             await wait_until(lambda: have_hosts_registered(site), REREAD_S)
 
