--- a/pearrun/duties/duties.py
+++ b/pearrun/duties/duties.py
@@ -133,7 +133,9 @@
         if notice is not None:
             self.view.note_announced_end(notice.log_end, self.clock.boot())
         now = self.clock.now()
-        if now < self._monitor_from_ms():
+        # No other host can claim yet: its own notices may come back from hubs.
+        is_sole = self.view.is_sole(self.clock.boot())
+        if now < self._monitor_from_ms() and not is_sole:
             self.view.unchanged_since_ms = None
             return
         if not self._is_read_due(now):
@@ -181,7 +183,6 @@
     def _is_read_due(self, now):
         """Return whether to read the log: initially, and before a claim."""
         if self.view.is_sole(self.clock.boot()):
-            # No other host can claim yet.
             return True
         if (
             self.last_read_ms is not None
--- a/tests/test_restored_lease.py
+++ b/tests/test_restored_lease.py
@@ -198,6 +198,19 @@
     assert site.hosts['a'].duties.holds()
 
 
+def test_former_holder_does_not_wait_for_its_own_notices():
+    # Hubs sent them back, so that it began to watch the log 2.7 s later.
+    site = make_site('a', 'b')
+    holder = site.hosts['a']
+    holder.host.feed.through_hubs = True
+    copy = site.store.take_copy()
+    site.advance(lease.RENEW_INTERVAL_MS + 250, 'a')
+    holder.announce_to(holder)
+    site.store.restore(copy)
+    site.advance(1500, 'a')
+    assert holder.duties.holds()
+
+
 def test_successor_without_records_of_the_former_era_closes_its_windows():
     # It took the start of its own process for the time of the loss.
     site = DrillSite(('a', 'b'))
