--- a/pearrun/exceptions.py
+++ b/pearrun/exceptions.py
@@ -430,6 +430,7 @@
     StoreError,
     StoreUnavailableError,
     StoreConflictError,
+    StoreRestoredError,
     DutyCallError,
     LeaseEndedError,
     WireFormatError,
