Review, cases 1 and 2: a service that is refused for good; stale configuration

Cause of case 1: a learnt wait above 0.7 of the objective refuses all new streams, and only answers of admitted calls could correct it. Change: script, stand-in of a model runner; the stale configuration is case 2 now.

--- a/review/common/site.py
+++ b/review/common/site.py
@@ -140,9 +140,14 @@
         await self.api.server.listen(self.api_address)
         self.beats = asyncio.ensure_future(self._beat())
 
-    async def add_runner(self, runner_id, service, zone, **options):
-        address = f'127.0.0.1:{find_ports(1)[0]}'
-        runner = Runner(runner_id, service, zone, address, **options)
+    async def add_runner(
+        self, runner_id, service, zone, kind=Runner, address=None, **options
+    ):
+        """Start a runner and write its entry."""
+        address = address or f'127.0.0.1:{find_ports(1)[0]}'
+        runner = kind(runner_id, service, zone, address)
+        for name, value in options.items():
+            setattr(runner, name, value)
         await runner.server.listen(address)
         self.runners[runner_id] = runner
         self.store.put('servers', runner_id, runner.make_entry())
