--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -18,7 +18,8 @@
     """A model runner.
 
     ``factor`` is how many times as long as usual it takes; ``runs`` has the
-    time and the attempt id of each request that began to run.
+    time and the attempt id of each request that began to run, ``waiting`` the
+    attempt ids of those without an event yet.
     """
 
     def __init__(self, runner_id, service, zone, address):
@@ -30,6 +31,7 @@
         self.factor = 1.0
         self.state = 'ready'
         self.runs = []
+        self.waiting = set()
         self.server = Server(self._handle)
 
     def make_entry(self):
@@ -44,6 +46,11 @@
             'call_seq': 0,
         }
 
+    def crash(self):
+        """End at once: nothing listens any more, connections are reset."""
+        self.state = 'gone'
+        self.server.close()
+
     async def _handle(self, request, writer, peer):
         attempt = request.get('pearrun-attempt-id', '')
         if request.get('pearrun-expect-runner') not in (None, self.id):
@@ -56,7 +63,11 @@
             return True
         tokens = int(request.get('pearrun-token-count', '0').split(',')[0])
         first_ms = FIXED_MS + tokens / TOKENS_PER_MS
-        await asyncio.sleep(first_ms * self.factor / 1000)
+        self.waiting.add(attempt)
+        try:
+            await asyncio.sleep(first_ms * self.factor / 1000)
+        finally:
+            self.waiting.discard(attempt)
         self.runs.append((time.monotonic(), attempt))
         await self._stream(request, writer, attempt)
         return True
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -124,7 +124,7 @@
         self.store_address = f'127.0.0.1:{store}'
         self.api_address = f'127.0.0.1:{api}'
         self.began = time.monotonic()
-        self.beats = None
+        self.beats = set()
 
     def now(self):
         """Return the seconds since the start."""
@@ -138,7 +138,6 @@
     async def start(self):
         await self.store.server.listen(self.store_address)
         await self.api.server.listen(self.api_address)
-        self.beats = asyncio.ensure_future(self._beat())
 
     async def add_runner(
         self, runner_id, service, zone, kind=Runner, address=None, **options
@@ -151,14 +150,15 @@
         await runner.server.listen(address)
         self.runners[runner_id] = runner
         self.store.put('servers', runner_id, runner.make_entry())
+        self.beats.add(asyncio.ensure_future(self._beat(runner)))
         return runner
 
-    async def _beat(self):
-        while True:
+    async def _beat(self, runner):
+        """Write a runner's entry again and again, until it has ended."""
+        await asyncio.sleep(random.random() * BEAT_S)
+        while runner.state != 'gone':
+            self.store.put('servers', runner.id, runner.make_entry())
             await asyncio.sleep(BEAT_S)
-            for runner in list(self.runners.values()):
-                if runner.state != 'gone':
-                    self.store.put('servers', runner.id, runner.make_entry())
 
     def add_host(self, number, zone):
         name = f'front-{number}'
@@ -214,8 +214,8 @@
                     await asyncio.sleep(0.1)
 
     async def stop(self):
-        if self.beats is not None:
-            self.beats.cancel()
+        for beat in self.beats:
+            beat.cancel()
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
