--- a/review/common/site.py
+++ b/review/common/site.py
@@ -325,10 +325,12 @@
     :param folder: the case's folder.
     """
     code = 2
+    # The block that runs a site ends its processes then, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with open(folder / 'record.txt', 'w') as record:
         try:
             code = asyncio.run(main(record))
-        except Exception:
+        except (Exception, KeyboardInterrupt):
             traceback.print_exc()
             record.write(traceback.format_exc())
     print(f'case {folder.name}: exit {code}')
