Review: scripts check their addresses and record a host that does not start

Cause: one run of case 2 (TROUBLE=0) of a clean clone, beside two CIs, ended with 2 as a host was not ready; not traced, not seen again in 250 starts.

--- a/review/common/site.py
+++ b/review/common/site.py
@@ -23,6 +23,9 @@
 COMMAND = 'python3 -S deploy/run_host.py'.split()
 PASSED_VARIABLES = ('PATH', 'HOME', 'LANG')
 BEAT_S = 1.2
+# On each host's own address.
+METRICS_PORT = 9464
+MAX_HOSTS = 9
 HOST = 'desk.example'
 CONTRACTS = (
     'base drain config cost retry recover engine stream tenants quota leader '
@@ -107,6 +110,34 @@
     return ports
 
 
+def find_subnet(ports):
+    """Return N so that the ports are free on the hosts' addresses 127.N.*.1.
+
+    :raises OSError: none was found.
+    """
+    for _ in range(100):
+        subnet = random.randrange(2, 250)
+        addresses = [
+            (f'127.{subnet}.{number}.1', port)
+            for number in range(1, MAX_HOSTS + 1)
+            for port in ports
+        ]
+        if all(map(is_free, addresses)):
+            return subnet
+    raise OSError('no free addresses')
+
+
+def is_free(address):
+    """Return whether a server can listen on an address."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(address)
+        except OSError:
+            return False
+    return True
+
+
 class Site:
     """Stand-ins and entry hosts.
 
@@ -124,9 +155,9 @@
         self.addresses = {}
         self.ready_addresses = {}
         self.directory = None
-        self.subnet = random.randrange(2, 250)
         front, ready, peer, store, api = find_ports(5)
         self.ports = {'front': front, 'ready': ready, 'peer': peer}
+        self.subnet = find_subnet((front, ready, peer, METRICS_PORT))
         self.store_address = f'127.0.0.1:{store}'
         self.api_address = f'127.0.0.1:{api}'
         self.began = time.monotonic()
@@ -217,10 +248,15 @@
         return response is not None and response.status == 200
 
     async def wait_ready(self, timeout_s=20.0):
-        for name in self.processes:
+        try:
             async with asyncio.timeout(timeout_s):
-                while not await self.is_ready(name):
-                    await asyncio.sleep(0.1)
+                for name in self.processes:
+                    while not await self.is_ready(name):
+                        await asyncio.sleep(0.1)
+        except TimeoutError:
+            log = pathlib.Path(self.directory) / f'{name}.log'
+            self.note(f'{name} is not ready: {log.read_text()[-1500:]}')
+            raise
 
     async def stop(self):
         for beat in self.beats:
