Store: age of the last answered read of each topic

The logs could not tell a read that hangs from one that returns without the record: calls are counted when sent, and config_age_ms was 9 to 32 ms on hosts that had not read the topic for 19 s. host state and the metrics now have the time since a read of each topic last returned. No change of logic.

--- a/pearrun/platform/daemon.py
+++ b/pearrun/platform/daemon.py
@@ -285,7 +285,9 @@
     async def serve_metrics(self, request, caller):
         """Respond with this host's metrics in the Prometheus text format."""
         text = self.host.counters.render(
-            self.collect_gauges(), self.store.calls
+            self.collect_gauges(),
+            self.store.calls,
+            self.store.get_read_ages(),
         )
         headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
         await caller.reply(200, headers, text.encode())
--- a/pearrun/platform/statelog.py
+++ b/pearrun/platform/statelog.py
@@ -23,6 +23,7 @@
             endpoints=len(daemon.host.fleet.endpoints),
             store_calls=format_calls(daemon.store.calls),
             store_failures=daemon.store.failures,
+            store_read_ages=daemon.store.get_read_ages(),
         ).info('host state')
 
 
--- a/pearrun/platform/store.py
+++ b/pearrun/platform/store.py
@@ -18,6 +18,7 @@
 
 from pearrun import exceptions
 from pearrun import positions
+from pearrun.clock import Clock
 from pearrun.clock import to_seconds
 from pearrun.http1.pool import Pool
 from pearrun.http1.pool import PoolSettings
@@ -99,8 +100,10 @@
 
     def __init__(self, settings):
         self.settings = settings
+        self.clock = Clock()
         self.eras = EraTracker(MAX_CONNECTIONS)
         self.calls = collections.Counter()
+        self._read_ms = {}
         self.failures = 0
         self.failing = False
         self._consecutive_failures = 0
@@ -119,6 +122,13 @@
         """The latest era; ``None`` before the first response."""
         return self.eras.latest
 
+    def get_read_ages(self):
+        """Return the time since a read of each topic last returned."""
+        return {
+            topic: self.clock.since(read_ms)
+            for topic, read_ms in self._read_ms.items()
+        }
+
     async def append(
         self, topic, records, at=None, timeout_ms=CALL_TIMEOUT_MS
     ):
@@ -312,6 +322,8 @@
             raise exceptions.StoreRestoredError(
                 f'{query["topic"]}: store restored, era {era}'
             )
+        if method == 'GET':
+            self._read_ms[query['topic']] = self.clock.now()
         return StoreResponse(era, response.head.status, response.body)
 
     def _abort_hanging_calls(self):
--- a/pearrun/shared/counters.py
+++ b/pearrun/shared/counters.py
@@ -64,11 +64,13 @@
         key = (by, outcome)
         self.resumptions[key] = self.resumptions.get(key, 0) + 1
 
-    def render(self, gauges, store_calls=()):
+    def render(self, gauges, store_calls=(), store_read_ages=()):
         """Return all metrics as text, one per line.
 
         :param gauges: additional values by name.
         :param store_calls: number of store calls by method and topic.
+        :param store_read_ages: milliseconds since a read of each topic last
+            returned.
         """
         lines = [f'pearrun_{name} {value}' for name, value in gauges.items()]
         lines.append(f'pearrun_sends_total {self.sends}')
@@ -81,6 +83,11 @@
             labels = f'call="{call}",topic="{topic}"'
             count = store_calls[call, topic]
             lines.append(f'pearrun_store_calls{{{labels}}} {count}')
+        for topic in sorted(store_read_ages):
+            age_ms = store_read_ages[topic]
+            lines.append(
+                f'pearrun_store_read_age_ms{{topic="{topic}"}} {age_ms}'
+            )
         for (by, outcome), count in sorted(self.resumptions.items()):
             labels = f'by="{by}",outcome="{outcome}"'
             lines.append(
