Followers: long polls are checked by reads that return at once

Cause: each host follows the configuration with one long poll of 25 s. If one topic of the store is silent for a moment, the polls of all hosts are lost at once; other calls go on, so no call fails and nothing aborts the polls. An open poll was even taken as proof that no newer version existed.

Change: a topic is known to be unchanged only up to when the last read that has returned was sent. Followers check a poll with a read that returns at once when that is too long ago; for the configuration all hosts share that time in their reports, and a report of a newer version lets a host read at once.

--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -98,7 +98,6 @@
     def _record_list_read(self, read_start_ms):
         fleet = self.host.fleet
         fleet.listed_ms = max(fleet.listed_ms or 0, read_start_ms)
-        self.host.config.confirm_while_polling(self.host.clock.now())
 
     def _handle_put(self, record):
         self.host.fleet.unlisted.pop(record.key, None)
--- a/pearrun/platform/followers.py
+++ b/pearrun/platform/followers.py
@@ -1,6 +1,7 @@
 """Followers of store topics, such as the operator's configuration."""
 
 import asyncio
+import dataclasses
 import enum
 
 from loguru import logger
@@ -9,13 +10,15 @@
 from pearrun import positions
 from pearrun.backoff import Backoff
 from pearrun.clock import to_seconds
+from pearrun.decisions.pollcheck import CheckTimer
 from pearrun.platform.store import KeyedRecord
 from pearrun.shared.feed import Changes
 
-# Long-poll wait of a read, and so the interval of calls while nothing changes.
-# If a read hangs on a dead connection or misses a record, the other hosts
-# compensate: they forward a newer configuration within 1.5 s.
+# Long-poll wait of a read.
 LONG_POLL_MS = 25_000
+# Time within which a change of a topic must reach the hosts that follow it, if
+# no setting says so.
+BOUND_MS = 5000
 # How often a host checks whether another host still reads on its behalf.
 FEED_POLL_MS = 2000
 RETRY_BASE_MS = 50
@@ -25,17 +28,46 @@
 REWRITE_GRACE_MS = 2000
 
 
+@dataclasses.dataclass(frozen=True)
+class ChangesRead:
+    """Changes of a topic that a read returned.
+
+    :param start: position of the first record.
+    :param next: position to read from next.
+    :param records: :class:`KeyedRecord` objects.
+    :param sent_ms: when the read was sent, in monotonic time.  The changes
+        are known to be complete up to then only.
+    """
+
+    start: int
+    next: int
+    records: list[KeyedRecord]
+    sent_ms: int
+
+
 class Follower:
     """Follows one keyed topic of the store.
 
+    A long poll may never return although the store answers other calls, so
+    reads that return at once check it meanwhile.
+
     :param host: the :class:`HostContext`.
     :param store: the :class:`StoreClient`.
     :param topic: the topic's name.
     :param wait_ms: long-poll wait of a read.
     :param pause_ms: pause between reads.
+    :param bound_ms: milliseconds within which a change must be read.
     """
 
-    def __init__(self, host, store, topic, wait_ms=LONG_POLL_MS, pause_ms=0):
+    def __init__(
+        self,
+        host,
+        store,
+        topic,
+        wait_ms=LONG_POLL_MS,
+        pause_ms=0,
+        bound_ms=BOUND_MS,
+    ):
         self.wait_ms = wait_ms
         self.host = host
         self.store = store
@@ -46,6 +78,9 @@
         self.recovered_at_ms = None
         self.era = None
         self.restored_at_ms = None
+        self.check_timer = CheckTimer(bound_ms)
+        self.check_requested = asyncio.Event()
+        self.read_ms = 0
 
     async def run(self):
         """Follow the topic for the lifetime of the process."""
@@ -72,12 +107,14 @@
         """Read a snapshot the first time, and the changes since then later."""
         if self.position is None:
             await self._read_newest()
-            return
-        await self._read_changes(self.wait_ms)
+        elif self._get_check_left_ms():
+            await self._poll()
+        else:
+            await self._check()
 
     async def _read_newest(self):
         """Read a snapshot: the newest record of every key."""
-        read_start_ms = self.host.clock.now()
+        sent_ms = self.host.clock.now()
         records, self.position = await self.store.read_newest(self.topic)
         era = positions.get_era(self.position)
         if self.era not in (None, era):
@@ -86,20 +123,90 @@
                 topic=self.topic, era=era, records=len(records)
             ).warning('restored topic read')
         self.era = era
-        self.apply_snapshot(records, read_start_ms)
+        self.read_ms = sent_ms
+        self.apply_snapshot(records, sent_ms)
 
-    async def _read_changes(self, wait_ms):
+    async def _poll(self):
+        """Read changes with a long poll, and check it until it returns."""
+        sent_ms = self.host.clock.now()
+        poll = asyncio.create_task(self._fetch_changes(self.wait_ms))
+        try:
+            while not poll.done():
+                await self._wait_for_check(poll)
+                if not poll.done() and await self._check():
+                    poll_ms = self.host.clock.since(sent_ms)
+                    logger.bind(topic=self.topic, poll_ms=poll_ms).warning(
+                        'long poll missed changes'
+                    )
+                    return
+            self._apply_read(poll.result())
+        finally:
+            poll.cancel()
+            await asyncio.gather(poll, return_exceptions=True)
+
+    async def _wait_for_check(self, poll):
+        """Wait until a check is due or requested, or a poll has returned."""
+        request = asyncio.create_task(self.check_requested.wait())
+        try:
+            while left_ms := self._get_check_left_ms():
+                done, _ = await asyncio.wait(
+                    {poll, request},
+                    timeout=to_seconds(left_ms),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    return
+        finally:
+            request.cancel()
+
+    async def _check(self):
+        """Read changes with a read that returns at once.
+
+        :returns: whether there were any.
+        """
+        self.check_timer.note_sent(self.host.clock.now())
+        self.check_requested.clear()
+        read = await self._fetch_changes(wait_ms=0)
+        self._apply_read(read)
+        return bool(read.records)
+
+    def request_check(self):
+        """Let a check be made now: another host knows a newer record."""
+        if self.check_timer.allows_extra(self.host.clock.now()):
+            self.check_requested.set()
+
+    def _get_check_left_ms(self):
+        """Return the time until the next check is due, in milliseconds."""
+        return self.check_timer.get_left_ms(
+            self.host.clock.now(), self._get_known_ms(), self._is_reader()
+        )
+
+    def _get_known_ms(self):
+        """Return when the last read that has returned was sent."""
+        return self.read_ms
+
+    def _is_reader(self):
+        """Return whether this host reads for its failure domain."""
+        return True
+
+    async def _fetch_changes(self, wait_ms):
         """Read the records written since the last read.
 
         :param wait_ms: how long to wait while there are none.
-        :returns: the records.
+        :returns: a :class:`ChangesRead`.
         """
-        read_start_ms = self.host.clock.now()
-        records, self.position = await self.store.read_changes(
-            self.topic, self.position, wait_ms
+        start = self.position
+        sent_ms = self.host.clock.now()
+        records, end = await self.store.read_changes(
+            self.topic, start, wait_ms
         )
-        self.apply_changes(records, read_start_ms)
-        return records
+        return ChangesRead(start, end, records, sent_ms)
+
+    def _apply_read(self, read):
+        """Apply a :class:`ChangesRead` of the current position."""
+        self.position = read.next
+        self.read_ms = max(self.read_ms, read.sent_ms)
+        self.apply_changes(read.records, read.sent_ms)
 
     def get_rewrite_left_ms(self, grace_ms=REWRITE_GRACE_MS):
         """Return how long records lost with a restore may still be missing.
@@ -204,15 +311,13 @@
         elif self.feed.has_gap or self.host.clock.now() >= deadline_ms:
             # The read does not wait: a long poll may miss a record that is
             # written while the poll begins.
-            await self._read_changes(wait_ms=0)
+            await self._check()
 
-    async def _read_changes(self, wait_ms):
-        """Read the store; forward the changes to the zone's other hosts."""
-        start = self.position
-        read_start_ms = self.host.clock.now()
-        records = await super()._read_changes(wait_ms)
-        pairs = tuple((record.key, record.value) for record in records)
-        changes = Changes(start, self.position, pairs, read_start_ms)
+    def _apply_read(self, read):
+        """Apply changes; forward them to the zone's other hosts."""
+        super()._apply_read(read)
+        pairs = tuple((record.key, record.value) for record in read.records)
+        changes = Changes(read.start, read.next, pairs, read.sent_ms)
         self.feed.publish(changes)
         self.feed.repeat(changes)
 
--- a/pearrun/platform/membership.py
+++ b/pearrun/platform/membership.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from pearrun import exceptions
+from pearrun.platform.followers import BOUND_MS
 from pearrun.platform.followers import LONG_POLL_MS
 from pearrun.platform.followers import SharedFollower
 from pearrun.shared import cbor
@@ -16,9 +17,8 @@
 # and without the pause each entry would cost a read of its own.
 READ_PAUSE_MS = 300
 # While another host reads the list and forwards changes, this host reads the
-# store itself only if the list is older than this.  The other host's reads
-# wait up to LONG_POLL_MS.
-MAX_LIST_AGE_MS = LONG_POLL_MS + 5000
+# store itself only if the list is older than this.
+MAX_LIST_AGE_MS = BOUND_MS
 # Maximum age of the list while no other host forwards changes.  A host that
 # forwards them also forwards the list of endpoints, every second, by which the
 # others know that it is active.
--- a/pearrun/platform/operatorlog.py
+++ b/pearrun/platform/operatorlog.py
@@ -7,13 +7,9 @@
 from pearrun.platform import decoding
 from pearrun.platform import rolloutlog
 from pearrun.platform.followers import Follower
-from pearrun.platform.followers import LONG_POLL_MS
 
 TOPIC = 'op'
 CONFIG_KEY = 'config'
-# Long-poll wait while there is only one host, as a fraction of the time within
-# which a configuration must be in force.
-SINGLE_HOST_POLL_FRACTION = 0.4
 # How long after a restore an order that is written again is not a new one.
 REPEATED_ORDER_MS = 5000
 
@@ -26,30 +22,25 @@
     """
 
     def __init__(self, host, store, rollout_log):
-        super().__init__(host, store, TOPIC)
+        super().__init__(host, store, TOPIC, bound_ms=host.settings.config_ms)
         self.rollout_log = rollout_log
         self.statuses_due = False
         self.stored_version = 0
-        self.single_host_poll_ms = int(
-            host.settings.config_ms * SINGLE_HOST_POLL_FRACTION
-        )
+        host.config.handle_newer_version = self.request_check
 
     async def _read_once(self):
-        alone = self.host.count_hosts() <= 1
-        self.wait_ms = self.single_host_poll_ms if alone else LONG_POLL_MS
         if self.statuses_due:
             for status in (await self.rollout_log.read()).values():
                 self.host.rollouts.put_status(status)
             self.statuses_due = False
         await super()._read_once()
 
-    def _mark_reachable(self):
-        super()._mark_reachable()
-        self.host.config.is_polling_store = self._has_newest_version()
+    def _get_known_ms(self):
+        """Return when the last read was sent, by this host or another one."""
+        return max(self.read_ms, self.host.config.confirmed_ms or 0)
 
-    def _mark_unreachable(self, exc):
-        super()._mark_unreachable(exc)
-        self.host.config.is_polling_store = False
+    def _is_reader(self):
+        return not self.host.feed.has_reader
 
     def apply_snapshot(self, records, read_start_ms):
         """See :class:`Follower`."""
@@ -60,7 +51,7 @@
                 orders.append(record)
             else:
                 self._handle_put(record)
-        self._confirm(records, read_start_ms)
+        self._confirm(read_start_ms)
         for record in orders:
             self._apply_order(record, self._is_outdated)
         self.statuses_due = bool(self.host.rollouts.list_open())
@@ -68,7 +59,7 @@
     def apply_changes(self, records, read_start_ms):
         """See :class:`Follower`."""
         super().apply_changes(records, read_start_ms)
-        self._confirm(records, read_start_ms)
+        self._confirm(read_start_ms)
 
     def _handle_put(self, record):
         if record.key == CONFIG_KEY:
@@ -84,15 +75,13 @@
     def _handle_removal(self, key):
         """The operator's records are only replaced."""
 
-    def _confirm(self, records, read_start_ms):
+    def _confirm(self, read_start_ms):
         """Record when the version in force was known to be the newest.
 
-        A read without records confirms that none was written until it ended.
         After a restore, a store that lacks this version may lack a newer one.
         """
-        newest_ms = read_start_ms if records else self.host.clock.now()
         if self._has_newest_version():
-            self.host.config.confirm(newest_ms)
+            self.host.config.confirm(read_start_ms)
 
     def _has_newest_version(self):
         """Return whether the store has the version in force or a later one."""
--- a/pearrun/shared/activeconfig.py
+++ b/pearrun/shared/activeconfig.py
@@ -8,9 +8,8 @@
 
     ``confirmed_ms`` is the last time at which this version was known to be
     the newest, from the store or from a peer that had read it there.
-    ``is_polling_store`` tells whether this host keeps a long poll for newer
-    versions open at the store.  ``listeners`` are called with each
-    configuration that is adopted.
+    ``listeners`` are called with each configuration that is adopted, and
+    ``handle_newer_version`` when a peer reports a newer version.
     """
 
     def __init__(self, clock):
@@ -18,7 +17,7 @@
         self.current = None
         self.confirmed_ms = None
         self.listeners = []
-        self.is_polling_store = False
+        self.handle_newer_version = lambda: None
 
     @property
     def version(self):
@@ -38,14 +37,10 @@
         """Record that no newer version existed at a given time."""
         self.confirmed_ms = max(self.confirmed_ms or 0, at_ms)
 
-    def confirm_while_polling(self, at_ms):
-        """Record that the store answered a read of another topic.
-
-        If a long poll for a newer version was open at that time, no newer
-        version existed.
-        """
-        if self.is_polling_store:
-            self.confirm(at_ms)
+    def note_reported(self, version):
+        """Note the version that a peer has in force."""
+        if version > self.version:
+            self.handle_newer_version()
 
     def offer(self, config, source):
         """Adopt a configuration if it is newer than the one in force.
--- a/pearrun/shared/reportreceiver.py
+++ b/pearrun/shared/reportreceiver.py
@@ -130,6 +130,7 @@
         if is_own or report.number <= self._numbers.get(run, 0):
             return
         self._numbers[run] = report.number
+        self.host.config.note_reported(report.config_version)
         self._record_sender(report, bundle)
         if run.whole_zone:
             self._apply_sums(report, encoded)
--- a/pearrun/standins/platformstore.py
+++ b/pearrun/standins/platformstore.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import collections
 import dataclasses
 import json
 import struct
@@ -28,6 +29,7 @@
 
     :param status: status of the responses to all calls; 0 for none.
     :param silent: accept calls but never respond.
+    :param silent_topics: topics of which the same is true.
     :param lose_answers: number of next appends that are applied but
         not acknowledged.
     :param refused_hosts: source addresses whose calls get status 503.
@@ -39,12 +41,33 @@
 
     status: int = 0
     silent: bool = False
+    silent_topics: frozenset[str] = frozenset()
     lose_answers: int = 0
     hold_appends: int = 0
     refused_hosts: frozenset[str] = frozenset()
     long_polls_miss_appends: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCall:
+    """A call to the store.
+
+    :param caller: the connection to respond on.
+    :param query: the query's fields.
+    :param losses: how often calls to its topic had been lost when it came.
+    """
+
+    caller: object
+    query: dict[str, str]
+    body: bytes
+    losses: int
+
+    @property
+    def topic(self):
+        """The name of its topic."""
+        return self.query.get('topic')
+
+
 class Topic:
     """The log of a topic, in a single partition.
 
@@ -111,6 +134,7 @@
         self.faults = StoreFaults()
         self.calls = []
         self._held_appends = []
+        self._losses = collections.Counter()
         self.server = Server(self.handle)
 
     async def listen(self, address):
@@ -172,50 +196,58 @@
             if self._is_append_due(query):
                 self._apply_append(query, body)
 
-    async def _reply(self, caller, status, headers, body):
+    def lose_calls(self, topic):
+        """Never respond to the calls to a topic that are in progress."""
+        self._losses[topic] += 1
+
+    async def _reply(self, call, status, headers, body):
+        if self._losses[call.topic] > call.losses:
+            await asyncio.Event().wait()
         if self.era is not None:
             headers = [*headers, (b'Store-Era', str(self.era).encode())]
-        await caller.reply(status, headers, body)
+        await call.caller.reply(status, headers, body)
 
     async def handle(self, request, caller):
         """Respond to a call; see :class:`Server`."""
         path, _, query_text = request.target.decode().partition('?')
         query = dict(urllib.parse.parse_qsl(query_text))
+        losses = self._losses[query.get('topic')]
+        call = StoreCall(caller, query, request.body, losses)
         self.calls.append((path, query))
         peer = caller.transport.get_extra_info('peername')
-        if self.faults.silent:
+        if self.faults.silent or call.topic in self.faults.silent_topics:
             await asyncio.Event().wait()
         if self.faults.status or peer[0] in self.faults.refused_hosts:
-            await self._reply(caller, self.faults.status or 503, JSON, b'{}')
+            await self._reply(call, self.faults.status or 503, JSON, b'{}')
             return
         match path:
             case '/log-append':
-                await self._append(query, request.body, caller)
+                await self._append(call)
             case '/log-read':
-                await self._read(query, caller)
+                await self._read(call)
             case '/log-newest':
-                await self._newest(query, caller)
+                await self._newest(call)
             case _:
-                await self._reply(caller, 404, JSON, b'{}')
+                await self._reply(call, 404, JSON, b'{}')
 
-    async def _append(self, query, body, caller):
-        topic = self.get_topic(query['topic'])
+    async def _append(self, call):
+        topic = self.get_topic(call.topic)
         if self.faults.hold_appends:
             self.faults.hold_appends -= 1
-            self._held_appends.append((query, body))
-            caller.abort()
+            self._held_appends.append((call.query, call.body))
+            call.caller.abort()
             return
-        if not self._is_append_due(query):
+        if not self._is_append_due(call.query):
             reply = json.dumps({'end': topic.end}).encode()
-            await self._reply(caller, 412, JSON, reply)
+            await self._reply(call, 412, JSON, reply)
             return
-        offset = self._apply_append(query, body)
+        offset = self._apply_append(call.query, call.body)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
-            caller.abort()
+            call.caller.abort()
             return
         reply = json.dumps({'offset': offset, 'end': topic.end}).encode()
-        await self._reply(caller, 200, JSON, reply)
+        await self._reply(call, 200, JSON, reply)
 
     def _is_append_due(self, query):
         """Return whether the condition of an append holds."""
@@ -228,25 +260,25 @@
         keyed = query['topic'].startswith('keyed.')
         return topic.append(split_records(body), keyed)
 
-    async def _read(self, query, caller):
-        topic = self.get_topic(query['topic'])
-        start = int(query['from'])
-        if start == topic.end and 'wait_ms' in query:
+    async def _read(self, call):
+        topic = self.get_topic(call.topic)
+        start = int(call.query['from'])
+        if start == topic.end and 'wait_ms' in call.query:
             misses_appends = self.faults.long_polls_miss_appends
             appended = asyncio.Event() if misses_appends else topic.appended
-            await wait_for(appended, int(query['wait_ms']))
-            topic = self.get_topic(query['topic'])
+            await wait_for(appended, int(call.query['wait_ms']))
+            topic = self.get_topic(call.topic)
         if not topic.first <= start <= topic.end:
             reply = json.dumps({'first': topic.first}).encode()
-            await self._reply(caller, 410, JSON, reply)
+            await self._reply(call, 410, JSON, reply)
             return
         records = topic.records[max(0, start - topic.first) :]
         body = BOUNDS.pack(topic.end, topic.first) + join_records(records)
-        await self._reply(caller, 200, [], body)
+        await self._reply(call, 200, [], body)
 
-    async def _newest(self, query, caller):
-        topic = self.get_topic(query['topic'])
-        after = query.get('after', '')
+    async def _newest(self, call):
+        topic = self.get_topic(call.topic)
+        after = call.query.get('after', '')
         keys = sorted(key for key in topic.newest if key > after)
         items = [
             {
@@ -261,7 +293,7 @@
             'has_more': len(keys) > PAGE_ITEMS,
             'end': topic.end,
         }
-        await self._reply(caller, 200, JSON, json.dumps(reply).encode())
+        await self._reply(call, 200, JSON, json.dumps(reply).encode())
 
 
 async def wait_for(event, wait_ms):
