Streams: how long callers wait outlives the loss of all hosts

Cause: a stream whose origin is unknown goes on if its service has had a single version for as long as callers wait. Each host learnt that time from its own calls and kept it in memory; after a loss of all hosts only the route's timeout was left, and callers may wait longer.

Change: the longest wait of a service is learnt from the origins of all streams, and the lease holder saves it before the origins, under a key of its own per wait, so that a late write cannot shorten it. A host that has not read it resumes nothing without its origin; the time that a call was held is added.

Why it works: a stream without an origin is only taken for one of the present version if any other version left longer ago than any caller waits.

--- a/pearrun/decisions/streamversion.py
+++ b/pearrun/decisions/streamversion.py
@@ -16,6 +16,8 @@
 DEFAULT_WAIT_MS = 30_000
 # Longer waits than this are not taken into account.
 MAX_WAIT_MS = 600_000
+# Waits are rounded up to a multiple, so that few changes have to be saved.
+WAIT_STEP_MS = 1000
 
 
 class StreamRefusal(enum.Enum):
@@ -34,24 +36,52 @@
 
 
 class CallerWaits:
-    """How long callers wait in all for the streams of each route.
+    """How long callers wait for the streams of each service at most.
 
-    A stream that is resumed began no longer ago than that.  It may outlast
-    the route's timeout: that ends the answer of one attempt only.
+    A stream that is resumed had its first event no longer ago than that.  It
+    may outlast the route's timeout: that ends the answer of one attempt only.
+
+    ``is_complete`` is false until the waits of streams are known that began
+    before this host's start.
     """
 
     def __init__(self):
+        self.is_complete = False
         self._longest_ms = {}
+        self._unsaved = set()
+
+    def note(self, service, wait_ms):
+        """Record how long a caller waits after a stream's first event.
+
+        :param service: the service that began the stream.
+        """
+        rounded_ms = -(-wait_ms // WAIT_STEP_MS) * WAIT_STEP_MS
+        longest_ms = min(MAX_WAIT_MS, rounded_ms)
+        if longest_ms > self._longest_ms.get(service, 0):
+            self._longest_ms[service] = longest_ms
+            self._unsaved.add(service)
 
-    def note(self, route, wait_ms):
-        """Record how long the caller of a new stream waits."""
-        known_ms = self._longest_ms.get(route.name, 0)
-        self._longest_ms[route.name] = min(MAX_WAIT_MS, max(known_ms, wait_ms))
+    def get_ms(self, service, route):
+        """Return the longest time since a stream's first event.
 
-    def get_ms(self, route):
-        """Return the longest time since a stream of a route has begun."""
+        :param route: the route of the call that resumes it.
+        """
         timeout_ms = route.timeout_ms or DEFAULT_WAIT_MS
-        return max(timeout_ms, self._longest_ms.get(route.name, 0))
+        return max(timeout_ms, self._longest_ms.get(service, 0))
+
+    def list_unsaved(self):
+        """Return pairs of a service and its longest wait that has changed."""
+        return [(name, self._longest_ms[name]) for name in self._unsaved]
+
+    def mark_saved(self, pairs):
+        """Record that waits were saved; see :meth:`list_unsaved`."""
+        for service, wait_ms in pairs:
+            if self._longest_ms[service] == wait_ms:
+                self._unsaved.discard(service)
+
+    def mark_unsaved(self):
+        """Mark all waits as changed."""
+        self._unsaved.update(self._longest_ms)
 
 
 def belongs_to(origin, call):
--- a/pearrun/platform/streamlog.py
+++ b/pearrun/platform/streamlog.py
@@ -12,6 +12,7 @@
 
 from pearrun import exceptions
 from pearrun.clock import to_seconds
+from pearrun.platform.waitlog import WaitLog
 from pearrun.shared import cbor
 from pearrun.shared import reports
 from pearrun.shared.streamorigins import StreamOrigin
@@ -55,6 +56,7 @@
         self.store = store
         self.holds_lease = holds_lease
         self.saved_era = None
+        self.wait_log = WaitLog(store, host.caller_waits)
 
     async def run(self):
         """Read what was saved, then save periodically until cancelled."""
@@ -76,6 +78,7 @@
         if self.store.era != self.saved_era:
             self.saved_era = self.store.era
             self.host.origins.mark_unsaved()
+            self.host.caller_waits.mark_unsaved()
 
     async def _restore(self):
         """Apply the records that the store still has.
@@ -84,6 +87,7 @@
         """
         try:
             records = await self._read()
+            await self.wait_log.read()
         except exceptions.PearrunError as exc:
             logger.bind(topic=TOPIC, code=exc.code).info(
                 f'stream origins not read: {exc.message}'
@@ -128,6 +132,7 @@
 
     async def _save(self, unsaved):
         try:
+            await self.wait_log.save()
             await self.store.append(TOPIC, [encode(self._describe(unsaved))])
         except exceptions.PearrunError as exc:
             logger.bind(topic=TOPIC, code=exc.code, origins=len(unsaved)).info(
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -106,7 +106,6 @@
             trace.stream_version = began.version
             service = self._get_service(began.service)
         else:
-            self.resumption.note_call(call)
             service = self._choose_service(call)
         if service is None:
             trace.reason = 'no service'
--- a/pearrun/relay/resumption.py
+++ b/pearrun/relay/resumption.py
@@ -44,13 +44,6 @@
     def __init__(self, host):
         self.host = host
         self.started_ms = host.clock.now()
-        self.waits = streamversion.CallerWaits()
-
-    def note_call(self, call):
-        """Record how long the caller of a new stream waits."""
-        self.waits.note(
-            call.route, call.deadline_ms - call.request.received_ms
-        )
 
     async def find(self, call):
         """Return the :class:`StreamVersion` that began a call's stream.
@@ -71,19 +64,23 @@
         service = streamversion.find_only_service(call.route)
         if service is None:
             return None
-        window_ms = self.waits.get_ms(call.route)
-        if not self._find_only(service, window_ms):
+        if not self._find_only(service, call):
             return None
         if not await self._wait_for_list(call.request.received_ms):
             return None
-        return self._find_only(service, window_ms)
+        return self._find_only(service, call)
 
     def _get_origin_wait_ms(self):
         age_ms = self.host.clock.since(self.started_ms)
         return max(ORIGIN_WAIT_MS, STARTUP_MS - age_ms)
 
-    def _find_only(self, service, window_ms):
-        """Return the only version that a stream can have begun at."""
+    def _find_only(self, service, call):
+        """Return the only version at which a call's stream can have begun."""
+        waits = self.host.caller_waits
+        if not waits.is_complete:
+            return None
+        held_ms = self.host.clock.since(call.request.received_ms)
+        window_ms = waits.get_ms(service, call.route) + held_ms
         version = self.host.version_history.find_only(service, window_ms)
         return None if version is None else StreamVersion(service, version)
 
--- a/pearrun/shared/host.py
+++ b/pearrun/shared/host.py
@@ -2,6 +2,7 @@
 
 from loguru import logger
 
+from pearrun.decisions.streamversion import CallerWaits
 from pearrun.rollouts.evidence import EvidenceBoard
 from pearrun.rollouts.versions import Rollouts
 from pearrun.shared.activeconfig import ActiveConfig
@@ -57,6 +58,8 @@
         self.fleet = Fleet()
         self.version_history = VersionHistory(clock, self.fleet)
         self.origins = StreamOrigins(clock)
+        self.caller_waits = CallerWaits()
+        self.origins.note_wait = self.caller_waits.note
         self.rollouts = Rollouts(clock, self.fleet, settings.rollout)
         self.evidence = EvidenceBoard()
         self.crashes = CrashDetector(
--- a/pearrun/shared/streamorigins.py
+++ b/pearrun/shared/streamorigins.py
@@ -75,12 +75,15 @@
 class StreamOrigins:
     """The streams that began at this host or at others.
 
-    ``is_hub`` says whether this host forwards origins to its zone.
+    ``is_hub`` says whether this host forwards origins to its zone;
+    ``note_wait`` is called with the service of each new origin and with how
+    long its caller still waits.
     """
 
     def __init__(self, clock):
         self.clock = clock
         self.is_hub = False
+        self.note_wait = lambda service, wait_ms: None
         self._own = {}
         self._known = collections.OrderedDict()
         self._outboxes = set()
@@ -197,8 +200,10 @@
         :returns: whether it was new.
         """
         self._sweep()
-        if origin.id in self._known or origin.until_ms <= self.clock.now():
+        wait_ms = origin.until_ms - self.clock.now()
+        if origin.id in self._known or wait_ms <= 0:
             return False
+        self.note_wait(origin.service, wait_ms)
         self._known[origin.id] = origin
         while len(self._known) > MAX_ORIGINS:
             dropped_id, _ = self._known.popitem(last=False)
