Streams: versions listed after the last save are read from the log

Cause: what the lease holder saves once a second was taken for complete up to the first list of the hosts that start, for up to 3 s; a version first listed after the last save is in no record. A version that was listed then counted as seen at that time only, by the difference of two wall clocks.

Change: the saved record names a position in the log of endpoints' entries. A host that starts reads its list, then that log from the position on; all versions in it count as served until then. If the log has been deleted, or the store restored, nothing is proven. Records of older builds prove nothing.

Why it works: an endpoint gets calls only after its entry was read, and the log has every entry, also of those that were removed.

--- a/pearrun/platform/endpointlist.py
+++ b/pearrun/platform/endpointlist.py
@@ -98,6 +98,7 @@
     def _record_list_read(self, read_start_ms):
         fleet = self.host.fleet
         fleet.listed_ms = max(fleet.listed_ms or 0, read_start_ms)
+        self.host.version_history.position = self.position
 
     def _handle_put(self, record):
         self.host.fleet.unlisted.pop(record.key, None)
--- a/pearrun/platform/streamlog.py
+++ b/pearrun/platform/streamlog.py
@@ -12,18 +12,23 @@
 
 from pearrun import exceptions
 from pearrun.clock import to_seconds
+from pearrun.platform import listlog
 from pearrun.platform.waitlog import WaitLog
 from pearrun.shared import cbor
 from pearrun.shared import reports
 from pearrun.shared.streamorigins import StreamOrigin
 from pearrun.shared.versionhistory import DepartedVersion
-from pearrun.shared.versionhistory import MAX_GAP_MS
 
 TOPIC = 'streams'
 # Origins of the last interval are lost with all hosts; each save is a call to
 # the store.
 SAVE_INTERVAL_MS = 1000
 READ_RETRY_MS = 300
+# How often the log of endpoints' entries is read before what it would prove is
+# given up.
+LIST_ATTEMPTS = 3
+# Interval of checks for the first list of endpoints.
+LIST_POLL_MS = 20
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,12 +40,15 @@
     :param since_ms: how long it had known all versions; ``None`` if it did
         not know them.
     :param departed: :class:`DepartedVersion` objects with ages.
+    :param position: position in the log of endpoints' entries up to which it
+        knew the versions; ``None`` if it did not know them.
     """
 
     wall_ms: int
     origins: tuple[StreamOrigin, ...]
     since_ms: int | None
     departed: tuple[DepartedVersion, ...]
+    position: int | None = None
 
 
 class StreamLog:
@@ -97,7 +105,7 @@
         for item in saved:
             self._apply_origins(item)
         if saved:
-            self._apply_versions(saved[-1])
+            await self._restore_versions(saved[-1])
             logger.bind(
                 origins=len(self.host.origins),
                 age_ms=self._get_age_ms(saved[-1]),
@@ -120,15 +128,41 @@
             [origin.to_time(now) for origin in saved.origins]
         )
 
-    def _apply_versions(self, saved):
-        """Apply the versions, unless some may have come and gone since."""
-        age_ms = self._get_age_ms(saved)
-        if saved.since_ms is None or age_ms > MAX_GAP_MS:
+    async def _restore_versions(self, saved):
+        """Apply the versions, with all that were listed since.
+
+        Without proof of those, streams do not go on without their origin.
+        Times are taken from now on, not from when they were saved: a version
+        may have served until this host has read the list.
+        """
+        if saved.since_ms is None or saved.position is None:
             return
-        now = self.host.clock.now() - age_ms
-        self.host.version_history.merge(
-            now - saved.since_ms, reports.convert_times(saved.departed, now)
-        )
+        while self.host.fleet.listed_ms is None:
+            await asyncio.sleep(to_seconds(LIST_POLL_MS))
+        listed = await self._read_listed(saved.position)
+        if listed is None:
+            return
+        now = self.host.clock.now()
+        departed = reports.convert_times([*saved.departed, *listed], now)
+        self.host.version_history.merge(now - saved.since_ms, departed)
+
+    async def _read_listed(self, position):
+        """Return the versions that were listed since a position.
+
+        :returns: :class:`DepartedVersion` objects with ages; ``None`` if
+            there is no proof that they are all.
+        """
+        for _ in range(LIST_ATTEMPTS):
+            try:
+                return await listlog.read_versions(self.store, position)
+            except exceptions.PearrunError as exc:
+                logger.bind(
+                    topic=reports.ENDPOINT_TOPIC,
+                    position=position,
+                    code=exc.code,
+                ).info(f'past versions not read: {exc.message}')
+            await asyncio.sleep(to_seconds(READ_RETRY_MS))
+        return None
 
     async def _save(self, unsaved):
         try:
@@ -149,6 +183,7 @@
             tuple(origin.to_left(now) for origin in unsaved),
             now - history.since_ms if is_complete else None,
             reports.convert_times(history.list_departed(), now),
+            history.position if is_complete else None,
         )
 
 
@@ -160,6 +195,7 @@
             [dataclasses.astuple(item) for item in saved.origins],
             saved.since_ms,
             [dataclasses.astuple(item) for item in saved.departed],
+            saved.position,
         ]
     )
 
@@ -167,15 +203,20 @@
 def decode(data):
     """Decode a :class:`SavedStreams`.
 
+    Records of older builds have no position.
+
     :raises WireFormatError: the data is malformed.
     """
     try:
-        wall_ms, origins, since_ms, departed = cbor.load(data, TOPIC)
+        wall_ms, origins, since_ms, departed, *position = cbor.load(
+            data, TOPIC
+        )
         return SavedStreams(
             int(wall_ms),
             tuple(StreamOrigin(*item) for item in origins),
             since_ms,
             tuple(DepartedVersion(*item) for item in departed),
+            *position,
         )
     except (ValueError, TypeError) as exc:
         raise exceptions.WireFormatError(f'{TOPIC}: {exc}') from exc
--- a/pearrun/shared/versionhistory.py
+++ b/pearrun/shared/versionhistory.py
@@ -34,13 +34,15 @@
     :param fleet: the :class:`Fleet`.
 
     ``since_ms`` is the time from which on no version is missing; ``None``
-    before the first list of endpoints was read.
+    before the first list of endpoints was read.  ``position`` is the position
+    in the log of endpoints' entries up to which this host has read.
     """
 
     def __init__(self, clock, fleet):
         self.clock = clock
         self.fleet = fleet
         self.since_ms = None
+        self.position = None
         self._merged_ms = None
         self._departed = {}
 
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -78,6 +78,13 @@
     return started
 
 
+async def wait_for_save(site):
+    """Wait until the origins of streams have just been saved."""
+    log = site.store.get_topic('streams')
+    end = log.end
+    await wait_until(lambda: log.end > end)
+
+
 async def check_refused(streams, started, deadline_ms):
     """Check that streams whose version has left do not go on."""
     begun = [stream for stream in streams if stream.versions == {'v1'}]
@@ -105,3 +112,44 @@
             await check_refused(streams, started, 12_000)
 
     asyncio.run(main())
+
+
+def test_streams_of_a_version_listed_after_the_last_save_are_not_joined():
+    async def main():
+        config = make_stream_config(timeout_ms=6000)
+        async with run_site(config, contracts=(), hosts=HOSTS) as site:
+            await add_versions(site, {'v2': 1})
+            _, older = await begin_streams(site, 3, 6000)
+            await asyncio.sleep(SERVED_S + 2.5)
+            _, more = await begin_streams(site, 3, 6000)
+            await wait_for_save(site)
+            await add_versions(site, {'v1': 3})
+            streams, tasks = await begin_streams(site, 12, 6000)
+            started = await lose_all_hosts(site, [*older, *more, *tasks], 'v1')
+            await asyncio.sleep(1.0)
+            await check_refused(streams, started, 4000)
+
+    asyncio.run(main())
+
+
+def test_streams_are_not_resumed_if_past_versions_are_not_proven():
+    """The log of endpoints' entries is deleted while all hosts are away."""
+
+    async def main():
+        config = make_stream_config(timeout_ms=4000)
+        async with run_site(config, contracts=(), hosts=HOSTS) as site:
+            await add_versions(site, {'v1': 3})
+            await asyncio.sleep(SERVED_S + 0.5)
+            streams, tasks = await begin_streams(site, 6, 4000)
+            await asyncio.sleep(1.2)
+            for daemon in site.hosts.values():
+                await daemon.end()
+            await asyncio.gather(*tasks)
+            site.publish_runner(site.runners['v1-0'])
+            site.store.delete_history('keyed.servers')
+            started = [await site.add_host(n + 1) for n in range(HOSTS)]
+            for daemon in started:
+                await wait_until(daemon.host.is_ready)
+            await check_refused(streams, started, 4000)
+
+    asyncio.run(main())
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import cbor2
 import pytest
 
 from pearrun.clock import Clock
@@ -182,11 +183,15 @@
 
 def test_saved_streams_are_decoded_unchanged():
     saved = streamlog.SavedStreams(
-        5, (make_origin(),), 7, (DepartedVersion('model', 'v1', 3),)
+        5, (make_origin(),), 7, (DepartedVersion('model', 'v1', 3),), 9
     )
     assert streamlog.decode(streamlog.encode(saved)) == saved
 
 
+def test_saved_streams_of_older_builds_are_decoded():
+    assert streamlog.decode(cbor2.dumps([5, [], 7, []])).position is None
+
+
 @pytest.mark.parametrize(
     'data', [b'', b'x', b'\x81\x01', b'\x84\x01\x01\x01\x01']
 )
