Scaling: needs of a service that is not scaled are forgotten

Cause: needs are recorded and orders planned once a second, each at its own moments. A plan between the service's return and its next record found only needs older than 10 s; max() of none raised a ValueError, which ends the background tasks.

Evidence: the new test raised it on the code before and passes now.

Why it works: without needs act() skips a service, as it does for a new one, until its first need is recorded, which estimates from the customers' limits.

--- a/pearrun/duties/scaler.py
+++ b/pearrun/duties/scaler.py
@@ -54,9 +54,22 @@
         ):
             return
         self.updated_ms = now
-        for service in self._list_scaled_services():
+        services = self._list_scaled_services()
+        self._forget_needs({service.name for service in services})
+        for service in services:
             self._record_need(service, now)
 
+    def _forget_needs(self, scaled):
+        """Forget the needs of services that are not scaled any more.
+
+        One that comes back begins like a new one.
+
+        :param scaled: names of the services that are.
+        """
+        for name in set(self.need_history) - scaled:
+            del self.need_history[name]
+            self.last_need.pop(name, None)
+
     async def act(self, term):
         """Plan and send the orders that are due.
 
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -1,6 +1,7 @@
 """Integration tests of duties and host peering against the stand-ins."""
 
 import asyncio
+import json
 import socket
 
 import pytest
@@ -18,10 +19,15 @@
 from pearrun.duties.term import Term
 from pearrun.http1.client import connect
 from pearrun.platform import dutyclient
+from pearrun.platform.codec import EndpointCodec
+from pearrun.platform.decoding import decode_configuration
+from pearrun.shared.host import HostContext
 from pearrun.standins.platformsite import KEY
 from pearrun.standins.platformsite import make_config
 from tests.builders import find_free_port
+from tests.builders import ManualClock
 from tests.platformsite import call
+from tests.platformsite import make_host_settings
 from tests.platformsite import make_prompt
 from tests.platformsite import run_site
 from tests.platformsite import wait_until
@@ -440,3 +446,40 @@
             assert scaler._count_displaced(service.name, demand) == 2
 
     asyncio.run(main())
+
+
+def test_service_that_returns_after_its_needs_expired_is_planned():
+    """The first plan may come before its need is recorded again."""
+
+    async def main():
+        scaled = make_scaled_config()
+        without = make_scaled_config()
+        without['services'] = without['services'][:1]
+        without['routes'] = without['routes'][:2]
+        clock = ManualClock()
+        host = HostContext(make_host_settings(), EndpointCodec(), clock)
+        scaler = Scaler(host, None)
+        term = make_term()
+        host.config.offer(make_version(2, scaled), 'test')
+        scaler.update_needs()
+        host.config.offer(make_version(3, without), 'test')
+        for _ in range(12):
+            clock.advance(1000)
+            scaler.update_needs()
+        clock.advance(500)
+        host.config.offer(make_version(4, scaled), 'test')
+        await scaler.act(term)
+        assert not scaler.ordered
+        clock.advance(1000)
+        scaler.update_needs()
+        service = host.config.current.services['model']
+        assert scaler._plan(service, clock.now())
+
+    asyncio.run(main())
+
+
+def make_version(version, config):
+    """Return a decoded configuration of a given version."""
+    return decode_configuration(
+        json.dumps({**config, 'version': version}).encode()
+    )
