Admission: idle endpoints take calls whatever wait was learnt

Why it works: an endpoint without calls of any host has nothing to queue behind, so refusing shortens no wait, and its answers correct the estimate. Under load endpoints are not idle: nothing changes there.

--- a/pearrun/decisions/admission.py
+++ b/pearrun/decisions/admission.py
@@ -9,6 +9,10 @@
 time, and its caller would lose the time for a retry.  The processing time of
 the call's own prompt does not count against the target, so large calls are
 not rejected more often than others.
+
+An endpoint without calls has nothing to queue behind.  What it is expected to
+take besides the call's own prompt was learnt from earlier answers, and only
+the answers to further calls can correct it.
 """
 
 import dataclasses
@@ -40,14 +44,20 @@
     max_retry_share: float = 0.5
 
 
-def should_admit(expected_ms, queued_ms, remaining_ms, target_ms, settings):
+def should_admit(
+    expected_ms, queued_ms, remaining_ms, target_ms, settings, is_idle=False
+):
     """Return whether a call can be served in time.
 
     :param expected_ms: expected time to its first token.
     :param queued_ms: the same without the processing time of its own prompt.
     :param remaining_ms: time until its deadline.
     :param target_ms: its latency target; 0 for none.
+    :param is_idle: whether the endpoint has no other calls.
     """
+    if is_idle:
+        expected_ms -= queued_ms
+        queued_ms = 0
     if expected_ms > remaining_ms * settings.deadline_share:
         return False
     if not target_ms:
--- a/pearrun/relay/relay.py
+++ b/pearrun/relay/relay.py
@@ -272,6 +272,7 @@
             left_ms,
             call.route.latency_target_ms,
             self.admission,
+            selected.is_idle,
         )
 
     def _compute_quota_retry_after_ms(self, call):
--- a/pearrun/shared/selection.py
+++ b/pearrun/shared/selection.py
@@ -28,6 +28,7 @@
         first.
     :param queued_ms: ``expected_ms`` without the prefill of the call's own
         prompt.
+    :param is_idle: whether no host has reported a call there.
     """
 
     endpoint: Endpoint
@@ -35,6 +36,7 @@
     uncached_tokens: int
     queued_tokens: int
     queued_ms: float
+    is_idle: bool
 
 
 class Selection:
@@ -132,7 +134,12 @@
         uncached = max(0, call.prompt.tokens - best.cached_tokens)
         queued_ms = expected_ms - uncached / model.tokens_per_ms
         return Selected(
-            endpoint, expected_ms, uncached, best.queued_tokens, queued_ms
+            endpoint,
+            expected_ms,
+            uncached,
+            best.queued_tokens,
+            queued_ms,
+            is_idle=not best.calls,
         )
 
     def begin(self, selected, call):
