Streams: origins are saved every quarter of a second

Cause: the lease holder saved origins once a second, so those of the last second were lost with all hosts.

Cost: up to three writes a second more; without new origins it stays one.

--- a/pearrun/platform/streamlog.py
+++ b/pearrun/platform/streamlog.py
@@ -20,9 +20,11 @@
 from pearrun.shared.versionhistory import DepartedVersion
 
 TOPIC = 'streams'
-# Origins of the last interval are lost with all hosts; each save is a call to
-# the store.
-SAVE_INTERVAL_MS = 1000
+# Origins of the last interval are lost with all hosts, and most streams last
+# for a few seconds only.
+SAVE_INTERVAL_MS = 250
+# Interval of saves without new origins, which keep the versions known.
+IDLE_SAVE_INTERVAL_MS = 1000
 READ_RETRY_MS = 300
 # How often the log of endpoints' entries is read before what it would prove is
 # given up.
@@ -64,6 +66,7 @@
         self.store = store
         self.holds_lease = holds_lease
         self.saved_era = None
+        self.saved_ms = 0
         self.wait_log = WaitLog(store, host.caller_waits)
 
     async def run(self):
@@ -72,11 +75,15 @@
             await asyncio.sleep(to_seconds(READ_RETRY_MS))
         while True:
             await asyncio.sleep(to_seconds(SAVE_INTERVAL_MS))
-            if self.holds_lease() and len(self.host.origins):
-                self._mark_lost()
-                await self._save(self.host.origins.take_unsaved())
-            else:
+            if not self.holds_lease() or not len(self.host.origins):
                 self.host.origins.take_unsaved()
+                continue
+            self._mark_lost()
+            unsaved = self.host.origins.take_unsaved()
+            idle_ms = self.host.clock.since(self.saved_ms)
+            if unsaved or idle_ms >= IDLE_SAVE_INTERVAL_MS:
+                self.saved_ms = self.host.clock.now()
+                await self._save(unsaved)
 
     def _mark_lost(self):
         """Mark the latest origins as unsaved, which the store may lack.
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -63,7 +63,7 @@
     """Kill all hosts; endpoints of a version leave; start the hosts again.
 
     :param tasks: those that read the streams.
-    :param leaving: the version.
+    :param leaving: the version; ``None`` if all stay.
     """
     for daemon in site.hosts.values():
         await daemon.end()
@@ -153,3 +153,25 @@
             await check_refused(streams, started, 4000)
 
     asyncio.run(main())
+
+
+def test_streams_that_began_shortly_before_all_hosts_are_lost_go_on():
+    async def main():
+        config = make_stream_config(timeout_ms=6000)
+        async with run_site(config, contracts=(), hosts=HOSTS) as site:
+            await add_versions(site, {'v1': 2, 'v2': 2})
+            _, older = await begin_streams(site, 3, 6000)
+            await wait_for_save(site)
+            streams, tasks = await begin_streams(site, 12, 6000)
+            await asyncio.sleep(0.5)
+            started = await lose_all_hosts(site, [*older, *tasks], None)
+            await asyncio.gather(
+                *(
+                    stream.attempt(started[number % HOSTS])
+                    for number, stream in enumerate(streams)
+                )
+            )
+            assert not versions.find_mixed(streams)
+            assert all(stream.complete for stream in streams)
+
+    asyncio.run(main())
