Quarantine: a part that all calls of a route have is tested

Cause: the prompt part that all calls share had all of the crashes, and the answers that would have made them count once were lost with the hosts. Only an answer to a call with the part clears it, and every such call was refused.

Why it works: one host sends one call at a time once it has refused ten calls of the route in a row and admitted none: such a route loses nothing by a test, whose answer clears the part. The gap is as long as endpoints have crashed so far, so a part that does crash them costs at most ten endpoints in ten minutes.

--- a/pearrun/decisions/evidence.py
+++ b/pearrun/decisions/evidence.py
@@ -70,6 +70,11 @@
     crashes: dict[EndpointId, Crash] = dataclasses.field(default_factory=dict)
     answered_ms: int | None = None
 
+    @property
+    def first_crash_ms(self):
+        """Time of its first crash that is still known."""
+        return min(crash.at_ms for crash in self.crashes.values())
+
     @property
     def last_crash_ms(self):
         """Time of its most recent crash."""
--- a/pearrun/decisions/verdicts.py
+++ b/pearrun/decisions/verdicts.py
@@ -28,6 +28,11 @@
     until_ms: int
     others: frozenset[Fingerprint] = frozenset()
 
+    @property
+    def has_parts_only(self):
+        """Whether it names no single request."""
+        return all(map(is_part, self.members))
+
     def applies_to(self, fingerprints):
         """Return whether a call with these fingerprints is refused."""
         if not self.members <= fingerprints:
--- a/pearrun/shared/quarantine.py
+++ b/pearrun/shared/quarantine.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from pearrun.decisions.evidence import select_most_suspect
+from pearrun.decisions.halfopen import RouteRefusals
 from pearrun.decisions.quarantine import Suspects
 from pearrun.decisions.verdicts import Verdict
 from pearrun.shared.crashdetector import READ_MARGIN_MS
@@ -51,7 +52,8 @@
 class Quarantine:
     """Collects crashes and answers, and decides which calls to refuse.
 
-    A call may be any object with the attribute ``fingerprints``.
+    A call may be any object with the attributes ``fingerprints`` and
+    ``route``.
 
     ``notify_peers`` is called to report new crashes to the other hosts
     immediately.
@@ -66,6 +68,7 @@
         self.refused = 0
         self.notify_peers = lambda: None
         self.answers = RecentAnswers()
+        self.refusals = RouteRefusals()
         self._local = set()
         self._pending = set()
         self._full_update_ms = clock.now()
@@ -88,15 +91,27 @@
         """
         verdict = self.find_verdict(call)
         if verdict is not None:
+            if self._begin_route_test(verdict, call):
+                return None
+            self.refusals.note_refused(call.route.name)
             left_ms = verdict.until_ms - self.clock.now()
             return QuarantineRefusal(verdict, left_ms)
         if not self.known.verdicts:
             return None
+        self.refusals.note_admitted(call.route.name)
         tested = self.known.find_tested(call.fingerprints)
         if tested is None or self.trials.begin(tested, call):
             return None
         return QuarantineRefusal(tested, TRIAL_RETRY_MS)
 
+    def _begin_route_test(self, verdict, call):
+        """Return whether to send a call of a route that is refused wholly."""
+        suspect = self.known.suspects[verdict.fingerprint]
+        is_due = self.refusals.is_test_due(
+            call.route.name, verdict, suspect, self.clock.now()
+        )
+        return is_due and self.trials.begin(verdict, call, hosts=1)
+
     def end(self, call):
         """Record that a call has ended."""
         self.trials.end(call)
--- a/pearrun/shared/trials.py
+++ b/pearrun/shared/trials.py
@@ -25,14 +25,17 @@
         self.members = members
         self._running = {}
 
-    def begin(self, verdict, call):
+    def begin(self, verdict, call, hosts=TRIAL_HOSTS):
         """Begin a trial, unless it is for other hosts or one is running.
 
         :param verdict: the :class:`Verdict` that the call tests.
+        :param hosts: how many hosts send trial calls of the verdict.
         :returns: whether to send the call; :meth:`end` must follow.
         """
         fingerprint = verdict.fingerprint
-        if fingerprint in self._running or not self.is_trial_host(fingerprint):
+        if fingerprint in self._running:
+            return False
+        if not self.is_trial_host(fingerprint, hosts):
             return False
         self._running[fingerprint] = call.id
         logger.bind(
@@ -48,9 +51,11 @@
             if call_id == call.id:
                 del self._running[fingerprint]
 
-    def is_trial_host(self, fingerprint):
+    def is_trial_host(self, fingerprint, hosts=TRIAL_HOSTS):
         """Return whether this host sends the trial calls of a verdict.
 
+        :param hosts: how many hosts do.
+
         A host that does not know the others sends none.
         """
         if self.members is None:
@@ -65,4 +70,4 @@
         before = sum(
             rendezvous.compute_weight(key, name) > own_weight for name in names
         )
-        return before < TRIAL_HOSTS
+        return before < hosts
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -15,6 +15,8 @@
 from pearrun.clock import Clock
 from pearrun.decisions.evidence import Crash
 from pearrun.decisions.evidence import Suspect
+from pearrun.decisions.halfopen import MIN_GAP_MS
+from pearrun.decisions.halfopen import MIN_REFUSED
 from pearrun.decisions.quarantine import QuarantineSettings
 from pearrun.decisions.quarantine import Suspects
 from pearrun.fingerprints import make_part_fingerprint
@@ -29,6 +31,7 @@
 from pearrun.shared.trials import TRIAL_HOSTS
 from pearrun.shared.trials import TRIAL_RETRY_MS
 from pearrun.shared.trials import Trials
+from tests.builders import ManualClock
 from tests.crashes import count_crashed
 from tests.crashes import run_crashing_site
 from tests.crashes import send
@@ -40,12 +43,20 @@
 MAX_LATE_SENDS = 3
 
 
+@dataclasses.dataclass(frozen=True)
+class FakeRoute:
+    """A route with the attribute that the quarantine uses."""
+
+    name: str = 'draft'
+
+
 @dataclasses.dataclass(frozen=True)
 class FakeCall:
     """A call with the attributes that the quarantine uses."""
 
     id: str
     fingerprints: tuple
+    route: FakeRoute = FakeRoute()
 
 
 def make_suspects(*crashes, now_ms=NOW_MS):
@@ -525,3 +536,60 @@
             assert count_crashed(site, '/once/x') == crashed
 
     asyncio.run(main())
+
+
+def make_shared_part_quarantine(clock):
+    """Return a quarantine of a part after all endpoints crashed together."""
+    quarantine = Quarantine(clock)
+    for number in range(6):
+        crash = make_part_crash(f'e{number}', clock.now(), f'c{number}')
+        quarantine.handle_crashes([('part-all', crash)])
+    return quarantine
+
+
+def refuse_calls(quarantine, count):
+    """Send calls with the part; all of them must be refused."""
+    for number in range(count):
+        call = FakeCall(f'x{number}', (f'x{number}', 'part-all'))
+        assert quarantine.admit(call) is not None
+        quarantine.end(call)
+
+
+def test_a_part_of_all_calls_is_not_refused_for_good_without_a_test():
+    clock = ManualClock()
+    quarantine = make_shared_part_quarantine(clock)
+    refuse_calls(quarantine, MIN_REFUSED)
+    clock.advance(MIN_GAP_MS)
+    call = FakeCall('test', ('test', 'part-all'))
+    assert quarantine.admit(call) is None
+    refuse_calls(quarantine, 3)
+    quarantine.note_answered(call)
+    quarantine.end(call)
+    assert quarantine.admit(FakeCall('next', ('next', 'part-all'))) is None
+
+
+def test_tests_of_a_part_that_crashes_endpoints_get_rarer():
+    clock = ManualClock()
+    quarantine = make_shared_part_quarantine(clock)
+    tests = []
+    for number in range(6000):
+        call = FakeCall(f'y{number}', (f'y{number}', 'part-all'))
+        if quarantine.admit(call) is None:
+            tests.append(clock.now())
+            crash = make_part_crash(f't{number}', clock.now(), call.id)
+            quarantine.handle_crashes([('part-all', crash)])
+        quarantine.end(call)
+        clock.advance(100)
+    assert len(tests) <= 10
+    assert tests[-1] - tests[-2] >= 100_000
+
+
+def test_a_part_is_not_tested_while_other_calls_of_its_route_are_served():
+    clock = ManualClock()
+    quarantine = make_shared_part_quarantine(clock)
+    for number in range(200):
+        refuse_calls(quarantine, MIN_REFUSED - 1)
+        sound = FakeCall(f'z{number}', (f'z{number}',))
+        assert quarantine.admit(sound) is None
+        quarantine.end(sound)
+        clock.advance(100)
