Configuration: followed while the states of roll-outs are not read

A host that starts during a roll-out follows no new configuration while the topic of the states is silent: it kept an older version for as long.

Cause: the follower of the configuration read that topic first, in the same loop, and tried again before it went on.

Evidence: the new test timed out after 30 s on the code before, and passes now.

Why it works: the states are read by a task of their own.

--- a/pearrun/platform/operatorlog.py
+++ b/pearrun/platform/operatorlog.py
@@ -1,12 +1,17 @@
 """The operator's configuration and orders, read from the store."""
 
+import asyncio
+
 from loguru import logger
 
 from pearrun import exceptions
 from pearrun import positions
+from pearrun.backoff import Backoff
 from pearrun.platform import decoding
 from pearrun.platform import rolloutlog
 from pearrun.platform.followers import Follower
+from pearrun.platform.followers import RETRY_BASE_MS
+from pearrun.platform.followers import RETRY_CAP_MS
 
 TOPIC = 'op'
 CONFIG_KEY = 'config'
@@ -24,16 +29,38 @@
     def __init__(self, host, store, rollout_log):
         super().__init__(host, store, TOPIC, bound_ms=host.settings.config_ms)
         self.rollout_log = rollout_log
-        self.statuses_due = False
+        self.statuses_due = asyncio.Event()
         self.stored_version = 0
         host.config.handle_newer_version = self.request_check
 
-    async def _read_once(self):
-        if self.statuses_due:
-            for status in (await self.rollout_log.read()).values():
+    async def run(self):
+        """See :class:`Follower`."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(super().run())
+            tasks.create_task(self._apply_statuses())
+
+    async def _apply_statuses(self):
+        """Apply the states of roll-outs that may have ended already.
+
+        They are another topic, which may be silent while the orders and the
+        configuration are read.
+        """
+        backoff = Backoff(RETRY_BASE_MS, RETRY_CAP_MS)
+        while True:
+            await self.statuses_due.wait()
+            self.statuses_due.clear()
+            try:
+                statuses = await self.rollout_log.read()
+            except exceptions.PearrunError as exc:
+                self.statuses_due.set()
+                logger.bind(topic=rolloutlog.TOPIC, code=exc.code).info(
+                    f'states of roll-outs not read: {exc.message}'
+                )
+                await backoff.pause()
+                continue
+            backoff.attempts = 0
+            for status in statuses.values():
                 self.host.rollouts.put_status(status)
-            self.statuses_due = False
-        await super()._read_once()
 
     def _get_known_ms(self):
         """Return when the last read was sent, by this host or another one."""
@@ -54,7 +81,8 @@
         self._confirm(read_start_ms)
         for record in orders:
             self._apply_order(record, self._is_outdated)
-        self.statuses_due = bool(self.host.rollouts.list_open())
+        if self.host.rollouts.list_open():
+            self.statuses_due.set()
 
     def apply_changes(self, records, read_start_ms):
         """See :class:`Follower`."""
--- a/tests/test_lost_polls.py
+++ b/tests/test_lost_polls.py
@@ -12,6 +12,7 @@
 from tests.platformsite import wait_until
 
 PLAIN = [('p1', 'plain')]
+DONE = {'service': 'plain', 'to': 'v2', 'state': 'done'}
 CLOCK = Clock()
 CONFIG_TOPIC = 'keyed.op'
 HOST_TOPIC = 'keyed.hosts'
@@ -143,3 +144,21 @@
             assert span_s / config_s <= len(reads) <= 5 * span_s / config_s
 
     asyncio.run(main())
+
+
+def test_configuration_is_followed_while_states_of_rollouts_are_not_read():
+    """A host starts during a roll-out, and only that topic is silent."""
+
+    async def main():
+        async with run_site(make_config(), PLAIN, hosts=0) as site:
+            site.order_rollout('plain', 'v2', 60)
+            site.store.faults.silent_topics = frozenset({'keyed.status'})
+            daemon = await site.add_host(1)
+            await wait_until(daemon.host.is_ready)
+            await asyncio.sleep(0.5)
+            assert await measure_change(site, 2) < daemon.settings.config_ms
+            site.store.put('status', 'rollout/plain', DONE)
+            site.store.faults.silent_topics = frozenset()
+            await wait_until(lambda: not daemon.host.rollouts.list_open())
+
+    asyncio.run(main())
