--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -35,6 +35,7 @@
             refusing=FLAGS.refusing,
             notices=FLAGS.notices,
             restoring=FLAGS.restoring,
+            losing=FLAGS.losing,
         )
         try:
             findings, evidence = asyncio.run(run)
@@ -87,6 +88,11 @@
     flags.DEFINE_bool(
         'restoring', False, 'Also let the store come back from copies.'
     )
+    flags.DEFINE_bool(
+        'losing',
+        False,
+        'Also let single topics of the store lose calls, and kill all hosts.',
+    )
     flags.DEFINE_bool(
         'limited', False, 'Also let endpoints advertise rate limits.'
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -62,6 +62,18 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True)
+class LoseTopic:
+    """The store loses the calls to a topic and serves all others.
+
+    :param duration_ms: how long new calls are lost, too; 0 for only those in
+        progress.
+    """
+
+    topic: str
+    duration_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class CompactStore:
     """The store deletes its history; the newest record of each key stays."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,6 +16,7 @@
 from tests.soak.directory import lock_directory
 from tests.soak.limits import check_limits
 from tests.soak.limits import generate_limits
+from tests.soak.losses import generate_losses
 from tests.soak.notices import check_notices
 from tests.soak.notices import generate_notices
 from tests.soak.plan import generate_plan
@@ -69,6 +70,8 @@
     :param notices: whether endpoints say in their answers that they leave or
         want rest.
     :param restoring: whether the store comes back from copies.
+    :param losing: whether single topics of the store lose their calls, and
+        all hosts are killed at times.
     """
 
     hosts: int = DEFAULT_HOSTS
@@ -79,6 +82,7 @@
     refusing: bool = False
     notices: bool = False
     restoring: bool = False
+    losing: bool = False
 
 
 class FaultInjector:
@@ -131,6 +135,12 @@
                 await asyncio.sleep(to_seconds(duration_ms))
                 store_faults.status = 0
                 store_faults.silent = False
+            case faults.LoseTopic(topic, duration_ms):
+                site.store.lose_calls(topic)
+                if duration_ms:
+                    site.store.faults.silent_topics |= {topic}
+                    await asyncio.sleep(to_seconds(duration_ms))
+                    site.store.faults.silent_topics -= {topic}
             case faults.RestoreStore():
                 await site.lose_store(fault)
             case faults.LoseStoreResponses(count):
@@ -193,6 +203,8 @@
     if options.restoring:
         site.store.era = 1
         plan = plan.add(generate_restores(seed, length_ms, names))
+    if options.losing:
+        plan = plan.add(generate_losses(seed, length_ms, names))
     injector = FaultInjector(site)
     traffic = Traffic(site, seed)
     if options.crashing_part:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -99,6 +99,20 @@
     assert complete
 
 
+def test_lost_calls_of_topics_and_lost_fleets_have_no_findings(tmp_path):
+    findings, evidence = asyncio.run(
+        run_seed(6810, LENGTH_MS, tmp_path, losing=True, several_versions=True)
+    )
+    assert not findings
+    assert any(
+        isinstance(timed.fault, faults.LoseTopic)
+        for timed in evidence.injected
+    )
+    resumed, complete = count_resumed(evidence.streams)
+    assert resumed >= 5
+    assert complete
+
+
 def test_restored_store_has_no_findings(tmp_path):
     findings, evidence = asyncio.run(
         run_seed(6201, LIMITED_LENGTH_MS, tmp_path, restoring=True)
