--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -65,13 +65,26 @@
     :param tasks: those that read the streams.
     :param leaving: the version; ``None`` if all stay.
     """
-    for daemon in site.hosts.values():
-        await daemon.end()
-    await asyncio.gather(*tasks)
+    await end_hosts(site, tasks)
     for runner in versions.list_runners(site, leaving):
         runner.end()
         site.store.put('servers', runner.id, None)
     await asyncio.sleep(0.1)
+    return await start_hosts(site)
+
+
+async def end_hosts(site, tasks):
+    """Kill all hosts.
+
+    :param tasks: those that read the streams, which break.
+    """
+    for daemon in site.hosts.values():
+        await daemon.end()
+    await asyncio.gather(*tasks)
+
+
+async def start_hosts(site):
+    """Start all hosts again; return them once they are ready."""
     started = [await site.add_host(number + 1) for number in range(HOSTS)]
     for daemon in started:
         await wait_until(daemon.host.is_ready)
@@ -142,14 +155,10 @@
             await asyncio.sleep(SERVED_S + 0.5)
             streams, tasks = await begin_streams(site, 6, 4000)
             await asyncio.sleep(1.2)
-            for daemon in site.hosts.values():
-                await daemon.end()
-            await asyncio.gather(*tasks)
+            await end_hosts(site, tasks)
             site.publish_runner(site.runners['v1-0'])
             site.store.delete_history('keyed.servers')
-            started = [await site.add_host(n + 1) for n in range(HOSTS)]
-            for daemon in started:
-                await wait_until(daemon.host.is_ready)
+            started = await start_hosts(site)
             await check_refused(streams, started, 4000)
 
     asyncio.run(main())
