--- a/review/standins-2/narrowlink.py
+++ b/review/standins-2/narrowlink.py
@@ -1,4 +1,4 @@
-"""A machine's link with a low bandwidth, as a proxy before its front address."""
+"""A machine's narrow link, as a proxy before its front address."""
 
 import asyncio
 import socket
